--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,5 @@
+export default {
+  files: ['packages/*/dist/**/*.test.js'],
+  timeout: '3m',
+  concurrency: 4,
+};
--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,64 @@
+import { configs, plugins } from 'eslint-config-airbnb-extended';
+
+/** Airbnb for TypeScript; each rule below that differs is explained in docs/STYLE.md. */
+export default [
+  { ignores: ['**/dist/**', '**/node_modules/**', 'out/**'] },
+  plugins.stylistic,
+  plugins.importX,
+  plugins.node,
+  plugins.typescriptEslint,
+  ...configs.base.recommended,
+  ...configs.node.recommended,
+  ...configs.base.typescript,
+  {
+    files: ['**/*.ts'],
+    languageOptions: {
+      parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
+    },
+    rules: {
+      // Formatting belongs to prettier.
+      '@stylistic/max-len': 'off',
+      '@stylistic/implicit-arrow-linebreak': 'off',
+      '@stylistic/function-paren-newline': 'off',
+      '@stylistic/object-curly-newline': 'off',
+      '@stylistic/operator-linebreak': 'off',
+      '@stylistic/indent': 'off',
+      '@stylistic/no-confusing-arrow': 'off',
+      '@stylistic/no-mixed-operators': 'off',
+      '@stylistic/nonblock-statement-body-position': 'off',
+      '@stylistic/newline-per-chained-call': 'off',
+      '@stylistic/wrap-iife': 'off',
+      '@stylistic/quotes': 'off',
+      curly: 'off',
+      // Loops of awaits are sequential on purpose; for-of over maps needs no copies.
+      'no-await-in-loop': 'off',
+      'no-restricted-syntax': ['error', 'ForInStatement', 'LabeledStatement', 'WithStatement'],
+      'no-continue': 'off',
+      // `void` marks a promise that nobody waits for.
+      'no-void': 'off',
+      // Files are read at start and on SIGHUP, before or beside the event loop's work.
+      'n/no-sync': 'off',
+      // State held by a controller is changed in place by its own functions.
+      'no-param-reassign': ['error', { props: false }],
+      '@typescript-eslint/no-use-before-define': ['error', { functions: false, variables: false }],
+      // No index files and many small named exports.
+      'import-x/prefer-default-export': 'off',
+      'import-x/extensions': 'off',
+      'import-x/no-unresolved': 'off',
+      'import-x/no-extraneous-dependencies': 'off',
+      'import-x/no-cycle': 'error',
+      'import-x/no-rename-default': 'off',
+      'n/no-missing-import': 'off',
+      'n/no-unpublished-import': 'off',
+      'n/no-extraneous-import': 'off',
+      'n/no-unsupported-features/node-builtins': 'off',
+      'n/hashbang': 'off',
+      '@typescript-eslint/no-floating-promises': 'error',
+      '@typescript-eslint/no-misused-promises': 'error',
+    },
+  },
+  {
+    files: ['**/*-main.ts', '**/hemlocksill.ts', '**/bench/src/**'],
+    rules: { 'no-console': 'off', 'n/no-process-exit': 'off' },
+  },
+];
--- /dev/null
+++ b/packages/bench/src/fleet.ts
@@ -0,0 +1,177 @@
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { request } from 'undici';
+import {
+  assembleDocument,
+  assembleEntrySettings,
+  assembleOperatorSettings,
+  assembleStandIns,
+  countPorts,
+  dealPorts,
+  usualOptions,
+  type Deployment,
+  type DeploymentPorts,
+  type DocumentOptions,
+} from './deployment.js';
+import {
+  findFreePorts,
+  programs,
+  runProgram,
+  startProgram,
+  type ProgramOutput,
+  type Started,
+} from './processes.js';
+
+const environment = 'production';
+const startTimeoutMs = 20_000;
+const pollMs = 50;
+
+/** A deployment that runs on this machine. */
+export interface Fleet {
+  readonly deployment: Deployment;
+  readonly ports: DeploymentPorts;
+  readonly dir: string;
+  readonly documentFile: string;
+  readonly vms: Started[];
+  readonly standIns: Started[];
+  /** Base URL of each VM for callers. */
+  readonly urls: readonly string[];
+  /** Runs the operators' command line with JSON output. */
+  readonly operate: (...args: string[]) => Promise<ProgramOutput>;
+  /** Gives a key to a workspace and returns its text and id. */
+  readonly giveKey: (workspace: string) => Promise<{ id: string; key: string }>;
+  readonly startVm: (index: number) => Promise<void>;
+  readonly setFaults: (port: number, faults: object) => Promise<void>;
+  readonly readControl: <T>(port: number, what: string) => Promise<T>;
+  readonly stop: () => Promise<void>;
+}
+
+/** How a fleet is started. */
+export interface FleetOptions {
+  readonly document?: Partial<DocumentOptions>;
+  /** Further lines of the entry processes' settings. */
+  readonly entryLines?: string;
+  /** Program of the entry processes, with arguments before the settings file. */
+  readonly entryProgram?: { readonly file: string; readonly args: readonly string[] };
+  /** Start all engines in one process and all services in another. */
+  readonly grouped?: boolean;
+}
+
+const sleep = (ms: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
+/** Waits until an URL answers with status 200. */
+export const waitForUrl = async (url: string, timeoutMs = startTimeoutMs): Promise<void> => {
+  const deadline = Date.now() + timeoutMs;
+  for (;;) {
+    try {
+      const res = await request(url);
+      await res.body.dump();
+      if (res.statusCode === 200) return;
+    } catch {
+      // Not listening yet.
+    }
+    if (Date.now() > deadline) throw new Error(`${url} did not answer in time`);
+    await sleep(pollMs);
+  }
+};
+
+const controlUrl = (port: number, what: string): string =>
+  `http://127.0.0.1:${port}/control/${what}`;
+
+/** Starts the stand-ins, the entry processes and the document of a deployment. */
+export const startFleet = async (
+  deployment: Deployment,
+  dir: string,
+  opts: FleetOptions,
+): Promise<Fleet> => {
+  mkdirSync(dir, { recursive: true });
+  const documentOptions = { ...usualOptions, ...opts.document };
+  const ports = dealPorts(deployment, await findFreePorts(countPorts(deployment)));
+  const documentFile = join(dir, `${environment}.ini`);
+  const operatorFile = join(dir, 'operator.ini');
+  writeFileSync(documentFile, assembleDocument(deployment, ports, documentOptions));
+  writeFileSync(operatorFile, assembleOperatorSettings(ports, environment));
+  const settings = assembleEntrySettings(deployment, ports, environment, opts.entryLines ?? '');
+  settings.forEach((text, i) => writeFileSync(join(dir, `vm-${i + 1}.ini`), text));
+
+  const specs = assembleStandIns(deployment, ports, documentOptions);
+  const engineCount = deployment.prefills + deployment.decodes;
+  const groups = opts.grouped
+    ? [
+        specs[0] ?? [],
+        specs.slice(1, 1 + deployment.prefills).flat(),
+        specs.slice(1 + deployment.prefills, 1 + engineCount).flat(),
+        specs.slice(1 + engineCount).flat(),
+      ]
+    : specs;
+  const standIns = groups.map((group, i) =>
+    startProgram(
+      `stand-in-${i}`,
+      programs.standIns,
+      [JSON.stringify(group)],
+      join(dir, `stand-in-${i}.log`),
+    ),
+  );
+  await waitForUrl(controlUrl(ports.store, 'counts'));
+
+  const vms: Started[] = [];
+  const urls = ports.vms.map(([callers]) => `http://127.0.0.1:${callers}`);
+  const operate = (...args: string[]): Promise<ProgramOutput> =>
+    runProgram(programs.cli, ['--settings', operatorFile, '--json', ...args]);
+
+  const program = opts.entryProgram ?? { file: programs.entry, args: [] };
+  const launchVm = (index: number): void => {
+    const name = `vm-${index + 1}`;
+    const args = [...program.args, join(dir, `${name}.ini`)];
+    vms[index] = startProgram(name, program.file, args, join(dir, `${name}.log`));
+  };
+  const waitReady = (index: number): Promise<void> =>
+    waitForUrl(`${urls[index]}/hemlocksill/ready`);
+
+  ports.vms.forEach((_, i) => launchVm(i));
+  await Promise.all(urls.map((url) => waitForUrl(`${url}/hemlocksill/health`)));
+  const submitted = await operate('submit', documentFile);
+  if (submitted.code !== 0)
+    throw new Error(`submit failed: ${submitted.stdout}${submitted.stderr}`);
+  await Promise.all(urls.map((_, i) => waitReady(i)));
+
+  return {
+    deployment,
+    ports,
+    dir,
+    documentFile,
+    vms,
+    standIns,
+    urls,
+    operate,
+    giveKey: async (workspace) => {
+      const given = await operate('keys', 'give', workspace);
+      if (given.code !== 0) throw new Error(`keys give failed: ${given.stdout}${given.stderr}`);
+      return JSON.parse(given.stdout) as { id: string; key: string };
+    },
+    startVm: async (index) => {
+      launchVm(index);
+      await waitReady(index);
+    },
+    setFaults: async (port, faults) => {
+      const res = await request(controlUrl(port, 'faults'), {
+        method: 'POST',
+        body: JSON.stringify(faults),
+      });
+      await res.body.dump();
+    },
+    readControl: async <T>(port: number, what: string) => {
+      const res = await request(controlUrl(port, what));
+      return (await res.body.json()) as T;
+    },
+    stop: async () => {
+      const all = [...vms, ...standIns];
+      all.forEach((p) => p.child.kill('SIGCONT'));
+      all.forEach((p) => p.child.kill('SIGKILL'));
+      await Promise.all(all.map((p) => p.exited));
+    },
+  };
+};
--- /dev/null
+++ b/packages/claims/src/claim-record.ts
@@ -0,0 +1,80 @@
+import { createHash } from 'node:crypto';
+import { err, ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+
+/** Shards that idempotency keys are spread over. */
+export const claimShardCount = 8;
+
+/** Size at which a segment is closed and the next one begun, in characters. */
+export const segmentLimit = 32_768;
+
+/** Longest response body that is kept with a claim, in characters. */
+export const keptBodyLimit = 4_096;
+
+const answerSchema = z.strictObject({
+  status: z.number().int(),
+  contentType: z.string(),
+  /** Undefined when the body was too long to keep. */
+  body: z.string().optional(),
+});
+
+/** An answer of a backend server, kept for repeats of the same idempotency key. */
+export type KeptAnswer = z.output<typeof answerSchema>;
+
+const entrySchema = z.strictObject({
+  id: z.string(),
+  /** Digest of method, path and body: a key must not be used for another request. */
+  fingerprint: z.string(),
+  /** Incarnation of the VM that may send the request. */
+  writer: z.string(),
+  /** Tells attempts of one writer apart. */
+  attempt: z.string(),
+  state: z.enum(['claimed', 'done', 'unknown', 'abandoned']),
+  answer: answerSchema.optional(),
+});
+
+/** One claim: who may run a request, and how it ended. */
+export type ClaimEntry = z.output<typeof entrySchema>;
+
+const segmentSchema = z.strictObject({
+  format: z.literal(1),
+  closed: z.boolean(),
+  /** Wall-clock time in milliseconds after which a closed segment may be deleted. */
+  deleteAfter: z.number(),
+  /** Random id of the last write, by which a lost answer is settled. */
+  writeId: z.string(),
+  entries: z.array(entrySchema),
+});
+
+/** A run of claims in one value of the store. */
+export type Segment = z.output<typeof segmentSchema>;
+
+/** Parses a segment. */
+export const readSegment = (text: string): Result<Segment, string> => {
+  try {
+    const parsed = segmentSchema.safeParse(JSON.parse(text));
+    return parsed.success ? ok(parsed.data) : err(parsed.error.issues[0]?.message ?? 'not valid');
+  } catch {
+    return err('not JSON');
+  }
+};
+
+const digest = (...parts: string[]): string =>
+  createHash('sha256').update(JSON.stringify(parts)).digest('base64url').slice(0, 32);
+
+/**
+ * Names a claim by workspace and idempotency key.
+ *
+ * @example
+ * getClaimId('forge', 'order-17') === getClaimId('forge', 'order-17'); // true
+ */
+export const getClaimId = (workspace: string, idempotencyKey: string): string =>
+  digest(workspace, idempotencyKey);
+
+/** Digest of what a request asks for. */
+export const getFingerprint = (method: string, path: string, body: string): string =>
+  digest(method, path, body);
+
+/** Shard of a claim. */
+export const getClaimShard = (claimId: string): number =>
+  createHash('sha256').update(claimId).digest().readUInt32BE(0) % claimShardCount;
--- /dev/null
+++ b/packages/cli/src/hemlocksill.ts
@@ -0,0 +1,149 @@
+#!/usr/bin/env node
+import { readFileSync, writeFileSync } from 'node:fs';
+import { Command } from 'commander';
+import { readOperatorSettings } from '@hemlocksill/config/settings.js';
+import {
+  checkDocument,
+  diffDocument,
+  giveKey,
+  listKeys,
+  makeCommandContext,
+  promoteDocument,
+  reportBurn,
+  settleWrite,
+  showDocument,
+  showStatus,
+  submitDocument,
+  withdrawKey,
+  type CommandContext,
+} from './commands.js';
+import { exitCodes, type CommandResult } from './exit-codes.js';
+
+const defaultWaitMs = 10_000;
+
+interface GlobalOptions {
+  readonly settings: string;
+  readonly json?: boolean;
+  readonly wait: string;
+}
+
+const program = new Command();
+program
+  .name('hemlocksill')
+  .description('Operates hemlocksill: its configuration document and its keys.')
+  .option('-s, --settings <file>', 'settings of this environment', 'operator.ini')
+  .option('--json', 'print JSON')
+  .option('--wait <ms>', 'how long to wait for all VMs to confirm', String(defaultWaitMs))
+  .addHelpText(
+    'after',
+    `
+Examples:
+  hemlocksill check production.ini
+  hemlocksill -s trial.operator.ini submit trial.ini
+  hemlocksill -s trial.operator.ini promote --to production.operator.ini
+  hemlocksill keys give forge
+  hemlocksill report --html burn.html
+
+Exit codes: 0 done, 1 fault, 2 bad input, 3 superseded by another operator,
+4 store down and nothing changed, 5 outcome unknown, 6 accepted but not confirmed by every VM.`,
+  )
+  .exitOverride((error) => process.exit(error.exitCode === 0 ? 0 : exitCodes.badInput));
+
+const readFile = (file: string): string => {
+  try {
+    return readFileSync(file, 'utf8');
+  } catch (error) {
+    process.stderr.write(`${(error as Error).message}\n`);
+    return process.exit(exitCodes.badInput);
+  }
+};
+
+const openContext = (file: string): CommandContext => {
+  const settings = readOperatorSettings(readFile(file));
+  if (settings.isOk()) return makeCommandContext(settings.value);
+  process.stderr.write(`${file}:\n${settings.error.message}\n`);
+  return process.exit(exitCodes.badInput);
+};
+
+const finish = (result: CommandResult): void => {
+  const { json } = program.opts<GlobalOptions>();
+  process.stdout.write(`${json ? JSON.stringify(result.json, null, 2) : result.text}\n`);
+  process.exit(result.code);
+};
+
+const globals = (): GlobalOptions => program.opts<GlobalOptions>();
+const open = (): CommandContext => openContext(globals().settings);
+const readWaitMs = (): number => {
+  const waitMs = Number(globals().wait);
+  if (Number.isFinite(waitMs) && waitMs >= 0) return waitMs;
+  process.stderr.write('--wait takes milliseconds\n');
+  return process.exit(exitCodes.badInput);
+};
+
+program
+  .command('check <file>')
+  .description('check a document and list every mistake')
+  .action((file: string) => finish(checkDocument(readFile(file))));
+
+program
+  .command('show')
+  .description('print the document in force')
+  .action(async () => finish(await showDocument(open())));
+
+program
+  .command('diff <file>')
+  .description('compare a document with the one in force')
+  .action(async (file: string) => finish(await diffDocument(open(), readFile(file))));
+
+program
+  .command('submit <file>')
+  .description('put a document into force')
+  .option('--base <revision>', 'fail unless this document revision is in force')
+  .action(async (file: string, opts: { base?: string }) => {
+    const base = opts.base === undefined ? undefined : Number(opts.base);
+    finish(await submitDocument(open(), readFile(file), base, readWaitMs()));
+  });
+
+program
+  .command('promote')
+  .description('put the document of this environment into force in another one')
+  .requiredOption('--to <file>', 'settings of the other environment')
+  .action(async (opts: { to: string }) => {
+    finish(await promoteDocument(open(), openContext(opts.to), readWaitMs()));
+  });
+
+program
+  .command('settle <write-id>')
+  .description('tell whether a change whose answer was lost took effect')
+  .action(async (writeId: string) => finish(await settleWrite(open(), writeId)));
+
+program
+  .command('status')
+  .description('show every VM')
+  .action(async () => finish(await showStatus(open())));
+
+program
+  .command('report')
+  .description('show service-level burn over all VMs')
+  .option('--html <file>', 'write a page with plots')
+  .action(async (opts: { html?: string }) => {
+    const { result, html } = await reportBurn(open());
+    if (opts.html !== undefined && html !== '') writeFileSync(opts.html, html);
+    finish(result);
+  });
+
+const keys = program.command('keys').description('give, withdraw and list keys');
+keys
+  .command('give <workspace>')
+  .description('give a key; its text is printed this once')
+  .action(async (workspace: string) => finish(await giveKey(open(), workspace, readWaitMs())));
+keys
+  .command('withdraw <key-id>')
+  .description('withdraw a key')
+  .action(async (keyId: string) => finish(await withdrawKey(open(), keyId, readWaitMs())));
+keys
+  .command('list')
+  .description('list keys')
+  .action(async () => finish(await listKeys(open())));
+
+await program.parseAsync();
--- /dev/null
+++ b/packages/cli/src/vm-client.ts
@@ -0,0 +1,70 @@
+import { readFileSync } from 'node:fs';
+import { err, ok, type Result } from 'neverthrow';
+import { Agent, request } from 'undici';
+import type { OperatorSettings } from '@hemlocksill/config/settings.js';
+import { signOperatorRequest } from '@hemlocksill/revisions/operator-signature.js';
+import { getStoreKeys } from '@hemlocksill/revisions/store-keys.js';
+import type { Store, StoreFault } from '@hemlocksill/types/ports.js';
+
+const timeoutMs = 2_000;
+
+/** A VM as the store lists it. */
+export interface ListedVm {
+  readonly vm: string;
+  readonly incarnation: string;
+  readonly dataCentre: string;
+  readonly state: string;
+  readonly operators: { readonly host: string; readonly port: number };
+}
+
+/** Lists the VMs that are registered in the store. */
+export const listVms = async (
+  store: Store,
+  environment: string,
+): Promise<Result<ListedVm[], StoreFault>> => {
+  const listing = await store.list(getStoreKeys(environment).members);
+  return listing.map(({ entries }) =>
+    entries.map((e) => JSON.parse(e.value) as ListedVm).sort((a, b) => (a.vm < b.vm ? -1 : 1)),
+  );
+};
+
+/** Calls a VM's operators' interface. */
+export type CallVm = (
+  vm: ListedVm,
+  method: 'GET' | 'POST',
+  path: string,
+  body: string,
+) => Promise<Result<unknown, string>>;
+
+/** Makes a caller of VMs that signs with the first of the operators' secrets. */
+export const makeCallVm = (settings: OperatorSettings): CallVm => {
+  const { tlsCaFile } = settings;
+  const scheme = tlsCaFile === undefined ? 'http' : 'https';
+  const dispatcher = new Agent({
+    connect: tlsCaFile === undefined ? {} : { ca: readFileSync(tlsCaFile) },
+  });
+  return async (vm, method, path, body) => {
+    const at = Date.now();
+    const secret = settings.operatorSecrets[0] ?? '';
+    const { host, port } = vm.operators;
+    const address = host.includes(':') ? `[${host}]` : host;
+    try {
+      const res = await request(`${scheme}://${address}:${port}${path}`, {
+        method,
+        body: method === 'POST' ? body : null,
+        dispatcher,
+        headers: {
+          'x-operator-time': String(at),
+          'x-operator-signature': signOperatorRequest(secret, method, path, body, at),
+        },
+        signal: AbortSignal.timeout(timeoutMs),
+      });
+      const text = await res.body.text();
+      return res.statusCode === 200
+        ? ok(JSON.parse(text) as unknown)
+        : err(`status ${res.statusCode}`);
+    } catch (error) {
+      return err((error as Error).message);
+    }
+  };
+};
--- /dev/null
+++ b/packages/config/src/ini-lines.ts
@@ -0,0 +1,84 @@
+import { parse } from 'ini';
+import type { ConfigProblem } from '@hemlocksill/errors/config-errors.js';
+
+/** A section of an INI text with the line of each of its fields. */
+export interface IniSection {
+  /** Header text, for example `workspace forge`. */
+  readonly header: string;
+  readonly line: number;
+  readonly values: Readonly<Record<string, string>>;
+  readonly lines: Readonly<Record<string, number>>;
+}
+
+/** The sections of an INI text and the mistakes of its form. */
+export interface IniText {
+  readonly sections: readonly IniSection[];
+  readonly problems: readonly ConfigProblem[];
+}
+
+interface OpenSection {
+  header: string;
+  line: number;
+  body: string[];
+  lines: Record<string, number>;
+}
+
+const readFieldName = (line: string): string => (line.split('=')[0] ?? '').trim();
+
+const parseBody = (body: readonly string[]): Record<string, string> => {
+  const parsed = parse(body.join('\n')) as Record<string, unknown>;
+  return Object.fromEntries(Object.entries(parsed).map(([k, v]) => [k, String(v)]));
+};
+
+const closeSection = (open: OpenSection): IniSection => ({
+  header: open.header,
+  line: open.line,
+  values: parseBody(open.body),
+  lines: open.lines,
+});
+
+const addField = (open: OpenSection, text: string, line: number, problems: ConfigProblem[]) => {
+  const name = readFieldName(text);
+  const field = `${open.header}.${name}`;
+  if (!text.includes('=') || !/^[a-z][a-z0-9-]*$/.test(name)) {
+    problems.push({ line, field: open.header, reason: 'expected "field = value"' });
+    return;
+  }
+  if (open.lines[name] !== undefined) {
+    problems.push({ line, field, reason: `given twice, first on line ${open.lines[name]}` });
+    return;
+  }
+  open.lines[name] = line;
+  open.body.push(text);
+};
+
+/**
+ * Splits an INI text into sections and keeps line numbers for error messages.
+ *
+ * @example
+ * readIniSections('[workspace forge]\nrate = 5').sections[0]?.lines.rate; // 2
+ */
+export const readIniSections = (text: string): IniText => {
+  const problems: ConfigProblem[] = [];
+  const sections: OpenSection[] = [];
+  const seen = new Map<string, number>();
+  text.split(/\r?\n/).forEach((raw, at) => {
+    const line = at + 1;
+    const trimmed = raw.trim();
+    if (trimmed === '' || trimmed.startsWith(';') || trimmed.startsWith('#')) return;
+    const header = /^\[([^\]]+)\]$/.exec(trimmed)?.[1]?.trim().replace(/\s+/g, ' ');
+    const open = sections.at(-1);
+    if (header !== undefined) {
+      const first = seen.get(header);
+      if (first !== undefined)
+        problems.push({ line, field: header, reason: `given twice, first on line ${first}` });
+      seen.set(header, line);
+      sections.push({ header, line, body: [], lines: {} });
+    } else if (open === undefined) {
+      problems.push({ line, field: trimmed, reason: 'stands before the first section' });
+    } else {
+      addField(open, trimmed, line, problems);
+    }
+  });
+  return { sections: sections.map(closeSection), problems };
+};
--- /dev/null
+++ b/packages/config/src/settings.ts
@@ -0,0 +1,191 @@
+import { err, ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+import { ConfigError, type ConfigProblem } from '@hemlocksill/errors/config-errors.js';
+import { checkSection, ipUrl, plainName, wholeNumber, yesNo } from './check-section.js';
+import { readIniSections, type IniSection } from './ini-lines.js';
+
+/** An IP address and a port. */
+export interface Endpoint {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Settings that every process of the product has. */
+export interface CommonSettings {
+  readonly environment: string;
+  readonly storeUrls: readonly string[];
+  /** Secrets of operators; the first signs, each is accepted. */
+  readonly operatorSecrets: readonly string[];
+}
+
+/** The settings of an entry process. */
+export interface EntrySettings extends CommonSettings {
+  readonly vm: string;
+  readonly dataCentre: string;
+  readonly region: string;
+  readonly callers: Endpoint;
+  readonly peers: Endpoint;
+  readonly operators: Endpoint;
+  /** Secrets shared by the VMs; the first signs, each is accepted. */
+  readonly peerSecrets: readonly string[];
+  /** Addresses of peers to ask while the store is down. */
+  readonly seeds: readonly Endpoint[];
+  readonly logLevel: 'trace' | 'debug' | 'info' | 'warn' | 'error';
+  /** Address that metrics are sent to over UDP, if any. */
+  readonly statsd: Endpoint | undefined;
+  /** Files of the certificate and key for TLS on the callers' listener. */
+  readonly tls: { readonly certFile: string; readonly keyFile: string } | undefined;
+  /** Time after which a shutdown ends open requests. */
+  readonly shutdownMs: number;
+  /** Time to go on accepting after reporting not ready. */
+  readonly lameDuckMs: number;
+}
+
+/** The settings of the operators' command line. */
+export interface OperatorSettings extends CommonSettings {
+  /** File of the authority that signed the VMs' certificates; undefined without TLS. */
+  readonly tlsCaFile: string | undefined;
+}
+
+const splitList = (text: string): string[] =>
+  text
+    .split(',')
+    .map((part) => part.trim())
+    .filter((part) => part !== '');
+
+const parseEndpoint = (text: string): Endpoint | undefined => {
+  const match = /^(\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-f:]+\]):(\d{1,5})$/.exec(text);
+  const port = Number(match?.[2]);
+  if (!match?.[1] || port > 65_535) return undefined;
+  return { host: match[1].replace(/[[\]]/g, ''), port };
+};
+
+const endpoint = z.string().transform((text, ctx) => {
+  const parsed = parseEndpoint(text);
+  if (parsed) return parsed;
+  ctx.addIssue({ code: 'custom', message: 'must be IP:port' });
+  return z.NEVER;
+});
+
+const endpoints = z.string().transform((text, ctx) => {
+  const parsed = splitList(text).map(parseEndpoint);
+  if (parsed.every((p) => p !== undefined)) return parsed;
+  ctx.addIssue({ code: 'custom', message: 'must be a list of IP:port' });
+  return z.NEVER;
+});
+
+const secrets = z
+  .string()
+  .transform(splitList)
+  .pipe(z.array(z.string().min(16, 'must have at least 16 characters')).min(1));
+
+const storeUrls = z.string().transform(splitList).pipe(z.array(ipUrl).min(1));
+
+const commonSchema = z.strictObject({
+  environment: plainName,
+  stores: storeUrls,
+  'operator-secrets': secrets,
+});
+
+const operatorSchema = commonSchema.extend({ 'tls-ca': z.string().optional() });
+
+const logLevels = ['trace', 'debug', 'info', 'warn', 'error'] as const;
+
+const entrySchema = commonSchema.extend({
+  vm: plainName,
+  'data-centre': plainName,
+  region: plainName,
+  callers: endpoint,
+  peers: endpoint,
+  operators: endpoint,
+  'peer-secrets': secrets,
+  seeds: endpoints.default([]),
+  'log-level': z.enum(logLevels).default('info'),
+  statsd: endpoint.optional(),
+  'tls-cert': z.string().optional(),
+  'tls-key': z.string().optional(),
+  'listen-on-all': yesNo.default(false),
+  'shutdown-ms': wholeNumber(0, 3_600_000).default(150_000),
+  'lame-duck-ms': wholeNumber(0, 600_000).default(5_000),
+});
+
+type EntryValues = z.output<typeof entrySchema>;
+
+const assembleEntrySettings = (v: EntryValues): EntrySettings => ({
+  environment: v.environment,
+  storeUrls: v.stores,
+  operatorSecrets: v['operator-secrets'],
+  vm: v.vm,
+  dataCentre: v['data-centre'],
+  region: v.region,
+  callers: v.callers,
+  peers: v.peers,
+  operators: v.operators,
+  peerSecrets: v['peer-secrets'],
+  seeds: v.seeds,
+  logLevel: v['log-level'],
+  statsd: v.statsd,
+  tls:
+    v['tls-cert'] !== undefined && v['tls-key'] !== undefined
+      ? { certFile: v['tls-cert'], keyFile: v['tls-key'] }
+      : undefined,
+  shutdownMs: v['shutdown-ms'],
+  lameDuckMs: v['lame-duck-ms'],
+});
+
+const checkEntryValues = (v: EntryValues): string[] => {
+  const reasons: string[] = [];
+  const all = [v.callers, v.peers, v.operators].some(
+    (e) => e.host === '0.0.0.0' || e.host === '::',
+  );
+  if (all && !v['listen-on-all'])
+    reasons.push('listening on all addresses needs listen-on-all = yes');
+  if ((v['tls-cert'] === undefined) !== (v['tls-key'] === undefined))
+    reasons.push('tls-cert and tls-key must be given together');
+  return reasons;
+};
+
+const readOneSection = <T>(
+  text: string,
+  header: string,
+  schema: z.ZodType<T>,
+  check: (values: T) => string[],
+): Result<T, ConfigError> => {
+  const { sections, problems } = readIniSections(text);
+  const found: ConfigProblem[] = [...problems];
+  sections
+    .filter((s) => s.header !== header)
+    .forEach((s) => found.push({ line: s.line, field: s.header, reason: 'unknown section' }));
+  const section: IniSection | undefined = sections.find((s) => s.header === header);
+  if (!section) found.push({ line: 0, field: header, reason: 'section missing' });
+  const values = section && checkSection(section, schema, found);
+  if (values !== undefined)
+    check(values).forEach((reason) =>
+      found.push({ line: section?.line ?? 0, field: header, reason }),
+    );
+  if (values === undefined || found.length > 0) return err(new ConfigError(found));
+  return ok(values);
+};
+
+/**
+ * Parses and checks the settings of an entry process.
+ *
+ * @example
+ * readEntrySettings('[entry]').isErr(); // true, and the error lists every missing field
+ */
+export const readEntrySettings = (text: string): Result<EntrySettings, ConfigError> =>
+  readOneSection(text, 'entry', entrySchema, checkEntryValues).map(assembleEntrySettings);
+
+/**
+ * Parses and checks the settings of the operators' command line.
+ *
+ * @example
+ * readOperatorSettings('[operator]\nenvironment = trial').isErr(); // true
+ */
+export const readOperatorSettings = (text: string): Result<OperatorSettings, ConfigError> =>
+  readOneSection(text, 'operator', operatorSchema, () => []).map((v) => ({
+    environment: v.environment,
+    storeUrls: v.stores,
+    operatorSecrets: v['operator-secrets'],
+    tlsCaFile: v['tls-ca'],
+  }));
--- /dev/null
+++ b/packages/daemon/src/entry-main.ts
@@ -0,0 +1,54 @@
+import { readFileSync } from 'node:fs';
+import bunyan from 'bunyan';
+import { readEntrySettings } from '@hemlocksill/config/settings.js';
+import { makeEventLog } from '@hemlocksill/entry/events.js';
+import { startEntry } from '@hemlocksill/entry/start-entry.js';
+
+const exitUsage = 2;
+const exitFault = 1;
+
+const loadSettings = (file: string) => readEntrySettings(readFileSync(file, 'utf8'));
+
+const runEntry = async (file: string): Promise<void> => {
+  const settings = loadSettings(file);
+  if (settings.isErr()) {
+    process.stderr.write(`${file}:\n${settings.error.message}\n`);
+    process.exitCode = exitUsage;
+    return;
+  }
+  const { vm, logLevel } = settings.value;
+  const log = bunyan.createLogger({ name: 'hemlocksill-entry', vm, level: logLevel });
+  const logEvent = makeEventLog(log);
+  const entry = await startEntry(settings.value, log, {});
+  const shutDown = (): void => {
+    entry.shutDown().then(
+      () => process.exit(0),
+      () => process.exit(exitFault),
+    );
+  };
+  let asked = false;
+  const onSignal = (): void => {
+    // A second signal ends the process at once.
+    if (asked) process.exit(exitFault);
+    asked = true;
+    shutDown();
+  };
+  process.on('SIGTERM', onSignal);
+  process.on('SIGINT', onSignal);
+  process.on('SIGHUP', () => {
+    const again = loadSettings(file);
+    if (again.isOk()) entry.reload(again.value);
+    else logEvent(1008, { reason: again.error.message });
+  });
+};
+
+const file = process.argv[2];
+if (file === undefined) {
+  process.stderr.write('usage: hemlocksill-entry SETTINGS.ini\n');
+  process.exitCode = exitUsage;
+} else {
+  runEntry(file).catch((error: Error) => {
+    process.stderr.write(`${error.message}\n`);
+    process.exitCode = exitFault;
+  });
+}
--- /dev/null
+++ b/packages/entry/src/callers-app.ts
@@ -0,0 +1,171 @@
+import { randomBytes } from 'node:crypto';
+import { Hono } from 'hono';
+import type { HttpBindings } from '@hono/node-server';
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
+import { err } from 'neverthrow';
+import {
+  assembleFailure,
+  refuseBadRequest,
+  refuseLeaving,
+  refuseNotFound,
+  refuseStale,
+} from '@hemlocksill/errors/refusals.js';
+import type { Snapshot } from '@hemlocksill/types/config-document.js';
+import type { Refusal } from '@hemlocksill/types/requests.js';
+import { readClock } from './clock.js';
+import { assembleErrorBody } from './completion-writer.js';
+import type { LogEvent } from './events.js';
+import { findRoute } from './match-route.js';
+import type { Handler, ReplyResult, RequestContext } from './request-context.js';
+
+const retryAfterMs = 2_000;
+const streamIdBytes = 12;
+
+/** Handlers of the callers' interface, each a whole chain of filters. */
+export interface CallerHandlers {
+  readonly text: Handler;
+  readonly chat: Handler;
+  readonly resume: Handler;
+  readonly service: Handler;
+}
+
+/** What the callers' interface needs. */
+export interface CallersAppOptions {
+  readonly handlers: CallerHandlers;
+  readonly snapshot: () => Snapshot | undefined;
+  /** Whether the platform's balancer should send new connections here. */
+  readonly isReady: () => boolean;
+  /** Whether new requests are refused because the shutdown has gone too far. */
+  readonly isClosed: () => boolean;
+  readonly logEvent: LogEvent;
+}
+
+interface CallersEnv {
+  Bindings: HttpBindings;
+}
+
+const makeContext = (
+  env: HttpBindings,
+  path: string,
+  query: string,
+  snapshot: Snapshot,
+): RequestContext => {
+  const { incoming, outgoing } = env;
+  const abort = new AbortController();
+  outgoing.on('close', () => {
+    if (!outgoing.writableFinished) abort.abort();
+  });
+  return {
+    id: `req-${randomBytes(streamIdBytes).toString('hex')}`,
+    receivedAt: readClock(),
+    incoming,
+    outgoing,
+    method: incoming.method ?? 'GET',
+    path,
+    query,
+    headers: incoming.headers,
+    snapshot,
+    abort,
+    keyWithdrawn: false,
+    streamFailed: false,
+    body: Buffer.alloc(0),
+    key: undefined,
+    workspace: undefined,
+    class: 'patient',
+    completion: undefined,
+    route: undefined,
+    usedTokens: 0,
+    firstTokenAt: undefined,
+    longestGapMs: 0,
+    outputTokens: 0,
+    wastedPrefillTokens: 0,
+  };
+};
+
+const writeWhole = (
+  ctx: RequestContext,
+  status: number,
+  headers: Readonly<Record<string, string>>,
+  body: string | Buffer,
+): void => {
+  const { outgoing } = ctx;
+  if (outgoing.headersSent || outgoing.destroyed) return;
+  outgoing.writeHead(status, {
+    ...headers,
+    'content-length': Buffer.byteLength(body),
+    'x-request-id': ctx.id,
+  });
+  outgoing.end(body);
+};
+
+const writeRefusal = (ctx: RequestContext, refusal: Refusal): void => {
+  const headers: Record<string, string> = {
+    'content-type': 'application/json',
+    'x-outcome': refusal.outcome,
+  };
+  if (refusal.retryAfterMs !== undefined)
+    headers['retry-after'] = String(Math.max(1, Math.ceil(refusal.retryAfterMs / 1_000)));
+  // A body that was not read to its end leaves the connection unusable.
+  if (!ctx.incoming.complete) headers.connection = 'close';
+  writeWhole(ctx, refusal.status, headers, JSON.stringify(assembleErrorBody(refusal)));
+};
+
+/** Writes a result to the caller, unless it has been written as a stream. */
+export const writeResult = (ctx: RequestContext, result: ReplyResult): void => {
+  if (result.isErr()) writeRefusal(ctx, result.error);
+  else if (result.value.kind === 'whole')
+    writeWhole(ctx, result.value.status, result.value.headers, result.value.body);
+};
+
+const chooseHandler = (handlers: CallerHandlers, ctx: RequestContext): Handler | undefined => {
+  const named: Readonly<Record<string, Handler>> = {
+    'POST /v1/completions': handlers.text,
+    'POST /v1/chat/completions': handlers.chat,
+    'GET /v1/resume': handlers.resume,
+  };
+  const known = named[`${ctx.method} ${ctx.path}`];
+  if (known) return known;
+  ctx.route = findRoute(ctx.snapshot.document.routes, ctx.method, ctx.path);
+  ctx.class = ctx.route?.class ?? 'patient';
+  return ctx.route ? handlers.service : undefined;
+};
+
+const refuse =
+  (refusal: Refusal): Handler =>
+  () =>
+    Promise.resolve(err(refusal));
+
+/** Makes the HTTP application that callers reach. */
+export const makeCallersApp = (opts: CallersAppOptions): Hono<CallersEnv> => {
+  const app = new Hono<CallersEnv>();
+
+  app.get('/hemlocksill/health', (c) => c.text('ok'));
+  app.get('/hemlocksill/ready', (c) =>
+    opts.isReady() ? c.text('ready') : c.text('not ready', 503),
+  );
+
+  app.all('*', async (c) => {
+    const url = c.env.incoming.url ?? '/';
+    const at = url.indexOf('?');
+    const path = at < 0 ? url : url.slice(0, at);
+    const query = at < 0 ? '' : url.slice(at);
+    const snapshot = opts.snapshot();
+    if (!snapshot) {
+      const refusal = refuseStale('this VM has no configuration yet', retryAfterMs);
+      c.header('retry-after', '2');
+      return c.json(assembleErrorBody(refusal), 503);
+    }
+    const ctx = makeContext(c.env, path, query, snapshot);
+    let handler = chooseHandler(opts.handlers, ctx) ?? refuse(refuseNotFound('no such route'));
+    if (opts.isClosed()) handler = refuse(refuseLeaving('this VM is leaving', retryAfterMs));
+    if (!path.startsWith('/')) handler = refuse(refuseBadRequest('the path is not valid'));
+    try {
+      writeResult(ctx, await handler(ctx));
+    } catch (error) {
+      opts.logEvent(1006, { request: ctx.id, error: (error as Error).stack });
+      writeResult(ctx, err(assembleFailure('outcome-unknown', 'internal error')));
+    }
+    return RESPONSE_ALREADY_SENT;
+  });
+  return app;
+};
--- /dev/null
+++ b/packages/entry/src/controllers/gossip.ts
@@ -0,0 +1,109 @@
+import { z } from 'zod';
+import type { PeerClient } from '@hemlocksill/peer/peer-client.js';
+import type { PeerMethod } from '@hemlocksill/peer/peer-server.js';
+import type { Random } from '@hemlocksill/types/ports.js';
+import { readClock, repeatUntilStopped } from '../clock.js';
+import { memberSchema, type Member } from '../member.js';
+import type { Membership } from './membership.js';
+import type { Revisions } from './revisions.js';
+
+const periodMs = 1_000;
+const timeoutMs = 700;
+
+/** Peers asked in one round; all of them in a small fleet. */
+const fanOut = 12;
+
+const viewSchema = z.object({
+  revision: z.number(),
+  proofAgeMs: z.number().optional(),
+  storeReachable: z.boolean(),
+  members: z.array(memberSchema).optional(),
+});
+
+/** The exchange of revisions and proofs with peers. */
+export interface Gossip {
+  readonly methods: Readonly<Record<string, PeerMethod>>;
+  readonly start: (signal: AbortSignal) => void;
+  /** Incarnations that answered in the last round. */
+  readonly reached: () => ReadonlySet<string>;
+}
+
+/** What gossip needs. */
+export interface GossipOptions {
+  readonly membership: Membership;
+  readonly revisions: Revisions;
+  readonly peers: PeerClient;
+  /** Peers to ask while no member is known. */
+  readonly seeds: readonly { readonly host: string; readonly port: number }[];
+  readonly random: Random;
+}
+
+const pickSome = <T>(items: readonly T[], count: number, random: Random): T[] => {
+  const pool = [...items];
+  const picked: T[] = [];
+  while (picked.length < count && pool.length > 0)
+    picked.push(...pool.splice(Math.floor(random() * pool.length), 1));
+  return picked;
+};
+
+/** Exchanges revisions and proofs, so that one VM that sees the store serves all. */
+export const makeGossip = (opts: GossipOptions): Gossip => {
+  const { membership, revisions, peers, random } = opts;
+  let reached = new Set<string>();
+
+  const describeSelf = () => ({
+    revision: revisions.revision(),
+    proofAgeMs: revisions.proofAgeMs(),
+    storeReachable: membership.storeReachable(),
+  });
+
+  const ask = async (member: Member) => {
+    const sentAt = readClock();
+    const question = { ...describeSelf(), wantsMembers: membership.others().length === 0 };
+    const answer = await peers.call(member.peers, 'gossip.sync', question, timeoutMs);
+    const parsed = answer.isOk() ? viewSchema.safeParse(answer.value.value) : undefined;
+    if (answer.isErr() || !parsed?.success) {
+      membership.suspect(member.incarnation);
+      return undefined;
+    }
+    reached.add(answer.value.from.incarnation);
+    if (parsed.data.members) membership.learnMembers(parsed.data.members);
+    return { member, view: { ...parsed.data, proofAgeMs: parsed.data.proofAgeMs }, sentAt };
+  };
+
+  /** Stands in for the members that a VM cannot read while the store is out. */
+  const getSeedMembers = (): Member[] =>
+    opts.seeds.map((peer) => ({
+      ...membership.self(),
+      vm: `seed ${peer.host}:${peer.port}`,
+      incarnation: `seed-${peer.host}:${peer.port}`,
+      peers: peer,
+    }));
+
+  const round = async (): Promise<void> => {
+    const known = membership.others();
+    const others = known.length > 0 ? known : getSeedMembers();
+    reached = new Set();
+    const asked = await Promise.all(pickSome(others, fanOut, random).map(ask));
+    await revisions.learnViews(
+      asked.filter((a) => a !== undefined),
+      others.length,
+    );
+  };
+
+  return {
+    methods: {
+      'gossip.sync': (params) => {
+        const wants = z.object({ wantsMembers: z.literal(true) }).safeParse(params).success;
+        const members = wants ? membership.members() : undefined;
+        return Promise.resolve({ ...describeSelf(), members });
+      },
+      'revisions.read': (params) => {
+        const parsed = z.object({ known: z.array(z.string()) }).safeParse(params);
+        return Promise.resolve(revisions.readForPeer(parsed.success ? parsed.data.known : []));
+      },
+    },
+    start: (signal) => void repeatUntilStopped(periodMs, signal, round),
+    reached: () => reached,
+  };
+};
--- /dev/null
+++ b/packages/entry/src/controllers/orphans.ts
@@ -0,0 +1,113 @@
+import { z } from 'zod';
+import type { PeerClient } from '@hemlocksill/peer/peer-client.js';
+import { throwInvalidParams, type PeerMethod } from '@hemlocksill/peer/peer-server.js';
+import type { StoreKeys } from '@hemlocksill/revisions/store-keys.js';
+import type { Store } from '@hemlocksill/types/ports.js';
+import { readClock } from '../clock.js';
+import type { EngineClient, EngineHold } from '../engine-client.js';
+import type { LogEvent } from '../events.js';
+import type { EmitMetric } from '../metrics.js';
+import type { RequestTable } from '../request-table.js';
+import type { Membership } from './membership.js';
+
+const callTimeoutMs = 1_000;
+
+/** How long a caller whose VM is gone may come back for the rest of a stream. */
+export const resumeGraceMs = 10_000;
+
+/** Margin beyond the longest request after which any hold is an orphan. */
+const overdueMs = 10_000;
+
+/** Finds and cancels what engines hold for requests that are gone. */
+export interface Orphans {
+  readonly methods: Readonly<Record<string, PeerMethod>>;
+  /** Looks through the holds of one engine. */
+  readonly search: (url: string, holds: readonly EngineHold[], maxMs: number) => Promise<void>;
+}
+
+/** What the orphan search needs. */
+export interface OrphansOptions {
+  readonly store: Store;
+  readonly keys: StoreKeys;
+  readonly membership: Membership;
+  readonly peers: PeerClient;
+  readonly engines: EngineClient;
+  readonly table: RequestTable;
+  readonly logEvent: LogEvent;
+  readonly emit: EmitMetric;
+}
+
+const idsSchema = z.object({ ids: z.array(z.string()) });
+
+/** Makes the search for orphaned holds. */
+export const makeOrphans = (opts: OrphansOptions): Orphans => {
+  const { membership, peers, engines, table, logEvent, emit } = opts;
+  const missingSince = new Map<string, number>();
+
+  const cancel = async (url: string, hold: EngineHold, reason: string): Promise<void> => {
+    const done = await engines.cancel(url, hold.id);
+    if (done.isErr()) return;
+    logEvent(1503, { url, id: hold.id, reason, ageMs: Math.round(hold.ageMs) });
+    emit('orphans.cancelled', 1, { reason });
+  };
+
+  /** Asks an owner which ids it does not know; none when it gives no answer. */
+  const askDenied = async (owner: string, ids: readonly string[]): Promise<Set<string>> => {
+    if (owner === membership.self().incarnation)
+      return new Set(ids.filter((id) => !table.isLive(id)));
+    const member = membership.findMember(owner);
+    if (!member) return new Set();
+    const answer = await peers.call(member.peers, 'requests.denied', { ids }, callTimeoutMs);
+    if (answer.isErr() || answer.value.from.incarnation !== owner) return new Set();
+    const parsed = z.array(z.string()).safeParse(answer.value.value);
+    return new Set(parsed.success ? parsed.data : []);
+  };
+
+  /** Whether an owner is proven gone for long enough. */
+  const isOwnerGone = async (owner: string): Promise<boolean> => {
+    if (membership.findMember(owner) || owner === membership.self().incarnation) {
+      missingSince.delete(owner);
+      return false;
+    }
+    const since = missingSince.get(owner) ?? readClock();
+    missingSince.set(owner, since);
+    if (readClock() - since < resumeGraceMs) return false;
+    const entry = await opts.store.get(`${opts.keys.members}${owner}`);
+    return entry.isOk() && entry.value === undefined;
+  };
+
+  const searchOwner = async (
+    url: string,
+    owner: string,
+    holds: readonly EngineHold[],
+  ): Promise<void> => {
+    const gone = await isOwnerGone(owner);
+    const denied = gone
+      ? new Set(holds.map((h) => h.id))
+      : await askDenied(
+          owner,
+          holds.map((h) => h.id),
+        );
+    const reason = gone ? 'owner-gone' : 'denied';
+    await Promise.all(holds.filter((h) => denied.has(h.id)).map((h) => cancel(url, h, reason)));
+  };
+
+  return {
+    methods: {
+      'requests.denied': (params) => {
+        const parsed = idsSchema.safeParse(params);
+        if (!parsed.success) return throwInvalidParams('ids expected');
+        return Promise.resolve(parsed.data.ids.filter((id) => !table.isLive(id)));
+      },
+    },
+    search: async (url, holds, maxMs) => {
+      const overdue = holds.filter((h) => h.ageMs > maxMs + overdueMs);
+      await Promise.all(overdue.map((h) => cancel(url, h, 'overdue')));
+      const owners = new Map<string, EngineHold[]>();
+      holds
+        .filter((h) => !overdue.includes(h))
+        .forEach((h) => owners.set(h.owner, [...(owners.get(h.owner) ?? []), h]));
+      await Promise.all([...owners].map(([owner, held]) => searchOwner(url, owner, held)));
+    },
+  };
+};
--- /dev/null
+++ b/packages/entry/src/controllers/rate.ts
@@ -0,0 +1,321 @@
+import { err, ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+import { refuseRate, refuseRateUnknown, refuseTooLarge } from '@hemlocksill/errors/refusals.js';
+import type { PeerClient } from '@hemlocksill/peer/peer-client.js';
+import { throwInvalidParams, type PeerMethod } from '@hemlocksill/peer/peer-server.js';
+import { acceptReturn, answerDraw, type DrawAnswer } from '@hemlocksill/rate/holder.js';
+import { shardOf } from '@hemlocksill/rate/shard-record.js';
+import {
+  addGrant,
+  collectReturns,
+  countAvailable,
+  getExpectedDemand,
+  makeTaker,
+  recordDemand,
+  reserveTokens,
+  settleReservation,
+  type EpochReturn,
+  type Reservation,
+} from '@hemlocksill/rate/taker.js';
+import type { Workspace } from '@hemlocksill/types/config-document.js';
+import type { Refusal } from '@hemlocksill/types/requests.js';
+import { readClock, repeatUntilStopped } from '../clock.js';
+import type { RateShards } from './rate-shards.js';
+
+const drawTimeoutMs = 400;
+const returnPeriodMs = 100;
+
+/** Pause before a draw is tried again when no holder could be asked. */
+const noHolderPauseMs = 100;
+const longestPauseMs = 250;
+const noHolderRetryAfterMs = 2_000;
+
+/** Admission by the rates of workspaces. */
+export interface Rate {
+  /**
+   * Reserves tokens, waiting until `deadline` at the latest. A wait that cannot end in
+   * time is refused at once.
+   */
+  readonly reserve: (
+    workspace: Workspace,
+    tokens: number,
+    deadline: number,
+    signal: AbortSignal,
+  ) => Promise<Result<Reservation, Refusal>>;
+  readonly settle: (reservation: Reservation, used: number) => void;
+  readonly methods: Readonly<Record<string, PeerMethod>>;
+  readonly start: (signal: AbortSignal) => void;
+}
+
+/** What the rate controller needs. */
+export interface RateOptions {
+  readonly shards: RateShards;
+  readonly peers: PeerClient;
+  readonly findWorkspace: (name: string) => Workspace | undefined;
+}
+
+interface Waiter {
+  readonly tokens: number;
+  readonly deadline: number;
+  readonly finish: (result: Result<Reservation, Refusal>) => void;
+}
+
+interface Line {
+  readonly waiters: Waiter[];
+  drawing: boolean;
+}
+
+type DrawOutcome = { answer: DrawAnswer; epoch: number; sentAt: number } | undefined;
+
+interface PendingDraw {
+  readonly epoch: number;
+  readonly shard: number;
+  readonly draw: { workspace: string; need: number; want: number };
+  readonly resolve: (outcome: DrawOutcome) => void;
+}
+
+const drawsSchema = z.object({
+  draws: z.array(z.tuple([z.number(), z.number(), z.string(), z.number(), z.number()])),
+  returns: z.array(
+    z.object({
+      workspace: z.string(),
+      epoch: z.number(),
+      slot: z.number(),
+      settled: z.number(),
+      unused: z.number(),
+    }),
+  ),
+});
+
+/** Draws grants from holders, serves waiting requests and answers other VMs' draws. */
+export const makeRate = (opts: RateOptions): Rate => {
+  const { shards, peers, findWorkspace } = opts;
+  const taker = makeTaker();
+  const lines = new Map<string, Line>();
+  const pending = new Map<string, { draws: PendingDraw[]; port: { host: string; port: number } }>();
+  let returns: EpochReturn[] = [];
+
+  const answerOwn = (
+    shard: number,
+    epoch: number,
+    draw: PendingDraw['draw'],
+  ): DrawAnswer | undefined => {
+    const holder = shards.findOwn(shard);
+    const workspace = findWorkspace(draw.workspace);
+    if (!holder || holder.epoch !== epoch || !workspace) return undefined;
+    return answerDraw(holder, draw, workspace, readClock());
+  };
+
+  const takeReturns = (back: readonly EpochReturn[]): void => {
+    const now = readClock();
+    back.forEach((r) => {
+      const holder = shards.findOwn(shardOf(r.workspace));
+      if (holder) acceptReturn(holder, r.epoch, r, now);
+    });
+  };
+
+  const takeReturnsFor = (incarnation: string): EpochReturn[] => {
+    const due = returns.filter(
+      (r) => shards.findHolder(shardOf(r.workspace))?.member.incarnation === incarnation,
+    );
+    returns = returns.filter((r) => !due.includes(r));
+    return due;
+  };
+
+  const sendBatch = async (incarnation: string): Promise<void> => {
+    const batch = pending.get(incarnation);
+    pending.delete(incarnation);
+    if (!batch) return;
+    const sentAt = readClock();
+    const draws = batch.draws.map(({ shard, epoch, draw }) => [
+      shard,
+      epoch,
+      draw.workspace,
+      draw.need,
+      draw.want,
+    ]);
+    const message = { draws, returns: takeReturnsFor(incarnation) };
+    const answer = await peers.call(batch.port, 'rate.draw', message, drawTimeoutMs);
+    const answers = answer.isOk() ? (answer.value.value as (DrawAnswer | null)[]) : [];
+    batch.draws.forEach((p, i) => {
+      const given = answers[i];
+      p.resolve(given ? { answer: given, epoch: p.epoch, sentAt } : undefined);
+    });
+  };
+
+  const draw = (workspace: string, need: number, want: number): Promise<DrawOutcome> => {
+    const shard = shardOf(workspace);
+    const own = shards.findOwn(shard);
+    if (own) {
+      const answer = answerOwn(shard, own.epoch, { workspace, need, want: need });
+      const outcome = answer && { answer, epoch: own.epoch, sentAt: readClock() };
+      return Promise.resolve(outcome);
+    }
+    const holder = shards.findHolder(shard);
+    if (!holder) return Promise.resolve(undefined);
+    const { incarnation } = holder.member;
+    return new Promise((resolve) => {
+      const batch = pending.get(incarnation) ?? { draws: [], port: holder.member.peers };
+      if (batch.draws.length === 0) setImmediate(() => void sendBatch(incarnation));
+      pending.set(incarnation, batch);
+      batch.draws.push({ epoch: holder.epoch, shard, draw: { workspace, need, want }, resolve });
+    });
+  };
+
+  const serveWaiters = (workspace: string, line: Line): void => {
+    while (line.waiters.length > 0) {
+      const [next] = line.waiters;
+      if (!next) return;
+      const reservation = reserveTokens(taker, workspace, next.tokens, readClock());
+      if (!reservation) return;
+      line.waiters.shift();
+      next.finish(ok(reservation));
+    }
+  };
+
+  const refuseWhere = (
+    line: Line,
+    test: (waiter: Waiter) => boolean,
+    refusal: (waiter: Waiter) => Refusal,
+  ): void => {
+    const refused = line.waiters.filter(test);
+    refused.forEach((w) => {
+      line.waiters.splice(line.waiters.indexOf(w), 1);
+      w.finish(err(refusal(w)));
+    });
+  };
+
+  /** Handles the answer to a draw; returns how long to pause before the next. */
+  const handleOutcome = (workspace: string, line: Line, outcome: DrawOutcome): number => {
+    if (!outcome) {
+      const late = readClock() + noHolderPauseMs;
+      refuseWhere(
+        line,
+        (w) => w.deadline <= late,
+        () =>
+          refuseRateUnknown(
+            'the rate of the workspace cannot be checked now',
+            noHolderRetryAfterMs,
+          ),
+      );
+      return noHolderPauseMs;
+    }
+    const { answer, epoch, sentAt } = outcome;
+    if (answer.kind === 'granted') {
+      addGrant(taker, workspace, { epoch, slot: answer.slot, tokens: answer.tokens }, sentAt);
+      return 0;
+    }
+    if (answer.kind === 'never') {
+      refuseWhere(
+        line,
+        (w) => w === line.waiters[0],
+        () => refuseTooLarge('the request asks for more tokens than the burst of the workspace'),
+      );
+      return 0;
+    }
+    const readyAt = readClock() + answer.waitMs;
+    const perToken = answer.waitMs / Math.max(1, line.waiters[0]?.tokens ?? 1);
+    let ahead = 0;
+    refuseWhere(
+      line,
+      (w) => {
+        const dueAt = readyAt + ahead * perToken;
+        ahead += w.tokens;
+        return w.deadline < dueAt;
+      },
+      () => refuseRate('the workspace is over its rate', answer.waitMs),
+    );
+    return Math.min(answer.waitMs, longestPauseMs);
+  };
+
+  const runLine = async (workspace: string, line: Line): Promise<void> => {
+    if (line.drawing) return;
+    line.drawing = true;
+    while (line.waiters.length > 0) {
+      const now = readClock();
+      const first = line.waiters[0]?.tokens ?? 0;
+      const have = countAvailable(taker, workspace, now);
+      const waiting = line.waiters.reduce((sum, w) => sum + w.tokens, 0);
+      const need = Math.max(1, Math.ceil(first - have));
+      const want = Math.ceil(waiting - have + getExpectedDemand(taker, workspace, now));
+      const outcome = await draw(workspace, need, Math.max(need, want));
+      const pauseMs = handleOutcome(workspace, line, outcome);
+      serveWaiters(workspace, line);
+      if (pauseMs > 0 && line.waiters.length > 0)
+        await new Promise((resolve) => {
+          setTimeout(resolve, pauseMs);
+        });
+    }
+    line.drawing = false;
+  };
+
+  const sendReturns = async (): Promise<void> => {
+    returns.push(...collectReturns(taker, readClock()));
+    const mine = returns.filter((r) => shards.findOwn(shardOf(r.workspace)));
+    takeReturns(mine);
+    returns = returns.filter((r) => !mine.includes(r));
+    const holders = new Map(
+      returns.flatMap((r) => {
+        const holder = shards.findHolder(shardOf(r.workspace));
+        return holder ? [[holder.member.incarnation, holder.member] as const] : [];
+      }),
+    );
+    if (holders.size === 0) returns = [];
+    await Promise.all(
+      [...holders].map(([incarnation, member]) =>
+        peers.call(
+          member.peers,
+          'rate.draw',
+          { draws: [], returns: takeReturnsFor(incarnation) },
+          drawTimeoutMs,
+        ),
+      ),
+    );
+  };
+
+  return {
+    reserve: (workspace, tokens, deadline, signal) => {
+      const { name } = workspace;
+      if (tokens > workspace.burst)
+        return Promise.resolve(
+          err(refuseTooLarge('the request asks for more tokens than the burst of the workspace')),
+        );
+      const now = readClock();
+      recordDemand(taker, name, tokens, now);
+      const line = lines.get(name) ?? { waiters: [], drawing: false };
+      lines.set(name, line);
+      if (line.waiters.length === 0) {
+        const reservation = reserveTokens(taker, name, tokens, now);
+        if (reservation) return Promise.resolve(ok(reservation));
+      }
+      return new Promise((resolve) => {
+        const waiter: Waiter = { tokens, deadline, finish: resolve };
+        // Urgent requests may wait less and so come first.
+        const behind = line.waiters.findIndex((w) => w.deadline > deadline);
+        line.waiters.splice(behind < 0 ? line.waiters.length : behind, 0, waiter);
+        signal.addEventListener('abort', () => {
+          const at = line.waiters.indexOf(waiter);
+          if (at < 0) return;
+          line.waiters.splice(at, 1);
+          resolve(err(refuseRate('the caller has gone')));
+        });
+        void runLine(name, line);
+      });
+    },
+    settle: (reservation, used) => settleReservation(taker, reservation, used),
+    methods: {
+      'rate.draw': (params) => {
+        const parsed = drawsSchema.safeParse(params);
+        if (!parsed.success) return throwInvalidParams('draws and returns expected');
+        takeReturns(parsed.data.returns);
+        return Promise.resolve(
+          parsed.data.draws.map(
+            ([shard, epoch, workspace, need, want]) =>
+              answerOwn(shard, epoch, { workspace, need, want }) ?? null,
+          ),
+        );
+      },
+    },
+    start: (signal) => void repeatUntilStopped(returnPeriodMs, signal, sendReturns),
+  };
+};
--- /dev/null
+++ b/packages/entry/src/controllers/revisions.ts
@@ -0,0 +1,204 @@
+import { z } from 'zod';
+import type { PeerClient } from '@hemlocksill/peer/peer-client.js';
+import {
+  adoptRevision,
+  chooseOutageRevision,
+  emptyAdoption,
+  getProofDeadline,
+  isNewer,
+  recordOutage,
+  recordPeerProof,
+  recordProof,
+  type Adoption,
+  type PeerView,
+} from '@hemlocksill/revisions/adoption.js';
+import { readHead, type Head } from '@hemlocksill/revisions/head.js';
+import { digestOf } from '@hemlocksill/revisions/parts.js';
+import { assembleSnapshot } from '@hemlocksill/revisions/snapshot.js';
+import type { StoreKeys } from '@hemlocksill/revisions/store-keys.js';
+import type { Snapshot } from '@hemlocksill/types/config-document.js';
+import type { Store } from '@hemlocksill/types/ports.js';
+import { readClock, repeatUntilStopped } from '../clock.js';
+import type { LogEvent } from '../events.js';
+import type { Member } from '../member.js';
+import type { ControlWatch } from './control-watch.js';
+
+const pollMs = 3_000;
+const fetchTimeoutMs = 3_000;
+
+/** The configuration in force on this VM. */
+export interface Revisions {
+  readonly snapshot: () => Snapshot | undefined;
+  /** Whether keyed work may go on now. */
+  readonly isProven: () => boolean;
+  /** Age of the proof in milliseconds; undefined when there is none. */
+  readonly proofAgeMs: () => number | undefined;
+  readonly revision: () => number;
+  readonly onChange: (listener: (snapshot: Snapshot) => void) => void;
+  /** Serves a peer that lacks a revision. */
+  readonly readForPeer: (known: readonly string[]) => unknown;
+  /** Takes in one round of gossip. */
+  readonly learnViews: (
+    views: readonly { member: Member; view: PeerView; sentAt: number }[],
+    members: number,
+  ) => Promise<void>;
+  /** Takes in a head that an operator or a peer passed on. */
+  readonly offerHead: (text: string) => Promise<void>;
+  readonly start: (signal: AbortSignal) => Promise<void>;
+}
+
+/** What the revisions controller needs. */
+export interface RevisionsOptions {
+  readonly store: Store;
+  readonly keys: StoreKeys;
+  readonly watch: ControlWatch;
+  readonly peers: PeerClient;
+  readonly logEvent: LogEvent;
+}
+
+const peerAnswerSchema = z.object({
+  head: z.string(),
+  parts: z.record(z.string(), z.string()),
+});
+
+/** Keeps the newest revision in force and knows how long it is proven to be the newest. */
+export const makeRevisions = (opts: RevisionsOptions): Revisions => {
+  const { store, keys, watch, peers, logEvent } = opts;
+  const listeners: ((snapshot: Snapshot) => void)[] = [];
+  let adoption: Adoption = emptyAdoption;
+  let head: Head | undefined;
+  let headText = '';
+  let texts = new Map<string, string>();
+  let snapshot: Snapshot | undefined;
+  let applying: Promise<void> = Promise.resolve();
+
+  const apply = (newHead: Head, text: string, newTexts: Map<string, string>): void => {
+    if (!isNewer(adoption, newHead)) return;
+    const parts = new Map(
+      Object.entries(newHead.parts).map(([name, ref]) => [name, newTexts.get(ref.key) ?? '']),
+    );
+    const assembled = assembleSnapshot(newHead.revision, parts);
+    if (assembled.isErr()) {
+      logEvent(1202, { revision: newHead.revision, reason: assembled.error.message });
+      return;
+    }
+    head = newHead;
+    headText = text;
+    texts = newTexts;
+    snapshot = assembled.value;
+    adoption = adoptRevision(adoption, newHead.revision);
+    logEvent(1201, { revision: newHead.revision });
+    listeners.forEach((listener) => listener(assembled.value));
+  };
+
+  const collectParts = async (
+    newHead: Head,
+    fetchPart: (key: string) => Promise<string | undefined>,
+  ): Promise<Map<string, string> | undefined> => {
+    const collected = new Map<string, string>();
+    for (const ref of Object.values(newHead.parts)) {
+      const text = texts.get(ref.key) ?? (await fetchPart(ref.key));
+      if (text === undefined || digestOf(text) !== ref.digest) return undefined;
+      collected.set(ref.key, text);
+    }
+    return collected;
+  };
+
+  const fetchFromStore = async (key: string): Promise<string | undefined> => {
+    const entry = await store.get(key);
+    return entry.isOk() ? entry.value?.value : undefined;
+  };
+
+  const applyHead = async (
+    text: string,
+    fetchPart: (key: string) => Promise<string | undefined>,
+  ): Promise<void> => {
+    const parsed = readHead(text);
+    if (parsed.isErr()) {
+      logEvent(1202, { reason: parsed.error });
+      return;
+    }
+    if (!isNewer(adoption, parsed.value)) return;
+    const collected = await collectParts(parsed.value, fetchPart);
+    if (collected) apply(parsed.value, text, collected);
+  };
+
+  /** Applies heads one after the other. */
+  const queueHead = (
+    text: string,
+    fetchPart: (key: string) => Promise<string | undefined> = fetchFromStore,
+  ): Promise<void> => {
+    applying = applying.then(() => applyHead(text, fetchPart));
+    return applying;
+  };
+
+  const fetchFromPeer = async (member: Member): Promise<void> => {
+    const answer = await peers.call(
+      member.peers,
+      'revisions.read',
+      { known: [...texts.keys()] },
+      fetchTimeoutMs,
+    );
+    const parsed = answer.isOk() ? peerAnswerSchema.safeParse(answer.value.value) : undefined;
+    if (!parsed?.success) return;
+    const { head: text, parts } = parsed.data;
+    await queueHead(text, async (key) => parts[key] ?? fetchFromStore(key));
+    logEvent(1205, { from: member.vm, revision: adoption.revision });
+  };
+
+  const poll = async (): Promise<void> => {
+    const sentAt = readClock();
+    const entry = await store.get(keys.head);
+    if (entry.isErr() || !entry.value) return;
+    watch.learn(entry.value);
+    await queueHead(entry.value.value);
+    const read = readHead(entry.value.value);
+    if (read.isOk()) adoption = recordProof(adoption, read.value.revision, sentAt);
+  };
+
+  watch.subscribe(keys.head, (_key, entry) => {
+    if (entry) void queueHead(entry.value);
+  });
+
+  return {
+    snapshot: () => snapshot,
+    isProven: () => readClock() < getProofDeadline(adoption),
+    proofAgeMs: () =>
+      Number.isFinite(adoption.provenAt) ? readClock() - adoption.provenAt : undefined,
+    revision: () => adoption.revision,
+    onChange: (listener) => {
+      listeners.push(listener);
+    },
+    readForPeer: (known) => ({
+      head: headText,
+      parts: Object.fromEntries(
+        Object.values(head?.parts ?? {})
+          .filter((ref) => !known.includes(ref.key))
+          .map((ref) => [ref.key, texts.get(ref.key) ?? '']),
+      ),
+    }),
+    learnViews: async (views, members) => {
+      const newest = views.reduce<(typeof views)[number] | undefined>(
+        (best, v) => (best && best.view.revision >= v.view.revision ? best : v),
+        undefined,
+      );
+      const all = views.map((v) => v.view);
+      const mayAdopt =
+        adoption.revision > 0 ||
+        (chooseOutageRevision(all, members) ?? 0) > 0 ||
+        views.some((v) => v.view.storeReachable);
+      if (newest && mayAdopt && newest.view.revision > adoption.revision)
+        await fetchFromPeer(newest.member);
+      views.forEach(({ view, sentAt }) => {
+        adoption = recordPeerProof(adoption, view, sentAt);
+      });
+      const firstSent = Math.min(readClock(), ...views.map((v) => v.sentAt));
+      adoption = recordOutage(adoption, all, members, firstSent);
+    },
+    offerHead: (text) => queueHead(text),
+    start: async (signal) => {
+      await poll();
+      void repeatUntilStopped(pollMs, signal, poll);
+    },
+  };
+};
--- /dev/null
+++ b/packages/entry/src/controllers/server-states.ts
@@ -0,0 +1,36 @@
+import { z } from 'zod';
+import type { StoreKeys } from '@hemlocksill/revisions/store-keys.js';
+import type { ControlWatch } from './control-watch.js';
+
+const statesSchema = z.record(
+  z.string(),
+  z.object({ state: z.literal('leaving'), since: z.number(), version: z.string() }),
+);
+
+/** Backend servers that are leaving, with the wall-clock time they were told to. */
+export type ServerStates = z.output<typeof statesSchema>;
+
+/** Parses the record of leaving backend servers. */
+export const readServerStates = (text: string | undefined): ServerStates => {
+  if (text === undefined) return {};
+  try {
+    const parsed = statesSchema.safeParse(JSON.parse(text));
+    return parsed.success ? parsed.data : {};
+  } catch {
+    return {};
+  }
+};
+
+/** Follows the record of leaving backend servers. */
+export const followServerStates = (
+  watch: ControlWatch,
+  keys: StoreKeys,
+  onChange: () => void,
+): (() => ServerStates) => {
+  let states: ServerStates = {};
+  watch.subscribe(keys.serverStates, (_key, entry) => {
+    states = readServerStates(entry?.value);
+    onChange();
+  });
+  return () => states;
+};
--- /dev/null
+++ b/packages/entry/src/filters/observe-burn.ts
@@ -0,0 +1,87 @@
+import type { BurnRecorder, BurnVerdict } from '@hemlocksill/report/burn-recorder.js';
+import { readClock } from '../clock.js';
+import type { LogEvent } from '../events.js';
+import type { EmitMetric } from '../metrics.js';
+import type { Filter, ReplyResult, RequestContext } from '../request-context.js';
+
+const badRequestCodes = ['bad-request', 'key-not-valid', 'not-found', 'too-large', 'in-progress'];
+
+/** Where the fate of requests is noted. */
+export interface ObserveBurnOptions {
+  readonly burn: BurnRecorder;
+  readonly logEvent: LogEvent;
+  readonly emit: EmitMetric;
+}
+
+const judgeLatency = (ctx: RequestContext): BurnVerdict => {
+  const { completion, firstTokenAt } = ctx;
+  if (!completion || firstTokenAt === undefined) return 'good';
+  const targets = completion.class === 'urgent' ? completion.pool.urgent : completion.pool.patient;
+  if (firstTokenAt - ctx.receivedAt > targets.firstTokenMs) return 'slow-first-token';
+  return getMeanGap(ctx) > targets.betweenTokensMs ? 'slow-between-tokens' : 'good';
+};
+
+/** Mean time between two tokens, in milliseconds. */
+const getMeanGap = (ctx: RequestContext): number =>
+  ctx.firstTokenAt === undefined || ctx.outputTokens < 2
+    ? 0
+    : (readClock() - ctx.firstTokenAt) / (ctx.outputTokens - 1);
+
+const judge = (ctx: RequestContext, result: ReplyResult): BurnVerdict => {
+  if (result.isOk()) return ctx.streamFailed ? 'failed' : judgeLatency(ctx);
+  const { code, outcome } = result.error;
+  if (code === 'rate-exceeded') return 'refused-over-rate';
+  if (badRequestCodes.includes(code)) return 'refused-bad-request';
+  if (outcome === 'outcome-unknown') return 'outcome-unknown';
+  return outcome === 'not-run' ? 'refused-inside-rate' : 'failed';
+};
+
+const logResult = (ctx: RequestContext, result: ReplyResult, logEvent: LogEvent): void => {
+  const fields = {
+    request: ctx.id,
+    workspace: ctx.workspace?.name,
+    class: ctx.class,
+    ms: Math.round(readClock() - ctx.receivedAt),
+  };
+  if (result.isOk()) {
+    logEvent(ctx.keyWithdrawn ? 1405 : 1401, fields);
+    return;
+  }
+  const { code, outcome } = result.error;
+  const ids = { 'outcome-unknown': 1403, failed: 1402 } as const;
+  const id = outcome === 'outcome-unknown' || outcome === 'failed' ? ids[outcome] : 1404;
+  logEvent(id, { ...fields, code, outcome });
+};
+
+/** Notes how each request ended: in the log, the metrics and the burn of its workspace. */
+export const makeObserveBurn =
+  ({ burn, logEvent, emit }: ObserveBurnOptions): Filter =>
+  async (ctx, next) => {
+    const result = await next(ctx);
+    const verdict = judge(ctx, result);
+    const firstTokenMs =
+      ctx.firstTokenAt === undefined ? undefined : ctx.firstTokenAt - ctx.receivedAt;
+    const betweenTokensMs = ctx.outputTokens > 1 ? getMeanGap(ctx) : undefined;
+    burn.record(
+      {
+        workspace: ctx.workspace?.name ?? '',
+        class: ctx.class,
+        verdict,
+        promptTokens: ctx.completion?.promptTokens ?? 0,
+        outputTokens: ctx.outputTokens,
+        wastedTokens: ctx.wastedPrefillTokens,
+        firstTokenMs,
+        betweenTokensMs,
+      },
+      readClock(),
+    );
+    emit(result.isOk() ? 'requests.ended' : 'requests.refused', 1, { class: ctx.class, verdict });
+    if (firstTokenMs !== undefined) emit('first_token.ms', firstTokenMs, { class: ctx.class });
+    if (betweenTokensMs !== undefined)
+      emit('between_tokens.ms', betweenTokensMs, { class: ctx.class });
+    if (ctx.outputTokens > 0) emit('tokens.output', ctx.outputTokens);
+    if (ctx.completion) emit('tokens.prompt', ctx.completion.promptTokens);
+    if (ctx.wastedPrefillTokens > 0) emit('prefill.wasted_tokens', ctx.wastedPrefillTokens);
+    logResult(ctx, result, logEvent);
+    return result;
+  };
--- /dev/null
+++ b/packages/entry/src/filters/read-body.ts
@@ -0,0 +1,47 @@
+import type { IncomingMessage } from 'node:http';
+import { err, ok, type Result } from 'neverthrow';
+import { refuseBadRequest, refuseTimeout, refuseTooLarge } from '@hemlocksill/errors/refusals.js';
+import type { Refusal } from '@hemlocksill/types/requests.js';
+import type { Filter } from '../request-context.js';
+
+/** Longest time a caller may take to send its body, in milliseconds. */
+const bodyTimeoutMs = 10_000;
+
+const collectBody = (
+  incoming: IncomingMessage,
+  maxBytes: number,
+): Promise<Result<Buffer, Refusal>> =>
+  new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    const finish = (result: Result<Buffer, Refusal>): void => {
+      clearTimeout(timer);
+      incoming.removeAllListeners('data');
+      resolve(result);
+    };
+    const timer = setTimeout(
+      () => finish(err(refuseTimeout('the body did not arrive in time'))),
+      bodyTimeoutMs,
+    );
+    if (Number(incoming.headers['content-length'] ?? 0) > maxBytes) {
+      finish(err(refuseTooLarge(`the body has more than ${maxBytes} bytes`)));
+      return;
+    }
+    incoming.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > maxBytes) finish(err(refuseTooLarge(`the body has more than ${maxBytes} bytes`)));
+      else chunks.push(chunk);
+    });
+    incoming.on('end', () => finish(ok(Buffer.concat(chunks))));
+    incoming.on('error', () => finish(err(refuseBadRequest('the body broke off'))));
+    incoming.on('close', () => finish(err(refuseBadRequest('the body broke off'))));
+  });
+
+/** Reads the body within its limits of size and time. */
+export const readBody: Filter = async (ctx, next) => {
+  const { maxBodyBytes } = ctx.snapshot.document.limits;
+  const body = await collectBody(ctx.incoming, maxBodyBytes);
+  if (body.isErr()) return err(body.error);
+  ctx.body = body.value;
+  return next(ctx);
+};
--- /dev/null
+++ b/packages/entry/src/member.ts
@@ -0,0 +1,29 @@
+import { err, ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+
+const endpointSchema = z.strictObject({ host: z.string(), port: z.number().int() });
+
+/** Schema of a member record. */
+export const memberSchema = z.strictObject({
+  vm: z.string(),
+  incarnation: z.string(),
+  dataCentre: z.string(),
+  region: z.string(),
+  peers: endpointSchema,
+  operators: endpointSchema,
+  callers: endpointSchema,
+  state: z.enum(['starting', 'serving', 'leaving']),
+});
+
+/** A VM as it is registered in the store under its lease. */
+export type Member = z.output<typeof memberSchema>;
+
+/** Parses a member record. */
+export const readMember = (text: string): Result<Member, string> => {
+  try {
+    const parsed = memberSchema.safeParse(JSON.parse(text));
+    return parsed.success ? ok(parsed.data) : err(parsed.error.issues[0]?.message ?? 'not valid');
+  } catch {
+    return err('not JSON');
+  }
+};
--- /dev/null
+++ b/packages/entry/src/token-stream.ts
@@ -0,0 +1,103 @@
+import type { Readable } from 'node:stream';
+import { err, ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+
+const lineSchema = z.union([
+  z.object({ i: z.number().int(), text: z.string() }),
+  z.object({ done: z.literal(true), tokens: z.number().int(), reason: z.string() }),
+]);
+
+/** How a token stream ended as a whole. */
+export interface StreamEnd {
+  readonly tokens: number;
+  readonly reason: string;
+}
+
+/** Why a token stream is not whole. */
+export type StreamFault = 'cut' | 'stalled' | 'out-of-order' | 'bad-line' | 'aborted';
+
+/** Where a stream's tokens go. */
+export type OnToken = (index: number, text: string) => void;
+
+interface Progress {
+  next: number;
+  end: StreamEnd | undefined;
+  fault: StreamFault | undefined;
+}
+
+const takeLine = (line: string, progress: Progress, onToken: OnToken): void => {
+  let value: unknown;
+  try {
+    value = JSON.parse(line);
+  } catch {
+    progress.fault = 'bad-line';
+    return;
+  }
+  const parsed = lineSchema.safeParse(value);
+  if (!parsed.success || progress.end) {
+    progress.fault = 'bad-line';
+  } else if ('done' in parsed.data) {
+    progress.end = parsed.data;
+    // A stream that ends with fewer tokens than it counted is not whole.
+    if (parsed.data.tokens !== progress.next) progress.fault = 'out-of-order';
+  } else if (parsed.data.i !== progress.next) {
+    progress.fault = 'out-of-order';
+  } else {
+    progress.next += 1;
+    onToken(parsed.data.i, parsed.data.text);
+  }
+};
+
+/**
+ * Reads a stream of tokens, a line of JSON each, and checks that none is missing, doubled
+ * or out of order.
+ *
+ * @param from - index of the first token expected
+ * @param stallMs - longest silence between two tokens
+ */
+export const readTokens = (
+  body: Readable,
+  from: number,
+  stallMs: number,
+  signal: AbortSignal,
+  onToken: OnToken,
+): Promise<Result<StreamEnd, StreamFault>> =>
+  new Promise((resolve) => {
+    const progress: Progress = { next: from, end: undefined, fault: undefined };
+    let pending = '';
+    let settled = false;
+    let lastAt = performance.now();
+
+    const settle = (result: Result<StreamEnd, StreamFault>): void => {
+      if (settled) return;
+      settled = true;
+      clearInterval(stallTimer);
+      signal.removeEventListener('abort', onAbort);
+      if (!body.destroyed) body.destroy();
+      resolve(result);
+    };
+    const onAbort = (): void => settle(err('aborted'));
+    const stallTimer = setInterval(() => {
+      if (performance.now() - lastAt > stallMs) settle(err('stalled'));
+    }, stallMs / 4);
+    const endWith = (): void => {
+      if (progress.fault) settle(err(progress.fault));
+      else if (progress.end) settle(ok(progress.end));
+    };
+
+    body.setEncoding('utf8');
+    body.on('data', (chunk: string) => {
+      lastAt = performance.now();
+      const lines = (pending + chunk).split('\n');
+      pending = lines.pop() ?? '';
+      for (const line of lines) {
+        if (!progress.fault && line !== '') takeLine(line, progress, onToken);
+      }
+      endWith();
+    });
+    body.on('end', () => settle(err('cut')));
+    body.on('error', () => settle(err('cut')));
+    body.on('close', () => settle(err('cut')));
+    signal.addEventListener('abort', onAbort);
+    if (signal.aborted) onAbort();
+  });
--- /dev/null
+++ b/packages/errors/src/refusals.ts
@@ -0,0 +1,58 @@
+import type { Outcome, Refusal } from '@hemlocksill/types/requests.js';
+
+const makeNotRun =
+  (status: number, code: string) =>
+  (message: string, retryAfterMs?: number): Refusal => ({
+    status,
+    code,
+    outcome: 'not-run',
+    message,
+    retryAfterMs,
+  });
+
+/** The body, a header or a parameter is malformed. */
+export const refuseBadRequest = makeNotRun(400, 'bad-request');
+/** No key, an unknown key or a withdrawn key came with the request. */
+export const refuseKey = makeNotRun(401, 'key-not-valid');
+/** The model or route does not exist. */
+export const refuseNotFound = makeNotRun(404, 'not-found');
+/** The caller was too slow in sending its request. */
+export const refuseTimeout = makeNotRun(408, 'request-timeout');
+/** The body or the prompt is over its limit. */
+export const refuseTooLarge = makeNotRun(413, 'too-large');
+/** The workspace is over its rate. */
+export const refuseRate = makeNotRun(429, 'rate-exceeded');
+/** The holder of the workspace's rate cannot be asked. */
+export const refuseRateUnknown = makeNotRun(503, 'rate-not-known');
+/** The pools cannot meet the request's targets now. */
+export const refuseCapacity = makeNotRun(503, 'no-capacity');
+/** This VM cannot prove that its configuration is current, or has none. */
+export const refuseStale = makeNotRun(503, 'configuration-not-proven');
+/** The platform's key-value service is needed and gives no answer. */
+export const refuseStore = makeNotRun(503, 'store-unavailable');
+/** No backend server could be connected to. */
+export const refuseBackend = makeNotRun(502, 'backend-unreachable');
+/** This VM is shutting down. */
+export const refuseLeaving = makeNotRun(503, 'vm-leaving');
+
+/**
+ * Builds the refusal of a request that was started but gave no whole answer.
+ *
+ * @example
+ * assembleFailure('outcome-unknown', 'connection lost after sending').status; // 502
+ */
+export const assembleFailure = (
+  outcome: Outcome,
+  message: string,
+  retryAfterMs?: number,
+): Refusal => {
+  const codes: Record<Outcome, [number, string]> = {
+    'not-run': [503, 'not-run'],
+    failed: [502, 'backend-failed'],
+    'in-progress': [409, 'in-progress'],
+    done: [409, 'already-done'],
+    'outcome-unknown': [502, 'outcome-unknown'],
+  };
+  const [status, code] = codes[outcome];
+  return { status, code, outcome, message, retryAfterMs };
+};
--- /dev/null
+++ b/packages/peer/src/frames.ts
@@ -0,0 +1,93 @@
+import { createHmac, timingSafeEqual } from 'node:crypto';
+import type { Socket } from 'node:net';
+
+/** Largest payload of one frame, in bytes. */
+export const maxFrameBytes = 4 * 1_024 * 1_024;
+const lengthBytes = 4;
+const macBytes = 16;
+
+/** Direction of a frame; part of its authentication code. */
+export type FrameDirection = 'to-server' | 'to-client';
+
+const computeMac = (
+  key: Buffer,
+  direction: FrameDirection,
+  seq: number,
+  payload: Buffer,
+): Buffer => {
+  const seqBytes = Buffer.alloc(8);
+  seqBytes.writeBigUInt64BE(BigInt(seq));
+  return createHmac('sha256', key)
+    .update(direction)
+    .update(seqBytes)
+    .update(payload)
+    .digest()
+    .subarray(0, macBytes);
+};
+
+/**
+ * Writes authenticated frames: length, authentication code, payload.
+ *
+ * The code covers direction and sequence number, so that a frame that is replayed,
+ * reflected or reordered does not verify.
+ */
+export const makeFrameWriter = (socket: Socket, key: Buffer, direction: FrameDirection) => {
+  let seq = 0;
+  return (text: string): number => {
+    const payload = Buffer.from(text);
+    const head = Buffer.alloc(lengthBytes);
+    head.writeUInt32BE(payload.length);
+    socket.write(Buffer.concat([head, computeMac(key, direction, seq, payload), payload]));
+    seq += 1;
+    return lengthBytes + macBytes + payload.length;
+  };
+};
+
+/** What a frame reader does with its input. */
+export interface FrameHandlers {
+  readonly onPayload: (text: string) => void;
+  /** Called once when a frame is too large or does not verify. */
+  readonly onInvalid: (reason: 'too-large' | 'bad-mac') => void;
+}
+
+/** Reads frames from chunks of bytes; feed it every chunk of the socket. */
+export const makeFrameReader = (
+  key: Buffer,
+  direction: FrameDirection,
+  handlers: FrameHandlers,
+) => {
+  let pending: Buffer = Buffer.alloc(0);
+  let seq = 0;
+  let failed = false;
+
+  const fail = (reason: 'too-large' | 'bad-mac'): void => {
+    failed = true;
+    handlers.onInvalid(reason);
+  };
+
+  const readOne = (): boolean => {
+    if (failed || pending.length < lengthBytes + macBytes) return false;
+    const size = pending.readUInt32BE(0);
+    if (size > maxFrameBytes) {
+      fail('too-large');
+      return false;
+    }
+    const end = lengthBytes + macBytes + size;
+    if (pending.length < end) return false;
+    const mac = pending.subarray(lengthBytes, lengthBytes + macBytes);
+    const payload = pending.subarray(lengthBytes + macBytes, end);
+    if (!timingSafeEqual(mac, computeMac(key, direction, seq, payload))) {
+      fail('bad-mac');
+      return false;
+    }
+    seq += 1;
+    pending = pending.subarray(end);
+    handlers.onPayload(payload.toString());
+    return true;
+  };
+
+  return (chunk: Buffer): void => {
+    pending = pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
+    while (readOne());
+  };
+};
--- /dev/null
+++ b/packages/peer/src/peer-client.ts
@@ -0,0 +1,143 @@
+import { connect, type Socket } from 'node:net';
+import { err, ok, type Result } from 'neverthrow';
+import { JSONRPCClient } from 'json-rpc-2.0';
+import type { PeerFault } from '@hemlocksill/errors/peer-errors.js';
+import { makeFrameReader, makeFrameWriter } from './frames.js';
+import { openSession, type PeerIdentity } from './handshake.js';
+
+const connectTimeoutMs = 1_000;
+
+/** Where a peer listens. */
+export interface PeerEndpoint {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** What a client of peers needs. */
+export interface PeerClientOptions {
+  readonly self: PeerIdentity;
+  readonly secrets: () => readonly string[];
+  readonly countBytes: (bytes: number) => void;
+}
+
+/** An answer with the identity of the process that gave it. */
+export interface PeerAnswer {
+  readonly from: PeerIdentity;
+  readonly value: unknown;
+}
+
+/** Calls methods of peers over one connection per peer. */
+export interface PeerClient {
+  readonly call: (
+    to: PeerEndpoint,
+    method: string,
+    params: unknown,
+    timeoutMs: number,
+  ) => Promise<Result<PeerAnswer, PeerFault>>;
+  readonly close: () => void;
+}
+
+interface Connection {
+  readonly rpc: JSONRPCClient;
+  readonly peer: PeerIdentity;
+  readonly socket: Socket;
+}
+
+const openSocket = (to: PeerEndpoint): Promise<Socket> =>
+  new Promise((resolve, reject) => {
+    const socket = connect({ host: to.host, port: to.port, noDelay: true });
+    const timer = setTimeout(() => socket.destroy(new Error('timeout')), connectTimeoutMs);
+    socket.once('connect', () => {
+      clearTimeout(timer);
+      resolve(socket);
+    });
+    socket.once('error', (error) => {
+      clearTimeout(timer);
+      reject(error);
+    });
+    socket.on('error', () => socket.destroy());
+  });
+
+const openConnection = async (to: PeerEndpoint, opts: PeerClientOptions): Promise<Connection> => {
+  const socket = await openSocket(to);
+  try {
+    const session = await openSession(socket, opts.self, opts.secrets());
+    const write = makeFrameWriter(socket, session.key, 'to-server');
+    const rpc = new JSONRPCClient((req) => {
+      if (socket.destroyed) return Promise.reject(new Error('connection lost'));
+      opts.countBytes(write(JSON.stringify(req)));
+      return Promise.resolve();
+    });
+    const read = makeFrameReader(session.key, 'to-client', {
+      onPayload: (text) => {
+        opts.countBytes(text.length);
+        rpc.receive(JSON.parse(text));
+      },
+      onInvalid: () => socket.destroy(),
+    });
+    socket.on('data', read);
+    socket.on('close', () => rpc.rejectAllPendingRequests('connection lost'));
+    read(session.rest);
+    socket.resume();
+    return { rpc, peer: session.peer, socket };
+  } catch (error) {
+    socket.destroy();
+    throw error;
+  }
+};
+
+const classifyFailure = (error: unknown): PeerFault => {
+  const { code, message } = error as { code?: unknown; message?: string };
+  if (message === 'connection lost' || message === 'Request timeout') return 'lost';
+  return typeof code === 'number' ? 'rejected' : 'lost';
+};
+
+/**
+ * Makes a client that keeps one authenticated connection to each peer it has called.
+ *
+ * @example
+ * const peers = makePeerClient({ self, secrets: () => ['0123456789abcdef'], countBytes });
+ * const answer = await peers.call({ host: '127.0.0.1', port: 7101 }, 'sync', {}, 500);
+ */
+export const makePeerClient = (opts: PeerClientOptions): PeerClient => {
+  const connections = new Map<string, Promise<Connection>>();
+
+  const connectTo = (to: PeerEndpoint): Promise<Connection> => {
+    const name = `${to.host}:${to.port}`;
+    const known = connections.get(name);
+    if (known) return known;
+    const opening = openConnection(to, opts);
+    connections.set(name, opening);
+    const forget = () => {
+      if (connections.get(name) === opening) connections.delete(name);
+    };
+    opening.then((c) => c.socket.on('close', forget), forget);
+    return opening;
+  };
+
+  return {
+    call: async (to, method, params, timeoutMs) => {
+      let connection: Connection;
+      try {
+        connection = await connectTo(to);
+      } catch {
+        return err('unreachable');
+      }
+      try {
+        const rpc = connection.rpc.timeout(timeoutMs);
+        const value: unknown = await rpc.request(method, params);
+        return ok({ from: connection.peer, value });
+      } catch (error) {
+        return err(classifyFailure(error));
+      }
+    },
+    close: () => {
+      connections.forEach((opening) => {
+        opening.then(
+          (c) => c.socket.destroy(),
+          () => {},
+        );
+      });
+    },
+  };
+};
--- /dev/null
+++ b/packages/rate/src/holder.ts
@@ -0,0 +1,118 @@
+import {
+  changeLimit,
+  fillBucket,
+  getWaitMs,
+  makeBucket,
+  returnTokens,
+  takeTokens,
+  type Bucket,
+  type RateLimit,
+  type SlotReturn,
+} from './bucket.js';
+
+/** What a VM asks of the holder for one workspace. */
+export interface Draw {
+  readonly workspace: string;
+  /** Tokens without which the asker cannot go on. */
+  readonly need: number;
+  /** Tokens it could use soon. */
+  readonly want: number;
+}
+
+/** What the holder answers to a draw. */
+export type DrawAnswer =
+  | { readonly kind: 'granted'; readonly slot: number; readonly tokens: number }
+  | { readonly kind: 'short'; readonly waitMs: number }
+  | { readonly kind: 'never' };
+
+/** Unused tokens of one workspace on their way back. */
+export interface WorkspaceReturn extends SlotReturn {
+  readonly workspace: string;
+}
+
+/** State of the holder of one shard of workspaces. */
+export interface Holder {
+  readonly shard: number;
+  readonly epoch: number;
+  readonly buckets: Map<string, Bucket>;
+  /**
+   * Levels handed over by the previous holder; empty after a take-over, and `full` when
+   * the shard never had a holder.
+   */
+  readonly handedOver: ReadonlyMap<string, number> | 'full';
+  /** Time from which buckets fill. */
+  readonly fillsFrom: number;
+}
+
+/** Part of a short bucket that one draw may take beyond its need. */
+const lookaheadShare = 0.125;
+
+/**
+ * Makes the holder of a shard.
+ *
+ * @param fillsFrom - time at which no grant of the previous holder can be spent any more
+ */
+export const makeHolder = (
+  shard: number,
+  epoch: number,
+  fillsFrom: number,
+  handedOver: ReadonlyMap<string, number> | 'full',
+): Holder => ({ shard, epoch, buckets: new Map(), handedOver, fillsFrom });
+
+const bucketOf = (holder: Holder, workspace: string, limit: RateLimit, now: number): Bucket => {
+  const known = holder.buckets.get(workspace);
+  if (!known) {
+    const { handedOver } = holder;
+    const level = handedOver === 'full' ? limit.burst : (handedOver.get(workspace) ?? 0);
+    const made = makeBucket(limit, level, holder.fillsFrom);
+    holder.buckets.set(workspace, made);
+    return made;
+  }
+  if (known.limit.rate !== limit.rate || known.limit.burst !== limit.burst)
+    changeLimit(known, limit, now);
+  return known;
+};
+
+/**
+ * Answers a draw: the need or nothing, and more when the bucket is well filled.
+ *
+ * @example
+ * const holder = makeHolder(0, 1, 0, new Map([['forge', 500]]));
+ * answerDraw(holder, { workspace: 'forge', need: 100, want: 100 }, limit, 0);
+ */
+export const answerDraw = (
+  holder: Holder,
+  draw: Draw,
+  limit: RateLimit,
+  now: number,
+): DrawAnswer => {
+  if (draw.need > limit.burst) return { kind: 'never' };
+  const bucket = bucketOf(holder, draw.workspace, limit, now);
+  fillBucket(bucket, now);
+  const extra = Math.min(draw.want - draw.need, (bucket.level - draw.need) * lookaheadShare);
+  const taken = takeTokens(bucket, draw.need + Math.max(0, Math.floor(extra)), now);
+  return taken
+    ? { kind: 'granted', ...taken }
+    : { kind: 'short', waitMs: Math.max(1, getWaitMs(bucket, draw.need)) };
+};
+
+/** Takes unused tokens back; those of another epoch are lost. */
+export const acceptReturn = (
+  holder: Holder,
+  epoch: number,
+  back: WorkspaceReturn,
+  now: number,
+): void => {
+  const bucket = epoch === holder.epoch ? holder.buckets.get(back.workspace) : undefined;
+  if (bucket) returnTokens(bucket, back, now);
+};
+
+/** Reads the levels that a successor may start from. */
+export const readLevels = (holder: Holder, now: number): Map<string, number> => {
+  const levels = new Map(holder.handedOver === 'full' ? [] : holder.handedOver);
+  holder.buckets.forEach((bucket, workspace) => {
+    fillBucket(bucket, now);
+    levels.set(workspace, Math.floor(bucket.level));
+  });
+  return levels;
+};
--- /dev/null
+++ b/packages/rate/src/shard-record.ts
@@ -0,0 +1,92 @@
+import { createHash } from 'node:crypto';
+import { err, ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+
+/** Shards that workspaces are spread over; each has one holder. */
+export const shardCount = 32;
+
+/** Longest time a holder goes on after its lease while the others promise to wait. */
+export const longestExtensionMs = 3_600_000;
+
+/** How long one promise not to take a shard over holds. */
+export const promiseHoldsMs = 4_000;
+
+const recordSchema = z.strictObject({
+  shard: z.number().int().min(0),
+  epoch: z.number().int().min(1),
+  /** VM and incarnation of the holder. */
+  vm: z.string(),
+  incarnation: z.string(),
+  /** Incarnations whose consent a take-over needs, the holder's among them. */
+  voters: z.array(z.string()),
+  /** Random id of the write, by which a lost answer is settled. */
+  writeId: z.string(),
+});
+
+/** The record of a shard in the platform's store. */
+export type ShardRecord = z.output<typeof recordSchema>;
+
+/** Parses a shard record. */
+export const readShardRecord = (text: string): Result<ShardRecord, string> => {
+  try {
+    const parsed = recordSchema.safeParse(JSON.parse(text));
+    return parsed.success ? ok(parsed.data) : err(parsed.error.issues[0]?.message ?? 'not valid');
+  } catch {
+    return err('not JSON');
+  }
+};
+
+/** Shard of a workspace. */
+export const shardOf = (workspace: string): number =>
+  createHash('sha256').update(workspace).digest().readUInt32BE(0) % shardCount;
+
+/** Whether `count` of the voters are more than half. */
+export const isMajority = (count: number, voters: readonly string[]): boolean =>
+  count * 2 > voters.length;
+
+/**
+ * Time until which a holder may grant: the end of its lease, or later while most voters
+ * have promised not to consent to a take-over.
+ *
+ * @param leaseUntil - end of the lease, counted from when its last renewal was sent
+ * @param promisesUntil - ends of the voters' promises, counted from when they were asked
+ *
+ * @example
+ * getRightDeadline(5_000, [9_000, 9_500], ['a', 'b', 'c']); // 9_000: a holds it, b and c promised
+ */
+export const getRightDeadline = (
+  leaseUntil: number,
+  promisesUntil: readonly number[],
+  voters: readonly string[],
+): number => {
+  const needed = Math.floor(voters.length / 2);
+  // The holder's own vote counts; `needed` others make more than half.
+  if (needed === 0) return leaseUntil;
+  const sorted = [...promisesUntil].sort((a, b) => b - a);
+  const promised = sorted[needed - 1] ?? Number.NEGATIVE_INFINITY;
+  return Math.max(leaseUntil, Math.min(promised, leaseUntil + longestExtensionMs));
+};
+
+/** What a VM that would take a shard over knows. */
+export interface TakeoverView {
+  /** Whether the store has dropped the holder's membership. */
+  readonly holderGone: boolean;
+  /** When this VM first saw that it had. */
+  readonly goneSince: number;
+  /** Voters that consented; a voter consents when its own promise has ended. */
+  readonly consents: readonly string[];
+  readonly voters: readonly string[];
+}
+
+/**
+ * Whether a VM may write itself into a shard record.
+ *
+ * The holder extends its right only with promises of more than half of the voters, and a
+ * take-over needs consents of more than half, so one voter would have to do both. When
+ * too few voters are left to consent, the longest extension is waited out.
+ */
+export const mayTakeOver = (view: TakeoverView, now: number): boolean => {
+  if (!view.holderGone) return false;
+  if (isMajority(view.consents.length, view.voters)) return true;
+  return now >= view.goneSince + longestExtensionMs + promiseHoldsMs;
+};
--- /dev/null
+++ b/packages/report/src/burn-recorder.ts
@@ -0,0 +1,152 @@
+import { build, encodeIntoCompressedBase64, type Histogram } from 'hdr-histogram-js';
+import type { RequestClass } from '@hemlocksill/types/requests.js';
+
+/** Width of a time slot in milliseconds. */
+const slotMs = 10_000;
+
+/** Windows over which burn is reported, in milliseconds. */
+export const windowMs = { short: 300_000, long: 3_600_000 } as const;
+
+/** Name of a window. */
+export type BurnWindow = keyof typeof windowMs;
+
+/** How a request counts. */
+export type BurnVerdict =
+  | 'good'
+  | 'slow-first-token'
+  | 'slow-between-tokens'
+  | 'failed'
+  | 'outcome-unknown'
+  | 'refused-over-rate'
+  | 'refused-inside-rate'
+  | 'refused-bad-request';
+
+/** One ended request. */
+export interface BurnSample {
+  readonly workspace: string;
+  readonly class: RequestClass;
+  readonly verdict: BurnVerdict;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  readonly wastedTokens: number;
+  readonly firstTokenMs: number | undefined;
+  readonly betweenTokensMs: number | undefined;
+}
+
+/** Sums of one workspace and class in a window. */
+export interface BurnCell {
+  readonly workspace: string;
+  readonly class: RequestClass;
+  readonly window: BurnWindow;
+  readonly counts: Readonly<Partial<Record<BurnVerdict, number>>>;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  readonly wastedTokens: number;
+}
+
+/** What one VM contributes to a report. */
+export interface BurnExport {
+  readonly vm: string;
+  readonly cells: readonly BurnCell[];
+  /** Histograms by `class/measure`, compressed in base 64. */
+  readonly histograms: Readonly<Record<string, string>>;
+}
+
+interface Slot {
+  readonly number: number;
+  readonly cells: Map<string, BurnCell>;
+}
+
+/** Keeps the samples of the long window. */
+export interface BurnRecorder {
+  readonly record: (sample: BurnSample, now: number) => void;
+  readonly read: (vm: string, now: number) => BurnExport;
+}
+
+/** Adds two cells of the same workspace, class and window. */
+export const addCells = (a: BurnCell, b: BurnCell): BurnCell => {
+  const counts: Partial<Record<BurnVerdict, number>> = { ...a.counts };
+  Object.entries(b.counts).forEach(([verdict, n]) => {
+    const name = verdict as BurnVerdict;
+    counts[name] = (counts[name] ?? 0) + n;
+  });
+  return {
+    ...a,
+    counts,
+    promptTokens: a.promptTokens + b.promptTokens,
+    outputTokens: a.outputTokens + b.outputTokens,
+    wastedTokens: a.wastedTokens + b.wastedTokens,
+  };
+};
+
+const addInto = (cells: Map<string, BurnCell>, cell: BurnCell): void => {
+  const name = `${cell.window}/${cell.class}/${cell.workspace}`;
+  const known = cells.get(name);
+  cells.set(name, known ? addCells(known, cell) : cell);
+};
+
+const toCell = (sample: BurnSample): BurnCell => ({
+  workspace: sample.workspace,
+  class: sample.class,
+  window: 'long',
+  counts: { [sample.verdict]: 1 },
+  promptTokens: sample.promptTokens,
+  outputTokens: sample.outputTokens,
+  wastedTokens: sample.wastedTokens,
+});
+
+const makeHistogram = (): Histogram =>
+  build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: 600_000,
+    numberOfSignificantValueDigits: 2,
+  });
+
+/**
+ * Makes a recorder of service-level burn.
+ *
+ * @example
+ * const burn = makeBurnRecorder();
+ * burn.record(sample, performance.now());
+ */
+export const makeBurnRecorder = (): BurnRecorder => {
+  let slots: Slot[] = [];
+  const histograms = new Map<string, Histogram>();
+
+  const observe = (name: string, ms: number | undefined): void => {
+    if (ms === undefined) return;
+    const histogram = histograms.get(name) ?? makeHistogram();
+    histograms.set(name, histogram);
+    histogram.recordValue(Math.max(1, Math.round(ms)));
+  };
+
+  return {
+    record: (sample, now) => {
+      const number = Math.floor(now / slotMs);
+      if (slots.at(-1)?.number !== number) {
+        const oldest = number - windowMs.long / slotMs;
+        slots = [...slots.filter((s) => s.number > oldest), { number, cells: new Map() }];
+      }
+      const slot = slots.at(-1);
+      if (slot) addInto(slot.cells, toCell(sample));
+      observe(`${sample.class}/first-token`, sample.firstTokenMs);
+      observe(`${sample.class}/between-tokens`, sample.betweenTokensMs);
+    },
+    read: (vm, now) => {
+      const cells = new Map<string, BurnCell>();
+      const shortFrom = Math.floor((now - windowMs.short) / slotMs);
+      slots.forEach((slot) =>
+        slot.cells.forEach((cell) => {
+          addInto(cells, cell);
+          if (slot.number >= shortFrom) addInto(cells, { ...cell, window: 'short' });
+        }),
+      );
+      const encoded = [...histograms].map(([name, h]) => [name, encodeIntoCompressedBase64(h)]);
+      return {
+        vm,
+        cells: [...cells.values()],
+        histograms: Object.fromEntries(encoded) as Record<string, string>,
+      };
+    },
+  };
+};
--- /dev/null
+++ b/packages/revisions/src/changes.ts
@@ -0,0 +1,86 @@
+import { err, ok } from 'neverthrow';
+import { readDocument } from '@hemlocksill/config/document.js';
+import type { KeyRecord } from '@hemlocksill/types/config-document.js';
+import { joinDocument, keyPartOf, readKeyPart, splitDocument } from './parts.js';
+import type { AssembleChange, Published } from './publish.js';
+
+const listDocumentParts = (current: Published): string[] =>
+  [...current.parts.keys()].filter((name) => name.startsWith('document/'));
+
+/**
+ * Assembles the replacement of the whole document.
+ *
+ * @param base - document revision that the operator's text is based on; a newer one in the
+ *   store supersedes the change
+ */
+export const assembleDocumentChange =
+  (text: string, base: number | undefined): AssembleChange =>
+  (current) => {
+    const checked = readDocument(text);
+    if (checked.isErr()) return err({ kind: 'rejected', reason: checked.error.message });
+    const inForce = current.head?.documentRevision ?? 0;
+    if (base !== undefined && base !== inForce)
+      return err({ kind: 'superseded', revision: inForce });
+    const parts = new Map<string, string | undefined>(splitDocument(text));
+    listDocumentParts(current)
+      .filter((name) => !parts.has(name))
+      .forEach((name) => parts.set(name, undefined));
+    return ok({ parts, changesDocument: true });
+  };
+
+const editKeyPart = (
+  current: Published,
+  keyId: string,
+  edit: (records: KeyRecord[]) => KeyRecord[],
+) => {
+  const name = keyPartOf(keyId);
+  const records = edit(readKeyPart(current.parts.get(name)));
+  const text = records.length === 0 ? undefined : JSON.stringify(records);
+  return ok({ parts: new Map([[name, text]]), changesDocument: false });
+};
+
+/** Assembles the giving of a key; it holds on top of any other change. */
+export const assembleKeyGiving =
+  (record: KeyRecord): AssembleChange =>
+  (current) => {
+    const document = readDocument(joinDocument(current.parts));
+    if (document.isErr() || !document.value.workspaces.has(record.workspace))
+      return err({ kind: 'rejected', reason: `no workspace "${record.workspace}"` });
+    return editKeyPart(current, record.id, (records) => [
+      ...records.filter((r) => r.id !== record.id),
+      record,
+    ]);
+  };
+
+/** Assembles the withdrawal of a key; it holds on top of any other change. */
+export const assembleKeyWithdrawal =
+  (keyId: string): AssembleChange =>
+  (current) => {
+    const known = readKeyPart(current.parts.get(keyPartOf(keyId))).some((r) => r.id === keyId);
+    if (!known) return err({ kind: 'rejected', reason: `no key "${keyId}"` });
+    return editKeyPart(current, keyId, (records) => records.filter((r) => r.id !== keyId));
+  };
+
+const isBackendSection = (header: string): boolean => header.startsWith('backend-server');
+
+const pickSections = (text: string, pick: (header: string) => boolean): string => {
+  let take = pick('');
+  return text
+    .split(/\r?\n/)
+    .filter((line) => {
+      const header = /^\s*\[([^\]]+)\]\s*$/.exec(line)?.[1];
+      if (header !== undefined) take = pick(header.trim());
+      return take;
+    })
+    .join('\n');
+};
+
+/**
+ * Assembles the document that a promotion makes: everything from `source` but the
+ * backend servers, which stay those of `target`.
+ *
+ * @example
+ * assemblePromotion('[workspace a]\nrate = 1\nburst = 1', '').includes('[workspace a]'); // true
+ */
+export const assemblePromotion = (source: string, target: string): string =>
+  `${pickSections(source, (h) => !isBackendSection(h))}\n${pickSections(target, isBackendSection)}\n`;
--- /dev/null
+++ b/packages/revisions/src/keys.ts
@@ -0,0 +1,41 @@
+import { createHash, randomBytes, timingSafeEqual } from 'node:crypto';
+import type { KeyRecord } from '@hemlocksill/types/config-document.js';
+
+const keyPattern = /^hsk_([a-z0-9-]+)_([0-9a-f]{12})_([0-9a-f]{48})$/;
+
+const hashKey = (key: string): Buffer => createHash('sha256').update(key).digest();
+
+/** A new key: its text is shown once and only its record is kept. */
+export interface NewKey {
+  readonly text: string;
+  readonly record: KeyRecord;
+}
+
+/**
+ * Makes a key for a workspace of an environment.
+ *
+ * @example
+ * makeKey('trial', 'forge', '2026-01-01T00:00:00Z').text.startsWith('hsk_trial_'); // true
+ */
+export const makeKey = (environment: string, workspace: string, givenAt: string): NewKey => {
+  const id = randomBytes(6).toString('hex');
+  const text = `hsk_${environment}_${id}_${randomBytes(24).toString('hex')}`;
+  return { text, record: { id, workspace, hash: hashKey(text).toString('hex'), givenAt } };
+};
+
+const absentHash = hashKey('absent').toString('hex');
+
+/**
+ * Finds the record of a key; compares hashes in constant time.
+ *
+ * @returns undefined for a malformed, unknown or withdrawn key
+ */
+export const findKey = (
+  keys: ReadonlyMap<string, KeyRecord>,
+  text: string,
+): KeyRecord | undefined => {
+  const id = keyPattern.exec(text)?.[2];
+  const record = id === undefined ? undefined : keys.get(id);
+  const expected = Buffer.from(record?.hash ?? absentHash, 'hex');
+  return timingSafeEqual(hashKey(text), expected) ? record : undefined;
+};
--- /dev/null
+++ b/packages/revisions/src/publish.ts
@@ -0,0 +1,179 @@
+import { err, ok, type Result } from 'neverthrow';
+import type { PublishFault } from '@hemlocksill/errors/publish-errors.js';
+import { writeAndSettle } from '@hemlocksill/store/settle-write.js';
+import type { Store, StoreFault } from '@hemlocksill/types/ports.js';
+import { assembleHead, findWrite, readHead, type ChangeAuthor, type Head } from './head.js';
+import { digestOf } from './parts.js';
+import type { StoreKeys } from './store-keys.js';
+
+const maxRebases = 8;
+const settleTries = 5;
+const settlePauseMs = 300;
+
+/** What is in the store now. */
+export interface Published {
+  /** Revision of the store key itself; 0 when there is none. */
+  readonly storeRevision: number;
+  readonly head: Head | undefined;
+  readonly parts: ReadonlyMap<string, string>;
+}
+
+/** The new texts of the parts that a change touches; undefined removes a part. */
+export interface Change {
+  readonly parts: ReadonlyMap<string, string | undefined>;
+  readonly changesDocument: boolean;
+}
+
+/** Computes a change from what is in the store; run again after each lost race. */
+export type AssembleChange = (current: Published) => Result<Change, PublishFault>;
+
+const storeFault = (fault: StoreFault): PublishFault => ({ kind: 'store', fault });
+
+/** Reads the head and all its parts. */
+export const readPublished = async (
+  store: Store,
+  keys: StoreKeys,
+): Promise<Result<Published, PublishFault>> => {
+  const entry = await store.get(keys.head);
+  if (entry.isErr()) return err(storeFault(entry.error));
+  if (!entry.value) return ok({ storeRevision: 0, head: undefined, parts: new Map() });
+  const head = readHead(entry.value.value);
+  if (head.isErr()) return err({ kind: 'rejected', reason: `head in store: ${head.error}` });
+  const parts = new Map<string, string>();
+  for (const [name, ref] of Object.entries(head.value.parts)) {
+    const part = await store.get(ref.key);
+    if (part.isErr()) return err(storeFault(part.error));
+    // The part was removed by a change that came after the head was read.
+    if (!part.value) return readPublished(store, keys);
+    parts.set(name, part.value.value);
+  }
+  return ok({ storeRevision: entry.value.revision, head: head.value, parts });
+};
+
+const dropUnchanged = (current: Published, change: Change): Map<string, string | undefined> =>
+  new Map(
+    [...change.parts].filter(([name, text]) => {
+      const ref = current.head?.parts[name];
+      return text === undefined ? ref !== undefined : ref?.digest !== digestOf(text);
+    }),
+  );
+
+const pause = (ms: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
+/** Looks up whether a write whose answer was lost took effect. */
+export const settlePublish = async (
+  store: Store,
+  keys: StoreKeys,
+  writeId: string,
+): Promise<Result<number | undefined, PublishFault>> => {
+  for (let i = 0; i < settleTries; i += 1) {
+    const entry = await store.get(keys.head);
+    if (entry.isOk()) {
+      const head = entry.value && readHead(entry.value.value);
+      return ok(head?.isOk() ? findWrite(head.value, writeId) : undefined);
+    }
+    await pause(settlePauseMs);
+  }
+  return err({ kind: 'unknown', writeId });
+};
+
+type Attempt = { kind: 'accepted'; revision: number } | { kind: 'raced' };
+
+const writeParts = async (
+  store: Store,
+  keys: StoreKeys,
+  texts: ReadonlyMap<string, string | undefined>,
+  writeId: string,
+): Promise<Result<Map<string, { key: string; digest: string } | undefined>, PublishFault>> => {
+  const refs = new Map<string, { key: string; digest: string } | undefined>();
+  for (const [name, text] of texts) {
+    if (text === undefined) {
+      refs.set(name, undefined);
+      continue;
+    }
+    const key = `${keys.parts}${writeId}/${name}`;
+    const written = await writeAndSettle(store, { key, expected: 0, value: text });
+    if (written.isErr()) return err(storeFault(written.error));
+    refs.set(name, { key, digest: digestOf(text) });
+  }
+  return ok(refs);
+};
+
+const deleteParts = async (store: Store, partKeys: readonly string[]): Promise<void> => {
+  for (const key of partKeys) {
+    const entry = await store.get(key);
+    if (entry.isOk() && entry.value)
+      await store.cas({ key, expected: entry.value.revision, value: undefined });
+  }
+};
+
+const tryOnce = async (
+  store: Store,
+  keys: StoreKeys,
+  author: ChangeAuthor,
+  assemble: AssembleChange,
+  attempt: number,
+): Promise<Result<Attempt, PublishFault>> => {
+  const current = await readPublished(store, keys);
+  if (current.isErr()) return err(current.error);
+  const change = assemble(current.value);
+  if (change.isErr()) return err(change.error);
+  const texts = dropUnchanged(current.value, change.value);
+  const refs = await writeParts(store, keys, texts, `${author.writeId}-${attempt}`);
+  if (refs.isErr()) return err(refs.error);
+  const head = assembleHead(current.value.head, refs.value, author, change.value.changesDocument);
+  const written = await writeAndSettle(store, {
+    key: keys.head,
+    expected: current.value.storeRevision,
+    value: JSON.stringify(head),
+  });
+  if (written.isErr()) {
+    const settled = await settlePublish(store, keys, author.writeId);
+    if (settled.isErr()) return err(settled.error);
+    if (settled.value !== undefined) return ok({ kind: 'accepted', revision: settled.value });
+    return err({ kind: 'unknown', writeId: author.writeId });
+  }
+  if (written.value.kind === 'conflict') {
+    const now = readHead(written.value.value ?? '');
+    const mine = now.isOk() ? findWrite(now.value, author.writeId) : undefined;
+    if (mine !== undefined) return ok({ kind: 'accepted', revision: mine });
+    await deleteParts(
+      store,
+      [...refs.value.values()].flatMap((ref) => ref?.key ?? []),
+    );
+    return ok({ kind: 'raced' });
+  }
+  const replaced = [...refs.value.keys()].flatMap((n) => current.value.head?.parts[n]?.key ?? []);
+  await deleteParts(store, replaced);
+  return ok({ kind: 'accepted', revision: head.revision });
+};
+
+/**
+ * Publishes a change by one compare-and-swap of the head.
+ *
+ * `assemble` decides whether a change that lost a race still holds on top of the winner's;
+ * it returns a `superseded` fault when it does not.
+ *
+ * @returns the revision that the change made
+ *
+ * @example
+ * const revision = await publishChange(store, getStoreKeys('trial'), author, () =>
+ *   ok({ parts: splitDocument(text), changesDocument: true }),
+ * );
+ */
+export const publishChange = async (
+  store: Store,
+  keys: StoreKeys,
+  author: ChangeAuthor,
+  assemble: AssembleChange,
+): Promise<Result<number, PublishFault>> => {
+  for (let attempt = 0; attempt < maxRebases; attempt += 1) {
+    const tried = await tryOnce(store, keys, author, assemble, attempt);
+    if (tried.isErr()) return err(tried.error);
+    if (tried.value.kind === 'accepted') return ok(tried.value.revision);
+  }
+  return err({ kind: 'superseded', revision: 0 });
+};
--- /dev/null
+++ b/packages/stand-ins/src/http-server.ts
@@ -0,0 +1,39 @@
+import { serve, type HttpBindings, type ServerType } from '@hono/node-server';
+import type { Hono } from 'hono';
+
+/** Environment of a stand-in's handlers: the raw request and response of Node. */
+export interface StandInEnv {
+  Bindings: HttpBindings;
+}
+
+/** A started stand-in. */
+export interface StandIn {
+  readonly url: string;
+  readonly stop: () => Promise<void>;
+}
+
+/** Serves an application on a loopback address; port 0 takes a free one. */
+export const serveStandIn = (
+  app: Hono<StandInEnv>,
+  port: number,
+  onStop: () => void,
+): Promise<StandIn> =>
+  new Promise((resolve) => {
+    const server: ServerType = serve({ fetch: app.fetch, port, hostname: '127.0.0.1' }, (info) => {
+      resolve({
+        url: `http://127.0.0.1:${info.port}`,
+        stop: () =>
+          new Promise((done) => {
+            onStop();
+            server.close(() => done());
+            (server as { closeAllConnections?: () => void }).closeAllConnections?.();
+          }),
+      });
+    });
+  });
+
+/** Waits for a number of milliseconds. */
+export const sleep = (ms: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
--- /dev/null
+++ b/packages/stand-ins/src/service-server.ts
@@ -0,0 +1,62 @@
+import { createHash } from 'node:crypto';
+import { Hono } from 'hono';
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
+import { serveStandIn, sleep, type StandIn, type StandInEnv } from './http-server.js';
+
+/** Faults of a stand-in service. */
+export interface ServiceFaults {
+  delayMs: number;
+  /** Share of calls whose answer is lost after the effect. */
+  loseAnswers: number;
+  /** Refuse every call with 503 before any effect. */
+  refuse: boolean;
+}
+
+/** One call that took effect. */
+export interface ServiceRun {
+  readonly requestId: string;
+  readonly workspace: string;
+  readonly method: string;
+  readonly path: string;
+  readonly body: string;
+  readonly at: number;
+}
+
+/** Starts a plain service that records each call that takes effect. */
+export const startService = (port: number): Promise<StandIn> => {
+  const faults: ServiceFaults = { delayMs: 2, loseAnswers: 0, refuse: false };
+  const runs: ServiceRun[] = [];
+  let keySightings = 0;
+  const app = new Hono<StandInEnv>();
+
+  app.post('/control/faults', async (c) => {
+    Object.assign(faults, await c.req.json<Partial<ServiceFaults>>());
+    return c.json(faults);
+  });
+  app.get('/control/record', (c) => c.json({ runs, keySightings }));
+
+  app.all('*', async (c) => {
+    const body = await c.req.text();
+    const path = c.req.path + (new URL(c.req.url).search ?? '');
+    const seen = JSON.stringify(c.req.header()) + path + body;
+    if (seen.includes('hsk_')) keySightings += 1;
+    if (faults.refuse) return c.json({ code: 'refused' }, 503);
+    runs.push({
+      requestId: c.req.header('x-request-id') ?? '',
+      workspace: c.req.header('x-workspace') ?? '',
+      method: c.req.method,
+      path,
+      body,
+      at: Date.now(),
+    });
+    const run = runs.length;
+    await sleep(faults.delayMs);
+    if (Math.random() < faults.loseAnswers) {
+      c.env.outgoing.destroy();
+      return RESPONSE_ALREADY_SENT;
+    }
+    const digest = createHash('sha256').update(body).digest('hex').slice(0, 16);
+    return c.json({ run, path, digest });
+  });
+  return serveStandIn(app, port, () => {});
+};
--- /dev/null
+++ b/packages/store/src/http-store.ts
@@ -0,0 +1,133 @@
+import { err, ok, type Result } from 'neverthrow';
+import { Agent, request } from 'undici';
+import type {
+  CasAnswer,
+  CasRequest,
+  Store,
+  StoreEntry,
+  StoreFault,
+  StoreListing,
+  WatchAnswer,
+} from '@hemlocksill/types/ports.js';
+
+/** Time after which one call is given up, in milliseconds. */
+const callTimeoutMs = 2_000;
+
+/** Called after each call, for counting. */
+export type CountCall = (kind: string, outcome: 'ok' | StoreFault) => void;
+
+interface RawAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+interface Call {
+  readonly kind: string;
+  readonly body: unknown;
+  readonly timeoutMs: number;
+  /** Whether the call may be sent to a second address after a fault. */
+  readonly repeatable: boolean;
+}
+
+const classifyError = (error: unknown): StoreFault => {
+  const code = (error as { code?: string }).code ?? '';
+  const name = (error as { name?: string }).name ?? '';
+  if (name === 'TimeoutError' || code.includes('TIMEOUT')) return 'timeout';
+  return 'unreachable';
+};
+
+const classifyStatus = (status: number): StoreFault | undefined => {
+  if (status === 410) return 'lease-gone';
+  if (status === 429 || status === 503) return 'overloaded';
+  return status === 200 ? undefined : 'bad-answer';
+};
+
+const sendOnce = async (
+  agent: Agent,
+  url: string,
+  call: Call,
+): Promise<Result<RawAnswer, StoreFault>> => {
+  try {
+    const res = await request(`${url}/v1/${call.kind}`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(call.body),
+      dispatcher: agent,
+      signal: AbortSignal.timeout(call.timeoutMs),
+    });
+    const text = await res.body.text();
+    return ok({ status: res.statusCode, body: text === '' ? undefined : JSON.parse(text) });
+  } catch (error) {
+    return err(error instanceof SyntaxError ? 'bad-answer' : classifyError(error));
+  }
+};
+
+/**
+ * Makes a client of the platform's key-value service.
+ *
+ * Reads and watches fail over to the next address. A write is sent once: after a
+ * fault its effect is unknown, and the caller settles it by reading.
+ *
+ * @example
+ * const store = makeHttpStore(['http://127.0.0.1:2379'], () => {});
+ * const entry = await store.get('/greeting');
+ */
+export const makeHttpStore = (urls: readonly string[], countCall: CountCall): Store => {
+  const agent = new Agent({ connections: 16, keepAliveTimeout: 30_000 });
+  let preferred = 0;
+
+  const send = async (call: Call): Promise<Result<RawAnswer, StoreFault>> => {
+    const tries = call.repeatable ? urls.length : 1;
+    let last: Result<RawAnswer, StoreFault> = err('unreachable');
+    for (let i = 0; i < tries; i += 1) {
+      last = await sendOnce(agent, urls[preferred] ?? '', call);
+      if (last.isOk()) return last;
+      preferred = (preferred + 1) % urls.length;
+    }
+    return last;
+  };
+
+  const run = async <T>(call: Call): Promise<Result<T, StoreFault>> => {
+    const answer = (await send(call)).andThen(({ status, body }) => {
+      const fault = classifyStatus(status);
+      return fault === undefined ? ok(body as T) : err(fault);
+    });
+    countCall(call.kind, answer.isOk() ? 'ok' : answer.error);
+    return answer;
+  };
+
+  const read = <T>(kind: string, body: unknown) =>
+    run<T>({ kind, body, timeoutMs: callTimeoutMs, repeatable: true });
+  const write = <T>(kind: string, body: unknown) =>
+    run<T>({ kind, body, timeoutMs: callTimeoutMs, repeatable: false });
+
+  return {
+    get: async (key) =>
+      (await read<{ entry: StoreEntry | null }>('get', { key })).map((a) => a.entry ?? undefined),
+    list: (prefix) => read<StoreListing>('list', { prefix }),
+    cas: async (req: CasRequest) =>
+      (
+        await write<{ written: boolean; revision: number; current: StoreEntry | null }>('cas', {
+          ...req,
+          value: req.value ?? null,
+        })
+      ).map((a): CasAnswer =>
+        a.written
+          ? { kind: 'written', revision: a.revision }
+          : { kind: 'conflict', current: a.current ?? undefined },
+      ),
+    grantLease: async (ttlMs) =>
+      (await write<{ leaseId: string }>('lease/grant', { ttlMs })).map((a) => a.leaseId),
+    renewLease: async (leaseId) =>
+      (await write<unknown>('lease/renew', { leaseId })).map(() => undefined),
+    revokeLease: async (leaseId) =>
+      (await write<unknown>('lease/revoke', { leaseId })).map(() => undefined),
+    watch: (prefix, after, waitMs) =>
+      run<WatchAnswer>({
+        kind: 'watch',
+        body: { prefix, after, waitMs },
+        timeoutMs: waitMs + callTimeoutMs,
+        repeatable: false,
+      }),
+  };
+};
