--- a/packages/entry/src/controllers/claims.ts
+++ b/packages/entry/src/controllers/claims.ts
@@ -152,7 +152,8 @@
     if (!member) return { state: 'not-here' };
     const ask = { attempt: entry.attempt };
     const answer = await peers.call(member.peers, 'claims.ask', ask, askTimeoutMs);
-    if (answer.isErr()) return { state: 'running' };
+    // Without a listener at its address the writer is gone, whatever the store lists.
+    if (answer.isErr()) return { state: answer.error === 'refused' ? 'not-here' : 'running' };
     if (answer.value.from.incarnation !== entry.writer) return { state: 'not-here' };
     const parsed = attemptSchema.safeParse(answer.value.value);
     return parsed.success ? parsed.data : { state: 'running' };
--- a/packages/entry/src/controllers/control-watch.ts
+++ b/packages/entry/src/controllers/control-watch.ts
@@ -18,6 +18,8 @@
   ) => void;
   /** Takes in an entry that was read or written by another way. */
   readonly learn: (entry: StoreEntry) => void;
+  /** Lists everything again, as after an outage, when a hanging watch would tell late. */
+  readonly relist: () => Promise<boolean>;
   readonly start: (signal: AbortSignal) => Promise<boolean>;
 }
 
@@ -84,6 +86,7 @@
   return {
     entries,
     learn,
+    relist,
     subscribe: (below, onChange) => {
       subscribers.push({ prefix: below, onChange });
     },
--- a/packages/entry/src/controllers/membership.ts
+++ b/packages/entry/src/controllers/membership.ts
@@ -2,14 +2,30 @@
 import { rankByRendezvous } from '@hemlocksill/peer/rendezvous.js';
 import { writeAndSettle } from '@hemlocksill/store/settle-write.js';
 import type { Store } from '@hemlocksill/types/ports.js';
-import { readClock, repeatUntilStopped } from '../clock.js';
+import { readClock, sleepUntil } from '../clock.js';
 import type { LogEvent } from '../events.js';
 import { readMember, type Member } from '../member.js';
 import type { ControlWatch } from './control-watch.js';
 
-/** Time after which the store forgets a VM that has not renewed its lease. */
-export const memberLeaseMs = 6_000;
-const renewMs = 2_000;
+/** Shortest time after which the store forgets a VM that has not renewed its lease. */
+const shortestLeaseMs = 4_000;
+const longestLeaseMs = 60_000;
+
+/** Renewals that all VMs together may send to the store in a second. */
+const renewalsPerSecond = 40;
+const renewalsPerLease = 3;
+
+/**
+ * Chooses a lease's time so that the renewals of a large fleet stay within the store's rate.
+ *
+ * @example
+ * getLeaseMs(8); // 4000
+ * getLeaseMs(390); // 29250
+ */
+export const getLeaseMs = (members: number): number => {
+  const needed = (members * renewalsPerLease * 1_000) / renewalsPerSecond;
+  return Math.min(longestLeaseMs, Math.max(shortestLeaseMs, needed));
+};
 
 /** How long a VM that did not answer is passed over. */
 const suspectMs = 3_000;
@@ -19,22 +35,35 @@
   readonly leaseId: string;
   /** Counted from when the last successful renewal was sent. */
   readonly until: number;
+  readonly ttlMs: number;
 }
 
 /** Which VMs there are, and this VM's own registration. */
 export interface Membership {
   readonly self: () => Member;
-  /** All registered VMs, this one among them when it is registered. */
+  /**
+   * All registered VMs, this one among them when it is registered, and those whose
+   * registration has lapsed while they still answer.
+   */
   readonly members: () => readonly Member[];
   readonly others: () => readonly Member[];
   readonly findMember: (incarnation: string) => Member | undefined;
+  /** Whether the store lists a VM, as far as the watch has told. */
+  readonly isListed: (incarnation: string) => boolean;
   /** The VM responsible for a key, or undefined when none is known. */
   readonly findResponsible: (key: string) => Member | undefined;
   /** Takes in what a peer knows; it counts only while the store has shown no member. */
   readonly learnMembers: (members: readonly Member[]) => void;
   readonly suspect: (incarnation: string) => void;
+  /** Whether a VM has lately not answered. */
+  readonly isSuspect: (incarnation: string) => boolean;
+  /** The lease under which this VM is registered; undefined while it is not. */
   readonly lease: () => OwnLease | undefined;
+  /** Asks the store whether a VM is registered now; undefined without an answer. */
+  readonly isRegistered: (incarnation: string) => Promise<boolean | undefined>;
   readonly storeReachable: () => boolean;
+  /** Since when the store has answered without a break; infinity while it does not. */
+  readonly storeReachableSince: () => number;
   readonly setState: (state: Member['state']) => Promise<void>;
   readonly start: (signal: AbortSignal) => Promise<void>;
   readonly leave: () => Promise<void>;
@@ -55,11 +84,14 @@
   const ownKey = `${keys.members}${opts.self.incarnation}`;
   const known = new Map<string, Member>();
   const suspects = new Map<string, number>();
+  /** VMs that the store has dropped although they answered a moment ago. */
+  const lingering = new Map<string, Member>();
   let hearsay = new Map<string, Member>();
   let { self } = opts;
   let lease: OwnLease | undefined;
-  let registeredState: Member['state'] | undefined;
-  let reachable = true;
+  let registered: { readonly leaseId: string; readonly state: Member['state'] } | undefined;
+  let reachable = false;
+  let reachableSince = Number.POSITIVE_INFINITY;
 
   watch.subscribe(keys.members, (key, entry) => {
     const incarnation = key.slice(keys.members.length);
@@ -67,17 +99,26 @@
     if (member?.isOk()) {
       if (!known.has(incarnation)) logEvent(1105, { vm: member.value.vm, incarnation });
       known.set(incarnation, member.value);
-    } else if (known.delete(incarnation)) {
-      logEvent(1106, { incarnation });
+      lingering.delete(incarnation);
+      return;
     }
+    const dropped = known.get(incarnation);
+    if (!dropped) return;
+    known.delete(incarnation);
+    if (dropped.state === 'serving' && !isSuspect(incarnation)) lingering.set(incarnation, dropped);
+    logEvent(1106, { incarnation });
   });
 
   const setReachable = (now: boolean): void => {
-    if (now !== reachable) logEvent(now ? 1102 : 1101);
+    if (now === reachable) return;
+    logEvent(now ? 1102 : 1101);
     reachable = now;
+    reachableSince = now ? readClock() : Number.POSITIVE_INFINITY;
+    if (now) void watch.relist();
   };
 
   const register = async (leaseId: string): Promise<void> => {
+    const { state } = self;
     const entry = await store.get(ownKey);
     if (entry.isErr()) return;
     const written = await writeAndSettle(store, {
@@ -87,17 +128,17 @@
       leaseId,
     });
     if (written.isErr() || written.value.kind !== 'written') return;
-    registeredState = self.state;
+    registered = { leaseId, state };
     watch.learn({ key: ownKey, value: JSON.stringify(self), revision: written.value.revision });
   };
 
   const obtainLease = async (): Promise<void> => {
     const sentAt = readClock();
-    const granted = await store.grantLease(memberLeaseMs);
+    const ttlMs = getLeaseMs(known.size);
+    const granted = await store.grantLease(ttlMs);
     setReachable(granted.isOk());
     if (granted.isErr()) return;
-    lease = { leaseId: granted.value, until: sentAt + memberLeaseMs };
-    registeredState = undefined;
+    lease = { leaseId: granted.value, until: sentAt + ttlMs, ttlMs };
     logEvent(1104, { leaseId: granted.value });
   };
 
@@ -105,7 +146,7 @@
     const sentAt = readClock();
     const renewed = await store.renewLease(current.leaseId);
     if (renewed.isOk()) {
-      lease = { ...current, until: sentAt + memberLeaseMs };
+      lease = { ...current, until: sentAt + current.ttlMs };
     } else if (renewed.error === 'lease-gone') {
       logEvent(1103);
       lease = undefined;
@@ -117,11 +158,25 @@
   const keepRegistered = async (): Promise<void> => {
     if (lease) await renew(lease);
     else await obtainLease();
-    if (lease && (registeredState !== self.state || !known.has(self.incarnation)))
-      await register(lease.leaseId);
+    const isCurrent = registered?.leaseId === lease?.leaseId && registered?.state === self.state;
+    if (lease && !(isCurrent && known.has(self.incarnation))) await register(lease.leaseId);
   };
 
-  const table = (): ReadonlyMap<string, Member> => (known.size > 0 ? known : hearsay);
+  const keepRegisteredForever = async (signal: AbortSignal): Promise<void> => {
+    while (!signal.aborted) {
+      const ttlMs = lease?.ttlMs ?? shortestLeaseMs;
+      await sleepUntil(readClock() + ttlMs / renewalsPerLease, signal);
+      await keepRegistered();
+    }
+  };
+
+  const isSuspect = (incarnation: string): boolean =>
+    (suspects.get(incarnation) ?? 0) > readClock();
+
+  const table = (): ReadonlyMap<string, Member> => {
+    if (known.size === 0 && lingering.size === 0) return hearsay;
+    return lingering.size === 0 ? known : new Map([...lingering, ...known]);
+  };
   const members = (): readonly Member[] => [...table().values()];
 
   return {
@@ -130,10 +185,7 @@
     others: () => members().filter((m) => m.incarnation !== self.incarnation),
     findMember: (incarnation) => table().get(incarnation),
     findResponsible: (key) => {
-      const now = readClock();
-      const usable = members().filter(
-        (m) => m.state === 'serving' && (suspects.get(m.incarnation) ?? 0) <= now,
-      );
+      const usable = members().filter((m) => m.state === 'serving' && !isSuspect(m.incarnation));
       const ranked = rankByRendezvous(
         usable.map((m) => m.incarnation),
         key,
@@ -144,18 +196,26 @@
       hearsay = new Map(heard.map((m) => [m.incarnation, m]));
       hearsay.set(self.incarnation, self);
     },
+    isListed: (incarnation) => known.has(incarnation),
     suspect: (incarnation) => {
+      lingering.delete(incarnation);
       suspects.set(incarnation, readClock() + suspectMs);
     },
-    lease: () => lease,
+    isSuspect,
+    lease: () => (registered?.leaseId === lease?.leaseId ? lease : undefined),
+    isRegistered: async (incarnation) => {
+      const entry = await store.get(`${keys.members}${incarnation}`);
+      return entry.isOk() ? entry.value !== undefined : undefined;
+    },
     storeReachable: () => reachable,
+    storeReachableSince: () => reachableSince,
     setState: async (state) => {
       self = { ...self, state };
       if (lease) await register(lease.leaseId);
     },
     start: async (signal) => {
       await keepRegistered();
-      void repeatUntilStopped(renewMs, signal, keepRegistered);
+      void keepRegisteredForever(signal);
     },
     leave: async () => {
       if (lease) await store.revokeLease(lease.leaseId);
--- a/packages/entry/src/controllers/orphans.ts
+++ b/packages/entry/src/controllers/orphans.ts
@@ -1,8 +1,6 @@
 import { z } from 'zod';
 import type { PeerClient } from '@hemlocksill/peer/peer-client.js';
 import { throwInvalidParams, type PeerMethod } from '@hemlocksill/peer/peer-server.js';
-import type { StoreKeys } from '@hemlocksill/revisions/store-keys.js';
-import type { Store } from '@hemlocksill/types/ports.js';
 import { readClock } from '../clock.js';
 import type { EngineClient, EngineHold } from '../engine-client.js';
 import type { LogEvent } from '../events.js';
@@ -27,8 +25,6 @@
 
 /** What the orphan search needs. */
 export interface OrphansOptions {
-  readonly store: Store;
-  readonly keys: StoreKeys;
   readonly membership: Membership;
   readonly peers: PeerClient;
   readonly engines: EngineClient;
@@ -72,8 +68,7 @@
     const since = missingSince.get(owner) ?? readClock();
     missingSince.set(owner, since);
     if (readClock() - since < resumeGraceMs) return false;
-    const entry = await opts.store.get(`${opts.keys.members}${owner}`);
-    return entry.isOk() && entry.value === undefined;
+    return (await membership.isRegistered(owner)) === false;
   };
 
   const searchOwner = async (
--- a/packages/entry/src/controllers/rate-shards.ts
+++ b/packages/entry/src/controllers/rate-shards.ts
@@ -7,11 +7,13 @@
 import { makeHolder, readLevels, type Holder } from '@hemlocksill/rate/holder.js';
 import {
   getRightDeadline,
+  maxVoters,
   mayTakeOver,
   promiseHoldsMs,
   readShardRecord,
   shardCount,
   type ShardRecord,
+  type ShardVoter,
 } from '@hemlocksill/rate/shard-record.js';
 import type { StoreKeys } from '@hemlocksill/revisions/store-keys.js';
 import { writeAndSettle } from '@hemlocksill/store/settle-write.js';
@@ -20,7 +22,7 @@
 import type { LogEvent } from '../events.js';
 import type { Member } from '../member.js';
 import type { ControlWatch } from './control-watch.js';
-import type { Membership } from './membership.js';
+import type { Membership, OwnLease } from './membership.js';
 import { makePromiseBook } from './promise-book.js';
 
 const periodMs = 250;
@@ -28,7 +30,7 @@
 const promisePeriodMs = 1_000;
 
 /** Shards taken or handed over in one pass, so that store writes come spread out. */
-const changesPerPass = 4;
+const changesPerPass = 8;
 
 /** How long a named successor waits for the levels before it starts empty. */
 const handoverWaitMs = 1_500;
@@ -41,8 +43,18 @@
   readonly record: ShardRecord;
   readonly storeRevision: number;
   readonly leaseId: string;
+  /** End of the lease it was taken under, as last known. */
+  leaseUntil: number;
   readonly promises: Map<string, number>;
-  readonly votersSure: boolean;
+  /** Voters of a write whose outcome is not known; both sets must then promise. */
+  readonly otherVoters: readonly ShardVoter[] | undefined;
+}
+
+/** The holder of a shard as its record names it. */
+export interface NamedHolder {
+  readonly incarnation: string;
+  readonly peers: { readonly host: string; readonly port: number };
+  readonly epoch: number;
 }
 
 /** Who holds the rate of which workspaces. */
@@ -50,7 +62,7 @@
   /** The holder on this VM, if its right is valid now. */
   readonly findOwn: (shard: number) => Holder | undefined;
   /** The VM that the store names as the holder, with its epoch. */
-  readonly findHolder: (shard: number) => { member: Member; epoch: number } | undefined;
+  readonly findHolder: (shard: number) => NamedHolder | undefined;
   readonly countOwn: () => number;
   readonly methods: Readonly<Record<string, PeerMethod>>;
   readonly start: (signal: AbortSignal) => void;
@@ -87,13 +99,25 @@
   const handedLevels = new Map<number, { epoch: number; levels: Map<string, number> }>();
   const namedSince = new Map<number, { epoch: number; since: number }>();
   const firstSeen = new Map<string, number>();
+  const deadSince = new Map<string, number>();
   const promiseBook = makePromiseBook();
   let leaving = false;
   let extended = false;
+  let nextShard = 0;
 
   const shardKey = (shard: number): string => `${keys.rateShards}${shard}`;
   const selfId = (): string => membership.self().incarnation;
-  const listVoters = (): string[] => membership.members().map((m) => m.incarnation);
+
+  /** This VM and those next in rank for the shard. */
+  const listVoters = (shard: number): ShardVoter[] => {
+    const others = membership.others().map((m) => m.incarnation);
+    const ranked = rankByRendezvous(others, `voters/${shard}`).slice(0, maxVoters - 1);
+    return [selfId(), ...ranked].flatMap((incarnation) => {
+      const member =
+        incarnation === selfId() ? membership.self() : membership.findMember(incarnation);
+      return member ? [{ incarnation, ...member.peers }] : [];
+    });
+  };
 
   const dropOwn = (shard: number): void => {
     if (own.delete(shard)) logEvent(1303, { shard });
@@ -111,18 +135,25 @@
     if (mine && parsed.value.epoch > mine.record.epoch) dropOwn(shard);
   });
 
+  const getDeadlineWith = (shard: OwnShard, voters: readonly ShardVoter[]): number => {
+    const promised = voters.flatMap((v) => shard.promises.get(v.incarnation) ?? []);
+    return getRightDeadline(shard.leaseUntil, promised, voters);
+  };
+
   const getOwnDeadline = (shard: OwnShard): number => {
     const lease = membership.lease();
-    // A shard taken under an earlier lease is not covered by a newer one.
-    const leaseUntil = lease?.leaseId === shard.leaseId ? lease.until : Number.NEGATIVE_INFINITY;
-    if (!shard.votersSure || leaseUntil === Number.NEGATIVE_INFINITY) return leaseUntil;
-    return getRightDeadline(leaseUntil, [...shard.promises.values()], shard.record.voters);
+    // A newer lease covers the shard only once its record has been written again.
+    if (lease?.leaseId === shard.leaseId) shard.leaseUntil = lease.until;
+    const deadline = getDeadlineWith(shard, shard.record.voters);
+    return shard.otherVoters
+      ? Math.min(deadline, getDeadlineWith(shard, shard.otherVoters))
+      : deadline;
   };
 
   const adoptShard = (
     record: ShardRecord,
     storeRevision: number,
-    leaseId: string,
+    lease: OwnLease,
     levels: ReadonlyMap<string, number> | 'full',
   ): void => {
     const fillsFrom = readClock() + grantHoldsMs;
@@ -130,9 +161,10 @@
       holder: makeHolder(record.shard, record.epoch, fillsFrom, levels),
       record,
       storeRevision,
-      leaseId,
+      leaseId: lease.leaseId,
+      leaseUntil: lease.until,
       promises: new Map(),
-      votersSure: true,
+      otherVoters: undefined,
     });
     logEvent(1301, { shard: record.shard, epoch: record.epoch });
   };
@@ -158,55 +190,78 @@
     return undefined;
   };
 
-  const collectConsents = async (shard: number, record: ShardRecord): Promise<string[]> => {
-    const epoch = record.epoch + 1;
-    const consents: string[] = [];
-    await Promise.all(
-      record.voters.map(async (voter) => {
-        if (voter === selfId()) {
-          if (promiseBook.consent(shard, epoch, readClock())) consents.push(voter);
-          return;
-        }
-        const member = membership.findMember(voter);
-        if (!member) return;
-        const answer = await peers.call(
-          member.peers,
-          'rate.consent',
-          { shard, epoch },
-          callTimeoutMs,
-        );
-        if (answer.isOk() && answer.value.value === true && answer.value.from.incarnation === voter)
-          consents.push(voter);
-      }),
-    );
-    return consents;
+  /** Asks whether a process still runs; undefined when that cannot be told. */
+  const probe = async (voter: ShardVoter): Promise<'alive' | 'dead' | undefined> => {
+    const answer = await peers.call(voter, 'gossip.sync', {}, callTimeoutMs);
+    if (answer.isErr()) return answer.error === 'refused' ? 'dead' : undefined;
+    return answer.value.from.incarnation === voter.incarnation ? 'alive' : 'dead';
+  };
+
+  const askConsent = async (voter: ShardVoter, shard: number, epoch: number): Promise<boolean> => {
+    if (voter.incarnation === selfId()) return promiseBook.consent(shard, epoch, readClock());
+    const answer = await peers.call(voter, 'rate.consent', { shard, epoch }, callTimeoutMs);
+    const dead = answer.isErr()
+      ? answer.error === 'refused'
+      : answer.value.from.incarnation !== voter.incarnation;
+    if (!dead) {
+      deadSince.delete(voter.incarnation);
+      return answer.isOk() && answer.value.value === true;
+    }
+    // A promise that it gave just before its death may still hold.
+    const since = deadSince.get(voter.incarnation) ?? readClock();
+    deadSince.set(voter.incarnation, since);
+    return readClock() - since > promiseHoldsMs;
+  };
+
+  /** After an outage all leases have lapsed, and their owners need time to come back. */
+  const isStoreSettled = (): boolean => readClock() - membership.storeReachableSince() >= settleMs;
+
+  const isTakeoverDue = async (record: ShardRecord): Promise<boolean> => {
+    const { shard, voters, incarnation } = record;
+    if (incarnation === selfId()) return true;
+    // Read after the record, so that a holder that has come back since is not overlooked.
+    const listed = membership.isListed(incarnation);
+    const lapsed =
+      !listed && isStoreSettled() && (await membership.isRegistered(incarnation)) === false;
+    if (goneSince.get(shard)?.epoch !== record.epoch || !lapsed)
+      goneSince.set(shard, { epoch: record.epoch, since: readClock() });
+    const holder = voters.find((v) => v.incarnation === incarnation);
+    const silent = lapsed || membership.isSuspect(incarnation);
+    const holderDead = silent && holder !== undefined && (await probe(holder)) === 'dead';
+    const asked = lapsed && !holderDead ? voters : [];
+    const consents = await Promise.all(asked.map((v) => askConsent(v, shard, record.epoch + 1)));
+    const view = {
+      holderDead,
+      holderLapsed: lapsed,
+      lapsedSince: goneSince.get(shard)?.since ?? readClock(),
+      consents: consents.filter(Boolean).length,
+      voters,
+    };
+    return mayTakeOver(view, readClock());
   };
 
-  const takeOver = async (shard: number, levels: ReadonlyMap<string, number>): Promise<void> => {
+  const takeOver = async (shard: number, levels: ReadonlyMap<string, number>): Promise<boolean> => {
     const lease = membership.lease();
     const known = records.get(shard);
-    if (!lease || lease.until <= readClock()) return;
-    if (known && known.record.incarnation !== selfId()) {
-      const since = goneSince.get(shard);
-      const view = {
-        holderGone: true,
-        goneSince: since?.since ?? readClock(),
-        consents: await collectConsents(shard, known.record),
-        voters: known.record.voters,
-      };
-      if (!mayTakeOver(view, readClock())) return;
-    }
+    if (!lease || lease.until <= readClock()) return false;
+    if (known && !(await isTakeoverDue(known.record))) return true;
     const record: ShardRecord = {
       shard,
       epoch: (known?.record.epoch ?? 0) + 1,
       vm: membership.self().vm,
       incarnation: selfId(),
-      voters: listVoters(),
+      voters: listVoters(shard),
       writeId: makeWriteId(),
     };
     const revision = await writeRecord(shard, record, known?.storeRevision ?? 0);
-    if (revision === undefined) return;
-    adoptShard(record, revision, lease.leaseId, known ? levels : 'full');
+    if (revision !== undefined) adoptShard(record, revision, lease, known ? levels : 'full');
+    return true;
+  };
+
+  /** The voters that a successor would choose. */
+  const listVotersOf = (to: Member, shard: number): ShardVoter[] => {
+    const own = listVoters(shard).filter((v) => v.incarnation !== to.incarnation);
+    return [{ incarnation: to.incarnation, ...to.peers }, ...own.slice(0, maxVoters - 1)];
   };
 
   const handOver = async (shard: number, mine: OwnShard, to: Member): Promise<void> => {
@@ -217,7 +272,7 @@
       epoch: mine.record.epoch + 1,
       vm: to.vm,
       incarnation: to.incarnation,
-      voters: listVoters(),
+      voters: listVotersOf(to, shard),
       writeId: makeWriteId(),
     };
     const revision = await writeRecord(shard, record, mine.storeRevision);
@@ -236,38 +291,64 @@
     logEvent(1302, { shard, to: to.vm });
   };
 
-  const findPreferred = (shard: number): Member | undefined => {
+  const findPreferred = (shard: number, answeringOnly: boolean): Member | undefined => {
     const now = readClock();
-    const settled = membership.members().filter((m) => {
+    const candidates = [membership.self(), ...membership.others()];
+    const settled = candidates.filter((m) => {
       const since = firstSeen.get(m.incarnation) ?? now;
       firstSeen.set(m.incarnation, since);
       const isSelf = m.incarnation === selfId();
-      return m.state === 'serving' && !(isSelf && leaving) && (isSelf || now - since >= settleMs);
+      const usable = isSelf ? !leaving : now - since >= settleMs;
+      return (
+        m.state === 'serving' && usable && !(answeringOnly && membership.isSuspect(m.incarnation))
+      );
     });
     const names = settled.map((m) => m.incarnation);
     const first = rankByRendezvous(names, `rate/${shard}`)[0];
     return settled.find((m) => m.incarnation === first);
   };
 
-  const updateVoters = async (shard: number, mine: OwnShard): Promise<boolean> => {
-    const voters = listVoters();
-    const same =
-      voters.length === mine.record.voters.length &&
-      voters.every((v) => mine.record.voters.includes(v));
-    if (same || !membership.storeReachable()) return false;
-    const record = { ...mine.record, voters, writeId: makeWriteId() };
-    own.set(shard, { ...mine, votersSure: false });
+  /** Writes the record again for new voters or a new lease; the epoch stays. */
+  const rewriteOwn = async (
+    shard: number,
+    mine: OwnShard,
+    lease: OwnLease,
+    voters: readonly ShardVoter[],
+  ): Promise<void> => {
+    const record = { ...mine.record, voters: [...voters], writeId: makeWriteId() };
+    own.set(shard, { ...mine, otherVoters: voters });
     const revision = await writeRecord(shard, record, mine.storeRevision);
     const now = own.get(shard);
-    if (revision !== undefined && now?.record.epoch === mine.record.epoch)
+    if (revision === undefined) await reviewOwn(shard);
+    else if (now?.record.epoch === mine.record.epoch)
       own.set(shard, {
         ...now,
         record,
         storeRevision: revision,
-        promises: new Map(),
-        votersSure: true,
+        leaseId: lease.leaseId,
+        leaseUntil: lease.until,
+        otherVoters: undefined,
       });
-    else if (revision === undefined) await reviewOwn(shard);
+  };
+
+  const hasOtherVoters = (shard: number, mine: OwnShard): boolean => {
+    const voters = listVoters(shard);
+    const before = new Set(mine.record.voters.map((v) => v.incarnation));
+    return voters.length !== before.size || voters.some((v) => !before.has(v.incarnation));
+  };
+
+  const tendOwn = async (shard: number, mine: OwnShard): Promise<boolean> => {
+    const lease = membership.lease();
+    if (!membership.storeReachable() || !lease) return false;
+    const preferred = findPreferred(shard, false);
+    if (mine.otherVoters) await reviewOwn(shard);
+    else if (preferred && preferred.incarnation !== selfId()) {
+      if (membership.isSuspect(preferred.incarnation) || !isStoreSettled()) return false;
+      await handOver(shard, mine, preferred);
+    } else if (lease.leaseId !== mine.leaseId)
+      await rewriteOwn(shard, mine, lease, mine.record.voters);
+    else if (hasOtherVoters(shard, mine)) await rewriteOwn(shard, mine, lease, listVoters(shard));
+    else return false;
     return true;
   };
 
@@ -286,8 +367,7 @@
       ...mine,
       record: parsed.value,
       storeRevision: entry.value.revision,
-      promises: new Map(),
-      votersSure: true,
+      otherVoters: undefined,
     });
   };
 
@@ -312,46 +392,21 @@
     return true;
   };
 
-  const isHolderGone = (record: ShardRecord): boolean =>
-    membership.findMember(record.incarnation) === undefined;
-
   /** Looks after one shard; tells whether it wrote to the store. */
   const tend = async (shard: number): Promise<boolean> => {
     const mine = own.get(shard);
-    const preferred = findPreferred(shard);
-    if (mine) {
-      const lease = membership.lease();
-      if (lease !== undefined && lease.leaseId !== mine.leaseId) {
-        dropOwn(shard);
-        return false;
-      }
-      if (!mine.votersSure) {
-        await reviewOwn(shard);
-        return true;
-      }
-      if (preferred && preferred.incarnation !== selfId() && membership.storeReachable()) {
-        await handOver(shard, mine, preferred);
-        return true;
-      }
-      return updateVoters(shard, mine);
-    }
+    if (mine) return tendOwn(shard, mine);
     const known = records.get(shard);
     if (known?.record.incarnation === selfId()) return !leaving && takeNamed(shard, known.record);
-    if (preferred?.incarnation !== selfId() || leaving) return false;
-    if (known && !isHolderGone(known.record)) {
-      goneSince.delete(shard);
-      return false;
-    }
-    if (known && goneSince.get(shard)?.epoch !== known.record.epoch)
-      goneSince.set(shard, { epoch: known.record.epoch, since: readClock() });
-    await takeOver(shard, new Map());
-    return true;
+    if (findPreferred(shard, true)?.incarnation !== selfId() || leaving) return false;
+    return takeOver(shard, new Map());
   };
 
   const tendAll = async (): Promise<void> => {
     let changes = 0;
-    for (let shard = 0; shard < shardCount && changes < changesPerPass; shard += 1) {
-      if (await tend(shard)) changes += 1;
+    for (let i = 0; i < shardCount && changes < changesPerPass; i += 1) {
+      nextShard = (nextShard + 1) % shardCount;
+      if (await tend(nextShard)) changes += 1;
     }
   };
 
@@ -362,23 +417,24 @@
     }
     const asked = [...own].map(([shard, mine]) => [shard, mine.record.epoch] as const);
     const sentAt = readClock();
-    await Promise.all(
-      membership.others().map(async (member) => {
-        const answer = await peers.call(
-          member.peers,
-          'rate.promise',
-          { shards: asked },
-          callTimeoutMs,
-        );
-        if (answer.isErr() || !Array.isArray(answer.value.value)) return;
-        const promised = new Set(answer.value.value as number[]);
-        asked
-          .filter(([shard, epoch]) => promised.has(shard) && own.get(shard)?.record.epoch === epoch)
-          .forEach(([shard]) =>
-            own.get(shard)?.promises.set(answer.value.from.incarnation, sentAt + promiseHoldsMs),
-          );
-      }),
+    // The records know the voters' addresses, whatever has become of their memberships.
+    const voters = new Map(
+      [...own.values()]
+        .flatMap((mine) => [...mine.record.voters, ...(mine.otherVoters ?? [])])
+        .filter((v) => v.incarnation !== selfId())
+        .map((v) => [v.incarnation, v]),
     );
+    const ask = async (voter: ShardVoter): Promise<void> => {
+      const answer = await peers.call(voter, 'rate.promise', { shards: asked }, callTimeoutMs);
+      if (answer.isErr() || !Array.isArray(answer.value.value)) return;
+      const promised = new Set(answer.value.value as number[]);
+      asked
+        .filter(([shard, epoch]) => promised.has(shard) && own.get(shard)?.record.epoch === epoch)
+        .forEach(([shard]) =>
+          own.get(shard)?.promises.set(answer.value.from.incarnation, sentAt + promiseHoldsMs),
+        );
+    };
+    await Promise.all([...voters.values()].map(ask));
     if (!extended) logEvent(1304, { shards: own.size });
     extended = true;
   };
@@ -390,8 +446,11 @@
     },
     findHolder: (shard) => {
       const record = records.get(shard)?.record;
-      const member = record && membership.findMember(record.incarnation);
-      return record && member ? { member, epoch: record.epoch } : undefined;
+      // The record knows the address even while the holder's membership has lapsed.
+      const voter = record?.voters.find((v) => v.incarnation === record.incarnation);
+      if (!record || !voter) return undefined;
+      const { incarnation, host, port } = voter;
+      return { incarnation, peers: { host, port }, epoch: record.epoch };
     },
     countOwn: () => own.size,
     methods: {
@@ -399,6 +458,10 @@
         const parsed = z.object({ shard: z.number(), epoch: z.number() }).safeParse(params);
         if (!parsed.success) return throwInvalidParams('shard and epoch expected');
         const { shard, epoch } = parsed.data;
+        // A holder does not consent to its own replacement while it may still grant.
+        const mine = own.get(shard);
+        if (mine && mine.record.epoch < epoch && readClock() < getOwnDeadline(mine))
+          return Promise.resolve(false);
         return Promise.resolve(promiseBook.consent(shard, epoch, readClock()));
       },
       'rate.promise': (params) => {
@@ -427,7 +490,7 @@
     handOverAll: async () => {
       leaving = true;
       for (const [shard, mine] of [...own]) {
-        const to = findPreferred(shard);
+        const to = findPreferred(shard, true);
         if (to) await handOver(shard, mine, to);
       }
     },
--- a/packages/entry/src/controllers/rate.ts
+++ b/packages/entry/src/controllers/rate.ts
@@ -1,7 +1,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import { z } from 'zod';
 import { refuseRate, refuseRateUnknown, refuseTooLarge } from '@hemlocksill/errors/refusals.js';
-import type { PeerClient } from '@hemlocksill/peer/peer-client.js';
+import type { PeerClient, PeerEndpoint } from '@hemlocksill/peer/peer-client.js';
 import { throwInvalidParams, type PeerMethod } from '@hemlocksill/peer/peer-server.js';
 import { acceptReturn, answerDraw, type DrawAnswer } from '@hemlocksill/rate/holder.js';
 import { shardOf } from '@hemlocksill/rate/shard-record.js';
@@ -74,6 +74,11 @@
   readonly resolve: (outcome: DrawOutcome) => void;
 }
 
+interface DrawBatch {
+  readonly draws: PendingDraw[];
+  readonly to: PeerEndpoint;
+}
+
 const drawsSchema = z.object({
   draws: z.array(z.tuple([z.number(), z.number(), z.string(), z.number(), z.number()])),
   returns: z.array(
@@ -92,7 +97,7 @@
   const { shards, peers, findWorkspace } = opts;
   const taker = makeTaker();
   const lines = new Map<string, Line>();
-  const pending = new Map<string, { draws: PendingDraw[]; port: { host: string; port: number } }>();
+  const pending = new Map<string, DrawBatch>();
   let returns: EpochReturn[] = [];
 
   const answerOwn = (
@@ -116,7 +121,7 @@
 
   const takeReturnsFor = (incarnation: string): EpochReturn[] => {
     const due = returns.filter(
-      (r) => shards.findHolder(shardOf(r.workspace))?.member.incarnation === incarnation,
+      (r) => shards.findHolder(shardOf(r.workspace))?.incarnation === incarnation,
     );
     returns = returns.filter((r) => !due.includes(r));
     return due;
@@ -135,7 +140,7 @@
       draw.want,
     ]);
     const message = { draws, returns: takeReturnsFor(incarnation) };
-    const answer = await peers.call(batch.port, 'rate.draw', message, drawTimeoutMs);
+    const answer = await peers.call(batch.to, 'rate.draw', message, drawTimeoutMs);
     const answers = answer.isOk() ? (answer.value.value as (DrawAnswer | null)[]) : [];
     batch.draws.forEach((p, i) => {
       const given = answers[i];
@@ -153,9 +158,9 @@
     }
     const holder = shards.findHolder(shard);
     if (!holder) return Promise.resolve(undefined);
-    const { incarnation } = holder.member;
+    const { incarnation } = holder;
     return new Promise((resolve) => {
-      const batch = pending.get(incarnation) ?? { draws: [], port: holder.member.peers };
+      const batch: DrawBatch = pending.get(incarnation) ?? { draws: [], to: holder.peers };
       if (batch.draws.length === 0) setImmediate(() => void sendBatch(incarnation));
       pending.set(incarnation, batch);
       batch.draws.push({ epoch: holder.epoch, shard, draw: { workspace, need, want }, resolve });
@@ -257,14 +262,14 @@
     const holders = new Map(
       returns.flatMap((r) => {
         const holder = shards.findHolder(shardOf(r.workspace));
-        return holder ? [[holder.member.incarnation, holder.member] as const] : [];
+        return holder ? [[holder.incarnation, holder] as const] : [];
       }),
     );
     if (holders.size === 0) returns = [];
     await Promise.all(
-      [...holders].map(([incarnation, member]) =>
+      [...holders].map(([incarnation, holder]) =>
         peers.call(
-          member.peers,
+          holder.peers,
           'rate.draw',
           { draws: [], returns: takeReturnsFor(incarnation) },
           drawTimeoutMs,
--- a/packages/entry/src/controllers/upgrades.ts
+++ b/packages/entry/src/controllers/upgrades.ts
@@ -13,13 +13,13 @@
 import type { EngineClient } from '../engine-client.js';
 import type { LogEvent } from '../events.js';
 import type { ControlWatch } from './control-watch.js';
-import { memberLeaseMs, type Membership } from './membership.js';
+import type { Membership } from './membership.js';
 import { readServerStates, type ServerStates } from './server-states.js';
 
 const periodMs = 500;
 
-/** Time after which no order of an earlier controller can still be on its way. */
-const waitOutMs = memberLeaseMs + 3_000;
+/** Time after its lease in which an order of an earlier controller may still arrive. */
+const orderTimeMs = 3_000;
 
 const roleSchema = z.strictObject({
   /** Empty when the last holder has released the role. */
@@ -90,10 +90,10 @@
     const entry = watch.entries.get(keys.upgrade);
     const known = entry && readRole(entry.value);
     const lease = membership.lease();
-    const holderAlive = known ? membership.findMember(known.incarnation) !== undefined : false;
-    const mine = known?.incarnation === selfId();
-    if (!lease || (holderAlive && !mine)) return;
-    if (membership.findResponsible('upgrade')?.incarnation !== selfId()) return;
+    if (!lease || membership.findResponsible('upgrade')?.incarnation !== selfId()) return;
+    const named = known?.incarnation ?? '';
+    const isOther = named !== '' && named !== selfId();
+    if (isOther && (await membership.isRegistered(named)) !== false) return;
     const role = { incarnation: selfId(), epoch: (known?.epoch ?? 0) + 1, writeId: makeWriteId() };
     const value = JSON.stringify(role);
     const written = await writeAndSettle(store, {
@@ -104,7 +104,7 @@
     if (written.isErr() || written.value.kind !== 'written') return;
     watch.learn({ key: keys.upgrade, value, revision: written.value.revision });
     const released = known === undefined || known.incarnation === '';
-    const ordersFrom = released ? readClock() : readClock() + waitOutMs;
+    const ordersFrom = released ? readClock() : readClock() + lease.ttlMs + orderTimeMs;
     held = { role, leaseId: lease.leaseId, ordersFrom };
     logEvent(1601, { epoch: role.epoch });
   };
--- a/packages/entry/src/start-entry.ts
+++ b/packages/entry/src/start-entry.ts
@@ -139,8 +139,6 @@
   const claims = makeClaims({ store, keys, membership, peers, retentionMs, logEvent });
   const cancels = makeCancels(engines);
   const orphans = makeOrphans({
-    store,
-    keys,
     membership,
     peers,
     engines,
--- a/packages/peer/src/peer-client.ts
+++ b/packages/peer/src/peer-client.ts
@@ -120,8 +120,9 @@
       let connection: Connection;
       try {
         connection = await connectTo(to);
-      } catch {
-        return err('unreachable');
+      } catch (error) {
+        const { code } = error as { code?: string };
+        return err(code === 'ECONNREFUSED' ? 'refused' : 'unreachable');
       }
       try {
         const rpc = connection.rpc.timeout(timeoutMs);
--- a/packages/rate/src/shard-record.ts
+++ b/packages/rate/src/shard-record.ts
@@ -17,8 +17,10 @@
   /** VM and incarnation of the holder. */
   vm: z.string(),
   incarnation: z.string(),
-  /** Incarnations whose consent a take-over needs, the holder's among them. */
-  voters: z.array(z.string()),
+  /** VMs whose consent a take-over needs, the holder among them. */
+  voters: z.array(
+    z.strictObject({ incarnation: z.string(), host: z.string(), port: z.number().int() }),
+  ),
   /** Random id of the write, by which a lost answer is settled. */
   writeId: z.string(),
 });
@@ -26,6 +28,12 @@
 /** The record of a shard in the platform's store. */
 export type ShardRecord = z.output<typeof recordSchema>;
 
+/** A VM that takes part in the decision on a shard, with its address for peers. */
+export type ShardVoter = ShardRecord['voters'][number];
+
+/** Most voters of one shard. */
+export const maxVoters = 7;
+
 /** Parses a shard record. */
 export const readShardRecord = (text: string): Result<ShardRecord, string> => {
   try {
@@ -41,7 +49,7 @@
   createHash('sha256').update(workspace).digest().readUInt32BE(0) % shardCount;
 
 /** Whether `count` of the voters are more than half. */
-export const isMajority = (count: number, voters: readonly string[]): boolean =>
+export const isMajority = (count: number, voters: readonly unknown[]): boolean =>
   count * 2 > voters.length;
 
 /**
@@ -52,12 +60,12 @@
  * @param promisesUntil - ends of the voters' promises, counted from when they were asked
  *
  * @example
- * getRightDeadline(5_000, [9_000, 9_500], ['a', 'b', 'c']); // 9_000: a holds it, b and c promised
+ * getRightDeadline(5_000, [9_000, 9_500], ['a', 'b', 'c']); // 9_500: a holds it, one more is most
  */
 export const getRightDeadline = (
   leaseUntil: number,
   promisesUntil: readonly number[],
-  voters: readonly string[],
+  voters: readonly unknown[],
 ): number => {
   const needed = Math.floor(voters.length / 2);
   // The holder's own vote counts; `needed` others make more than half.
@@ -69,24 +77,31 @@
 
 /** What a VM that would take a shard over knows. */
 export interface TakeoverView {
+  /** Whether the holder's process is proven to run no more. */
+  readonly holderDead: boolean;
   /** Whether the store has dropped the holder's membership. */
-  readonly holderGone: boolean;
+  readonly holderLapsed: boolean;
   /** When this VM first saw that it had. */
-  readonly goneSince: number;
-  /** Voters that consented; a voter consents when its own promise has ended. */
-  readonly consents: readonly string[];
-  readonly voters: readonly string[];
+  readonly lapsedSince: number;
+  /** Number of voters that consented, or have been dead for longer than a promise holds. */
+  readonly consents: number;
+  readonly voters: readonly unknown[];
 }
 
 /**
  * Whether a VM may write itself into a shard record.
  *
- * The holder extends its right only with promises of more than half of the voters, and a
- * take-over needs consents of more than half, so one voter would have to do both. When
- * too few voters are left to consent, the longest extension is waited out.
+ * A dead holder cannot grant. One whose lease has lapsed may go on with promises of more
+ * than half of the voters, and a take-over needs consents of more than half, so that one
+ * voter would have to do both. When too few voters are left to consent, the longest
+ * extension is waited out.
+ *
+ * @example
+ * mayTakeOver({ ...view, holderDead: true }, now); // true
  */
 export const mayTakeOver = (view: TakeoverView, now: number): boolean => {
-  if (!view.holderGone) return false;
-  if (isMajority(view.consents.length, view.voters)) return true;
-  return now >= view.goneSince + longestExtensionMs + promiseHoldsMs;
+  if (view.holderDead) return true;
+  if (!view.holderLapsed) return false;
+  if (isMajority(view.consents, view.voters)) return true;
+  return now >= view.lapsedSince + longestExtensionMs + promiseHoldsMs;
 };
