--- a/packages/rate/src/bucket.ts
+++ b/packages/rate/src/bucket.ts
@@ -88,15 +88,26 @@
   bucket.generation += 1;
 };
 
-const ageSlots = (bucket: Bucket, now: number): void => {
-  bucket.slots.forEach((s) => {
-    if (s.scale !== undefined || (s.slot + 1) * slotMs + grantHoldsMs > now) return;
-    bucket.fresh -= s.fresh;
-    bucket.refundable += s.fresh;
-    s.fresh = 0;
-    s.scale = bucket.scale;
-    s.generation = bucket.generation;
-  });
+const getAgingTime = (slot: GrantSlot): number => (slot.slot + 1) * slotMs + grantHoldsMs;
+
+const fillTo = (bucket: Bucket, now: number): void => {
+  if (now <= bucket.filledTo) return;
+  const added = ((now - bucket.filledTo) * bucket.limit.rate) / 1_000;
+  const room = Math.max(0, bucket.limit.burst - bucket.fresh);
+  bucket.level = Math.max(Math.min(bucket.level, room), Math.min(room, bucket.level + added));
+  bucket.filledTo = now;
+  shrinkRefunds(bucket, bucket.limit.burst - bucket.fresh - bucket.level);
+};
+
+const ageSlot = (bucket: Bucket, slot: GrantSlot): void => {
+  bucket.fresh -= slot.fresh;
+  bucket.refundable += slot.fresh;
+  slot.fresh = 0;
+  slot.scale = bucket.scale;
+  slot.generation = bucket.generation;
+};
+
+const forgetOldSlots = (bucket: Bucket, now: number): void => {
   const oldest = Math.floor((now - slotKeptMs) / slotMs);
   if ((bucket.slots[0]?.slot ?? oldest) < oldest)
     bucket.slots = bucket.slots.filter((s) => s.slot >= oldest);
@@ -104,14 +115,14 @@
 
 /** Fills a bucket up to `now`. */
 export const fillBucket = (bucket: Bucket, now: number): void => {
-  if (now > bucket.filledTo) {
-    const added = ((now - bucket.filledTo) * bucket.limit.rate) / 1_000;
-    const room = Math.max(0, bucket.limit.burst - bucket.fresh);
-    bucket.level = Math.max(Math.min(bucket.level, room), Math.min(room, bucket.level + added));
-    bucket.filledTo = now;
-  }
-  shrinkRefunds(bucket, bucket.limit.burst - bucket.fresh - bucket.level);
-  ageSlots(bucket, now);
+  bucket.slots
+    .filter((s) => s.scale === undefined && getAgingTime(s) <= now)
+    .forEach((s) => {
+      fillTo(bucket, getAgingTime(s));
+      ageSlot(bucket, s);
+    });
+  fillTo(bucket, now);
+  forgetOldSlots(bucket, now);
 };
 
 /** Puts another limit into force from `now` on. */
--- /dev/null
+++ b/packages/rate/src/fleet-rate.test.ts
@@ -0,0 +1,142 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { acceptReturn, answerDraw, makeHolder, readLevels, type Holder } from './holder.js';
+import {
+  addGrant,
+  collectReturns,
+  makeTaker,
+  reserveTokens,
+  settleReservation,
+  type Reservation,
+} from './taker.js';
+import { grantHoldsMs } from './bucket.js';
+
+const workspace = 'forge';
+const limit = { rate: 100, burst: 1_000 };
+const vms = 4;
+
+interface Spend {
+  readonly at: number;
+  readonly tokens: number;
+}
+
+const findOverspend = (spends: readonly Spend[]): number => {
+  let worst = 0;
+  spends.forEach((first, i) => {
+    let sum = 0;
+    spends.slice(i).forEach((s) => {
+      sum += s.tokens;
+      worst = Math.max(worst, sum - (limit.rate * (s.at - first.at)) / 1_000 - limit.burst);
+    });
+  });
+  return worst;
+};
+
+const event = fc.record({
+  waitMs: fc.integer({ min: 0, max: 1_500 }),
+  kind: fc.constantFrom('call', 'call', 'call', 'settle', 'return', 'fail-over', 'hand-over'),
+  vm: fc.integer({ min: 0, max: vms - 1 }),
+  tokens: fc.integer({ min: 1, max: 600 }),
+  usedShare: fc.integer({ min: 0, max: 100 }),
+  answerLost: fc.boolean(),
+  answerAfterMs: fc.integer({ min: 0, max: 400 }),
+});
+
+type Event = typeof event extends fc.Arbitrary<infer T> ? T : never;
+
+interface Fleet {
+  holder: Holder;
+  readonly takers: ReturnType<typeof makeTaker>[];
+  readonly open: { vm: number; reservation: Reservation; tokens: number; at: number }[];
+  readonly spends: Spend[];
+}
+
+type NextHolder = (holder: Holder, now: number) => Holder;
+
+const startEmpty: NextHolder = (holder, now) =>
+  makeHolder(0, holder.epoch + 1, now + grantHoldsMs, new Map());
+
+/** The easy answer: the successor starts with a full bucket. */
+const startFull: NextHolder = (holder, now) => makeHolder(0, holder.epoch + 1, now, 'full');
+
+const runEvent = (fleet: Fleet, e: Event, now: number, nextHolder: NextHolder): void => {
+  const taker = fleet.takers[e.vm];
+  if (!taker) return;
+  if (e.kind === 'call') {
+    const draw = { workspace, need: e.tokens, want: e.tokens + 50 };
+    const answer = answerDraw(fleet.holder, draw, limit, now);
+    const arrivedAt = now + e.answerAfterMs;
+    if (answer.kind !== 'granted' || e.answerLost) return;
+    const { slot, tokens } = answer;
+    addGrant(taker, workspace, { epoch: fleet.holder.epoch, slot, tokens }, now);
+    const reservation = reserveTokens(taker, workspace, e.tokens, arrivedAt);
+    if (reservation) fleet.open.push({ vm: e.vm, reservation, tokens: e.tokens, at: arrivedAt });
+  } else if (e.kind === 'settle') {
+    const [done] = fleet.open.splice(0, 1);
+    const owner = done && fleet.takers[done.vm];
+    if (!done || !owner) return;
+    const used = Math.floor((done.tokens * e.usedShare) / 100);
+    if (used > 0) fleet.spends.push({ at: done.at, tokens: used });
+    settleReservation(owner, done.reservation, used);
+  } else if (e.kind === 'return') {
+    const returns = collectReturns(taker, now);
+    if (!e.answerLost) returns.forEach((r) => acceptReturn(fleet.holder, r.epoch, r, now));
+  } else if (e.kind === 'hand-over') {
+    const levels = readLevels(fleet.holder, now);
+    fleet.holder = makeHolder(0, fleet.holder.epoch + 1, now + grantHoldsMs, levels);
+  } else {
+    fleet.holder = nextHolder(fleet.holder, now);
+  }
+};
+
+const measureOverspend = (events: readonly Event[], nextHolder: NextHolder): number => {
+  const fleet: Fleet = {
+    holder: makeHolder(0, 1, 0, 'full'),
+    takers: Array.from({ length: vms }, makeTaker),
+    open: [],
+    spends: [],
+  };
+  let now = 0;
+  events.forEach((e) => {
+    now += e.waitMs;
+    runEvent(fleet, e, now, nextHolder);
+  });
+  fleet.open.forEach((o) => fleet.spends.push({ at: o.at, tokens: o.tokens }));
+  return findOverspend([...fleet.spends].sort((a, b) => a.at - b.at));
+};
+
+test('no interleaving of draws, losses, returns and fail-overs overspends', (t) => {
+  fc.assert(
+    fc.property(fc.array(event, { maxLength: 120, size: 'max' }), (events) => {
+      const over = measureOverspend(events, startEmpty);
+      t.true(over < 0.01, `overspend ${over}`);
+    }),
+    { numRuns: 2_000, seed: 43 },
+  );
+});
+
+test('a successor that starts full overspends, so the property has teeth', (t) => {
+  const result = fc.check(
+    fc.property(
+      fc.array(event, { maxLength: 120, size: 'max' }),
+      (events) => measureOverspend(events, startFull) < 0.01,
+    ),
+    { numRuns: 2_000, seed: 43 },
+  );
+  t.true(result.failed);
+});
+
+test('a draw beyond the burst is never granted', (t) => {
+  const holder = makeHolder(0, 1, 0, 'full');
+  const draw = { workspace, need: limit.burst + 1, want: 0 };
+  t.deepEqual(answerDraw(holder, draw, limit, 0), { kind: 'never' });
+});
+
+test('a grant is dated from the sending of the draw', (t) => {
+  const taker = makeTaker();
+  addGrant(taker, workspace, { epoch: 1, slot: 0, tokens: 100 }, 0);
+  t.is(reserveTokens(taker, workspace, 100, grantHoldsMs), undefined);
+  t.deepEqual(collectReturns(taker, grantHoldsMs), [
+    { workspace, epoch: 1, slot: 0, settled: 100, unused: 100 },
+  ]);
+});
