--- a/packages/bench/src/faults-main.ts
+++ b/packages/bench/src/faults-main.ts
@@ -10,6 +10,7 @@
   readonly seed: string;
   readonly seconds: string;
   readonly only?: string;
+  readonly variant?: string;
 }
 
 const program = new Command()
@@ -18,6 +19,7 @@
   .option('--seed <n>', 'seed of the schedule and the calls', '1')
   .option('--seconds <n>', 'length of the run', '30')
   .option('--only <kinds>', `comma-separated faults out of: ${faultKinds.join(', ')}`)
+  .option('--variant <args>', 'replace a part by a naive one, for example "--claims local"')
   .parse();
 
 const print = (result: FaultRunResult): void => {
@@ -48,6 +50,7 @@
   seed: Number(opts.seed),
   lengthMs: Number(opts.seconds) * 1_000,
   kinds,
+  variant: opts.variant?.split(' '),
 });
 print(result);
 process.exit(result.violations.length > 0 ? 1 : 0);
--- a/packages/bench/src/faults/run-faults.ts
+++ b/packages/bench/src/faults/run-faults.ts
@@ -1,6 +1,7 @@
 import { join } from 'node:path';
 import type { Deployment } from '../deployment.js';
 import { startFleet, type Fleet } from '../fleet.js';
+import { programs } from '../processes.js';
 import { makeSeededRandom } from '../seeded-random.js';
 import {
   checkAnswers,
@@ -47,6 +48,8 @@
   readonly seed: number;
   readonly lengthMs: number;
   readonly kinds: readonly FaultKind[];
+  /** Arguments of entry processes with a part replaced by a naive one. */
+  readonly variant?: readonly string[];
 }
 
 /** What a run showed. */
@@ -146,6 +149,7 @@
       rateFactor,
       limits: `max-request-ms = ${maxRequestMs}\ndrain-ms = 30000\n`,
     },
+    entryProgram: opts.variant && { file: programs.variant, args: opts.variant },
     entryLines: 'lame-duck-ms = 500\nshutdown-ms = 25000\n',
   });
   try {
--- a/packages/bench/src/processes.ts
+++ b/packages/bench/src/processes.ts
@@ -17,6 +17,7 @@
 export const programs = {
   entry: resolvePackageFile('@hemlocksill/daemon/entry-main.js'),
   cli: resolvePackageFile('@hemlocksill/cli/hemlocksill.js'),
+  variant: fileURLToPath(new URL('./variant-main.js', import.meta.url)),
   standIns: resolvePackageFile('@hemlocksill/stand-ins/stand-ins-main.js'),
 } as const;
 
--- a/packages/entry/src/start-entry.ts
+++ b/packages/entry/src/start-entry.ts
@@ -62,6 +62,8 @@
   readonly makePools?: typeof makePools;
   /** Replaces admission by rate, for comparison. */
   readonly makeRate?: typeof makeRate;
+  /** Replaces at-most-once claims, for comparison. */
+  readonly makeClaims?: typeof makeClaims;
 }
 
 /**
@@ -136,7 +138,14 @@
     findWorkspace: (name) => snapshot()?.document.workspaces.get(name),
   });
   const retentionMs = (): number => snapshot()?.document.limits.claimRetentionMs ?? 0;
-  const claims = makeClaims({ store, keys, membership, peers, retentionMs, logEvent });
+  const claims = (parts.makeClaims ?? makeClaims)({
+    store,
+    keys,
+    membership,
+    peers,
+    retentionMs,
+    logEvent,
+  });
   const cancels = makeCancels(engines);
   const orphans = makeOrphans({
     membership,
