--- /dev/null
+++ b/packages/bench/src/bench-main.ts
@@ -0,0 +1,133 @@
+import { mkdirSync, mkdtempSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { dirname, join } from 'node:path';
+import { Command } from 'commander';
+import { renderTable } from '@hemlocksill/report/render-text.js';
+import { deployments } from './deployment.js';
+import { runLoad, type Landing, type LoadFault, type LoadResult } from './load/run-load.js';
+
+/** Policies by name: which parts of the entry process are replaced. */
+const policies: Readonly<Record<string, readonly string[]>> = {
+  ours: [],
+  'round-robin': ['--placement', 'round-robin', '--rate', 'fixed'],
+  'least-loaded': ['--placement', 'least-loaded', '--rate', 'fixed'],
+  'two-choices': ['--placement', 'two-choices', '--rate', 'fixed'],
+  'two-choices-escrow': ['--placement', 'two-choices'],
+  'fixed-rate': ['--rate', 'fixed'],
+  'store-rate': ['--rate', 'store'],
+};
+
+interface BenchOptions {
+  readonly deployment: 'saaremets' | 'turnolibre';
+  readonly load: string;
+  readonly seed: string;
+  readonly seconds: string;
+  readonly policy: string;
+  readonly fault: LoadFault;
+  readonly flood: string;
+  readonly landing: Landing;
+  readonly out?: string;
+}
+
+const program = new Command()
+  .name('bench')
+  .description('runs a load against a deployment and measures the policy')
+  .option('--deployment <name>', 'saaremets or turnolibre', 'saaremets')
+  .option('--load <share>', 'share of what the pools can serve', '0.9')
+  .option('--seed <list>', 'seeds, comma-separated', '1')
+  .option('--seconds <n>', 'length of a run', '20')
+  .option('--policy <list>', `comma-separated: ${Object.keys(policies).join(', ')}`, 'ours')
+  .option('--fault <name>', 'none, vm-kill, engine-stall, store-out or upgrade', 'none')
+  .option('--flood <times>', 'times its rate that one workspace sends', '1')
+  .option('--landing <how>', 'even, one-vm or moving', 'even')
+  .option('--out <file>', 'write all figures as JSON')
+  .parse();
+
+const opts = program.opts<BenchOptions>();
+const deployment = deployments[opts.deployment];
+const names = opts.policy.split(',');
+const unknown = names.filter((name) => policies[name] === undefined);
+if (!deployment || unknown.length > 0) {
+  console.error(`unknown deployment or policy: ${opts.deployment} ${unknown.join(', ')}`);
+  process.exit(2);
+}
+
+const percent = (share: number): string => `${(share * 100).toFixed(1)}%`;
+
+const describe = (
+  name: string,
+  seed: number,
+  { figures: f, costs: c, ofReachable }: LoadResult,
+) => [
+  name,
+  String(seed),
+  String(f.offered),
+  percent((f.goodUrgent + f.goodPatient) / f.offered),
+  percent(f.goodUrgent / f.offeredUrgent),
+  percent(f.goodPatient / f.offeredPatient),
+  percent(ofReachable),
+  percent(f.wastedPrefill),
+  percent(f.worstServed),
+  `${f.wrongfulRefusals}/${f.insideRate}`,
+  f.tokensOverRate.toFixed(0),
+  f.firstTokenP95.toFixed(0),
+  f.refusalP95.toFixed(0),
+  c.storeCalls.toFixed(1),
+  c.peerBytes.toFixed(0),
+  percent(c.cpuShare),
+  String(c.memoryMb),
+];
+
+const titles = [
+  'policy',
+  'seed',
+  'offered',
+  'good',
+  'urgent',
+  'patient',
+  'of reachable',
+  'wasted',
+  'worst served',
+  'wrongful',
+  'over rate',
+  'ttft p95',
+  'refusal p95',
+  'store/s',
+  'peer B/s',
+  'cpu',
+  'MB',
+];
+
+const results: { name: string; seed: number; result: LoadResult }[] = [];
+for (const seed of opts.seed.split(',').map(Number)) {
+  for (const name of names) {
+    const result = await runLoad({
+      deployment,
+      dir: mkdtempSync(join(tmpdir(), 'hemlocksill-bench-')),
+      seed,
+      load: Number(opts.load),
+      lengthMs: Number(opts.seconds) * 1_000,
+      flood: Number(opts.flood),
+      variant: policies[name] ?? [],
+      fault: opts.fault,
+      landing: opts.landing,
+    });
+    results.push({ name, seed, result });
+    console.error(`${name} seed ${seed}: ${JSON.stringify(result.figures.refusals)}`);
+  }
+}
+const { deployment: deploymentName, load, seconds, fault, flood, landing } = opts;
+console.log(
+  `${deploymentName}, load ${load}, ${seconds} s, fault ${fault}, flood ${flood}, landing ${landing}`,
+);
+console.log(
+  renderTable(
+    titles,
+    results.map((r) => describe(r.name, r.seed, r.result)),
+  ),
+);
+if (opts.out !== undefined) {
+  mkdirSync(dirname(opts.out), { recursive: true });
+  writeFileSync(opts.out, `${JSON.stringify({ opts, results }, null, 2)}\n`);
+}
+process.exit(0);
