Fewer control bytes: compact placement messages, sparse gossip, slower orphan search

The orphan search asked every owner about every hold four times a second; gossip asked all peers; notes were calls with answers; messages named their fields.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -34,6 +34,7 @@
       'no-await-in-loop': 'off',
       'no-restricted-syntax': ['error', 'ForInStatement', 'LabeledStatement', 'WithStatement'],
       'no-continue': 'off',
+      'no-underscore-dangle': ['error', { allow: ['_unsafeUnwrap', '_unsafeUnwrapErr'] }],
       // `void` marks a promise that nobody waits for.
       'no-void': 'off',
       // Files are read at start and on SIGHUP, before or beside the event loop's work.
--- a/packages/bench/src/bench-main.ts
+++ b/packages/bench/src/bench-main.ts
@@ -54,18 +54,14 @@
 
 const percent = (share: number): string => `${(share * 100).toFixed(1)}%`;
 
-const describe = (
-  name: string,
-  seed: number,
-  { figures: f, costs: c, ofReachable }: LoadResult,
-) => [
+const describe = (name: string, seed: number, { figures: f, costs: c, ofBound }: LoadResult) => [
   name,
   String(seed),
   String(f.offered),
   percent((f.goodUrgent + f.goodPatient) / f.offered),
   percent(f.goodUrgent / f.offeredUrgent),
   percent(f.goodPatient / f.offeredPatient),
-  percent(ofReachable),
+  percent(ofBound),
   percent(f.wastedPrefill),
   percent(f.worstServed),
   `${f.wrongfulRefusals}/${f.insideRate}`,
@@ -85,7 +81,7 @@
   'good',
   'urgent',
   'patient',
-  'of reachable',
+  'of bound',
   'wasted',
   'worst served',
   'wrongful',
--- a/packages/bench/src/load/run-load.ts
+++ b/packages/bench/src/load/run-load.ts
@@ -4,9 +4,15 @@
 import { programs } from '../processes.js';
 import { makeSeededRandom } from '../seeded-random.js';
 import type { EngineControl } from '../faults/records.js';
-import { assembleArrivals, assemblePrompt, type Arrival, type LoadOptions } from './arrivals.js';
+import {
+  assembleArrivals,
+  assemblePrompt,
+  fullDecodeRate,
+  type Arrival,
+  type LoadOptions,
+} from './arrivals.js';
 import { measureLoad, type LoadCall, type LoadFigures } from './measure.js';
-import { countReachable } from './reference-bound.js';
+import { boundServed } from './reference-bound.js';
 
 /** Targets of the documents that runs use. */
 const targets = { urgentFirstMs: 2_000, patientFirstMs: 10_000, betweenMs: 36 };
@@ -40,8 +46,8 @@
 export interface LoadResult {
   readonly figures: LoadFigures;
   readonly costs: LoadCosts;
-  /** Good completions as a share of what one all-knowing scheduler would reach. */
-  readonly ofReachable: number;
+  /** Good completions as a share of an upper bound for any schedule. */
+  readonly ofBound: number;
 }
 
 const sleep = (ms: number): Promise<void> =>
@@ -205,23 +211,21 @@
       opts.lengthMs,
       flooder,
     );
-    const reachable = countReachable(
+    const bound = boundServed(
       arrivals,
       {
         prefills: deployment.prefills,
         prefillRate: 20_000,
         decodes: deployment.decodes,
-        slots: 20,
-        tokenMs: 12,
-        tokenMsPerStream: 0.6,
+        decodeRate: fullDecodeRate(20, 12, 0.6),
       },
-      { urgentMs: targets.urgentFirstMs, patientMs: targets.patientFirstMs },
+      opts.lengthMs + targets.patientFirstMs,
     );
     const good = figures.goodUrgent + figures.goodPatient;
     return {
       figures,
       costs: measureCosts(before, after, elapsedMs),
-      ofReachable: good / Math.max(1, reachable.urgent + reachable.patient),
+      ofBound: good / Math.max(1, bound),
     };
   } finally {
     await fleet.stop();
--- a/packages/entry/src/controllers/gossip.ts
+++ b/packages/entry/src/controllers/gossip.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod';
 import type { PeerClient } from '@hemlocksill/peer/peer-client.js';
 import type { PeerMethod } from '@hemlocksill/peer/peer-server.js';
+import type { PeerView } from '@hemlocksill/revisions/adoption.js';
 import type { Random } from '@hemlocksill/types/ports.js';
 import { readClock, repeatUntilStopped } from '../clock.js';
 import { memberSchema, type Member } from '../member.js';
@@ -10,8 +11,11 @@
 const periodMs = 1_000;
 const timeoutMs = 700;
 
-/** Peers asked in one round; all of them in a small fleet. */
-const fanOut = 12;
+/** Peers asked in one round. */
+const fanOut = 3;
+
+/** How long an answer counts as what its peer knows. */
+const viewHoldsMs = 6_000;
 
 const viewSchema = z.object({
   revision: z.number(),
@@ -24,8 +28,6 @@
 export interface Gossip {
   readonly methods: Readonly<Record<string, PeerMethod>>;
   readonly start: (signal: AbortSignal) => void;
-  /** Incarnations that answered in the last round. */
-  readonly reached: () => ReadonlySet<string>;
 }
 
 /** What gossip needs. */
@@ -49,7 +51,7 @@
 /** Exchanges revisions and proofs, so that one VM that sees the store serves all. */
 export const makeGossip = (opts: GossipOptions): Gossip => {
   const { membership, revisions, peers, random } = opts;
-  let reached = new Set<string>();
+  const views = new Map<string, { member: Member; view: PeerView; sentAt: number }>();
 
   const describeSelf = () => ({
     revision: revisions.revision(),
@@ -57,18 +59,22 @@
     storeReachable: membership.storeReachable(),
   });
 
-  const ask = async (member: Member) => {
+  const ask = async (member: Member): Promise<void> => {
     const sentAt = readClock();
     const question = { ...describeSelf(), wantsMembers: membership.others().length === 0 };
     const answer = await peers.call(member.peers, 'gossip.sync', question, timeoutMs);
     const parsed = answer.isOk() ? viewSchema.safeParse(answer.value.value) : undefined;
     if (answer.isErr() || !parsed?.success) {
       membership.suspect(member.incarnation);
-      return undefined;
+      return;
     }
-    reached.add(answer.value.from.incarnation);
     if (parsed.data.members) membership.learnMembers(parsed.data.members);
-    return { member, view: { ...parsed.data, proofAgeMs: parsed.data.proofAgeMs }, sentAt };
+    const { revision, proofAgeMs, storeReachable } = parsed.data;
+    views.set(answer.value.from.incarnation, {
+      member,
+      view: { revision, proofAgeMs, storeReachable },
+      sentAt,
+    });
   };
 
   /** Stands in for the members that a VM cannot read while the store is out. */
@@ -83,12 +89,12 @@
   const round = async (): Promise<void> => {
     const known = membership.others();
     const others = known.length > 0 ? known : getSeedMembers();
-    reached = new Set();
-    const asked = await Promise.all(pickSome(others, fanOut, random).map(ask));
-    await revisions.learnViews(
-      asked.filter((a) => a !== undefined),
-      others.length,
-    );
+    await Promise.all(pickSome(others, fanOut, random).map(ask));
+    const oldest = readClock() - viewHoldsMs;
+    views.forEach(({ sentAt }, incarnation) => {
+      if (sentAt < oldest) views.delete(incarnation);
+    });
+    await revisions.learnViews([...views.values()], others.length);
   };
 
   return {
@@ -104,6 +110,5 @@
       },
     },
     start: (signal) => void repeatUntilStopped(periodMs, signal, round),
-    reached: () => reached,
   };
 };
--- a/packages/entry/src/controllers/orphans.ts
+++ b/packages/entry/src/controllers/orphans.ts
@@ -13,6 +13,12 @@
 /** How long a caller whose VM is gone may come back for the rest of a stream. */
 export const resumeGraceMs = 10_000;
 
+/** Time between two searches of one engine. */
+const searchPeriodMs = 2_000;
+
+/** Holds younger than this are not asked about. */
+const youngestMs = 1_500;
+
 /** Margin beyond the longest request after which any hold is an orphan. */
 const overdueMs = 10_000;
 
@@ -39,6 +45,7 @@
 export const makeOrphans = (opts: OrphansOptions): Orphans => {
   const { membership, peers, engines, table, logEvent, emit } = opts;
   const missingSince = new Map<string, number>();
+  const searchedAt = new Map<string, number>();
 
   const cancel = async (url: string, hold: EngineHold, reason: string): Promise<void> => {
     const done = await engines.cancel(url, hold.id);
@@ -96,11 +103,13 @@
       },
     },
     search: async (url, holds, maxMs) => {
+      if (readClock() - (searchedAt.get(url) ?? Number.NEGATIVE_INFINITY) < searchPeriodMs) return;
+      searchedAt.set(url, readClock());
       const overdue = holds.filter((h) => h.ageMs > maxMs + overdueMs);
       await Promise.all(overdue.map((h) => cancel(url, h, 'overdue')));
       const owners = new Map<string, EngineHold[]>();
       holds
-        .filter((h) => !overdue.includes(h))
+        .filter((h) => h.ageMs > youngestMs && !overdue.includes(h))
         .forEach((h) => owners.set(h.owner, [...(owners.get(h.owner) ?? []), h]));
       await Promise.all([...owners].map(([owner, held]) => searchOwner(url, owner, held)));
     },
--- a/packages/entry/src/controllers/pools.ts
+++ b/packages/entry/src/controllers/pools.ts
@@ -77,28 +77,57 @@
   lastUsed: number;
 }
 
-const requestSchema = z.object({
-  model: z.string(),
-  req: z.object({
-    id: z.string(),
-    owner: z.string(),
-    workspace: z.string(),
-    weight: z.number(),
-    class: z.enum(['urgent', 'patient']),
-    promptTokens: z.number(),
-    pieces: z.array(z.string()),
-    maxTokens: z.number(),
-  }),
-  /** Milliseconds until the first token is due; clocks of VMs differ. */
-  dueInMs: z.number(),
-});
+/** Model, id, workspace, weight, class, prompt tokens, pieces, most tokens, due time. */
+const requestSchema = z.tuple([
+  z.string(),
+  z.string(),
+  z.string(),
+  z.number(),
+  z.enum(['urgent', 'patient']),
+  z.number(),
+  z.array(z.string()),
+  z.number(),
+  // Milliseconds until the first token is due; clocks of VMs differ.
+  z.number(),
+]);
 
-const noteSchema = z.object({
-  model: z.string(),
-  id: z.string(),
-  note: z.enum(['prefill-ended', 'released', 'failed']),
-  server: z.string().optional(),
-});
+type RequestMessage = z.output<typeof requestSchema>;
+
+const toMessage = (model: string, req: PlacementRequest): RequestMessage => [
+  model,
+  req.id,
+  req.workspace,
+  req.weight,
+  req.class,
+  req.promptTokens,
+  [...req.pieces],
+  req.maxTokens,
+  Math.max(0, Math.round(req.firstTokenBy - readClock())),
+];
+
+const fromMessage = (message: RequestMessage, owner: string): PlacementRequest => {
+  const [, id, workspace, weight, cls, promptTokens, pieces, maxTokens, dueInMs] = message;
+  const firstTokenBy = readClock() + dueInMs;
+  return {
+    id,
+    owner,
+    workspace,
+    weight,
+    class: cls,
+    promptTokens,
+    pieces,
+    maxTokens,
+    firstTokenBy,
+  };
+};
+
+/** Model, id, what has happened, and the server that failed. */
+const noteSchema = z.tuple([
+  z.string(),
+  z.string(),
+  z.enum(['prefill-ended', 'released', 'failed']),
+  z.string(),
+]);
 
 const decisionSchema = z.union([
   z.object({
@@ -174,19 +203,18 @@
       deliver(keeper, keeper.scheduler.enqueue(req, readClock()));
     });
 
-  const noteHere = ({ model, id, note, server }: Note): void => {
+  const noteHere = ([model, id, note, server]: Note): void => {
     const keeper = getKeeper(model);
     const now = readClock();
     if (note === 'prefill-ended') deliver(keeper, keeper.scheduler.endPrefill(id, now));
-    if (note === 'failed' && server !== undefined)
-      keeper.scheduler.suspend(server, now + suspendMs);
+    if (note === 'failed') keeper.scheduler.suspend(server, now + suspendMs);
     if (note !== 'prefill-ended') deliver(keeper, keeper.scheduler.release(id, now));
   };
 
   const makeEnds = (model: string, id: string, send: (note: Note) => void): PlacementEnds => ({
-    prefillEnded: () => send({ model, id, note: 'prefill-ended' }),
-    released: () => send({ model, id, note: 'released' }),
-    failed: (server) => send({ model, id, note: 'failed', server }),
+    prefillEnded: () => send([model, id, 'prefill-ended', '']),
+    released: () => send([model, id, 'released', '']),
+    failed: (server) => send([model, id, 'failed', server]),
   });
 
   const toOutcome = (decision: PlacementDecision, ends: PlacementEnds): PlacementOutcome =>
@@ -199,7 +227,7 @@
     const isHere = keeper.incarnation === membership.self().incarnation;
     const ends = makeEnds(model, req.id, (note) => {
       if (isHere) noteHere(note);
-      else void peers.call(keeper.peers, 'placement.note', note, answerMarginMs);
+      else peers.notify(keeper.peers, 'placement.note', note);
     });
     const giveUp = () => ends.released();
     signal.addEventListener('abort', giveUp, { once: true });
@@ -208,14 +236,9 @@
       signal.removeEventListener('abort', giveUp);
       return toOutcome(decision, ends);
     }
-    const { firstTokenBy, ...rest } = req;
-    const dueInMs = Math.max(0, firstTokenBy - readClock());
-    const answer = await peers.call(
-      keeper.peers,
-      'placement.place',
-      { model, req: rest, dueInMs },
-      dueInMs + answerMarginMs,
-    );
+    const message = toMessage(model, req);
+    const timeoutMs = req.firstTokenBy - readClock() + answerMarginMs;
+    const answer = await peers.call(keeper.peers, 'placement.place', message, timeoutMs);
     signal.removeEventListener('abort', giveUp);
     const parsed = answer.isOk() ? decisionSchema.safeParse(answer.value.value) : undefined;
     if (parsed?.success) return toOutcome(parsed.data, ends);
@@ -310,14 +333,12 @@
     methods: {
       'placement.place': async (params, from) => {
         const parsed = requestSchema.safeParse(params);
-        if (!parsed.success) return throwInvalidParams('model, req and dueInMs expected');
-        const { model, req, dueInMs } = parsed.data;
-        const owner = from.incarnation;
-        return placeHere(model, { ...req, owner, firstTokenBy: readClock() + dueInMs });
+        if (!parsed.success) return throwInvalidParams('a placement request expected');
+        return placeHere(parsed.data[0], fromMessage(parsed.data, from.incarnation));
       },
       'placement.note': (params) => {
         const parsed = noteSchema.safeParse(params);
-        if (!parsed.success) return throwInvalidParams('model, id and note expected');
+        if (!parsed.success) return throwInvalidParams('a placement note expected');
         noteHere(parsed.data);
         return Promise.resolve(true);
       },
--- a/packages/entry/src/controllers/rate.ts
+++ b/packages/entry/src/controllers/rate.ts
@@ -23,7 +23,7 @@
 import type { RateShards } from './rate-shards.js';
 
 const drawTimeoutMs = 400;
-const returnPeriodMs = 100;
+const returnPeriodMs = 250;
 
 /** Pause before a draw is tried again when no holder could be asked. */
 const noHolderPauseMs = 100;
@@ -81,15 +81,26 @@
 
 const drawsSchema = z.object({
   draws: z.array(z.tuple([z.number(), z.number(), z.string(), z.number(), z.number()])),
-  returns: z.array(
-    z.object({
-      workspace: z.string(),
-      epoch: z.number(),
-      slot: z.number(),
-      settled: z.number(),
-      unused: z.number(),
-    }),
-  ),
+  /** Workspace, epoch, slot, settled tokens and those of them that were not used. */
+  returns: z.array(z.tuple([z.string(), z.number(), z.number(), z.number(), z.number()])),
+});
+
+type ReturnMessage = z.output<typeof drawsSchema>['returns'][number];
+
+const toReturnMessage = (r: EpochReturn): ReturnMessage => [
+  r.workspace,
+  r.epoch,
+  r.slot,
+  r.settled,
+  r.unused,
+];
+
+const fromReturnMessage = ([workspace, epoch, slot, settled, unused]: ReturnMessage) => ({
+  workspace,
+  epoch,
+  slot,
+  settled,
+  unused,
 });
 
 /** Draws grants from holders, serves waiting requests and answers other VMs' draws. */
@@ -139,7 +150,7 @@
       draw.need,
       draw.want,
     ]);
-    const message = { draws, returns: takeReturnsFor(incarnation) };
+    const message = { draws, returns: takeReturnsFor(incarnation).map(toReturnMessage) };
     const answer = await peers.call(batch.to, 'rate.draw', message, drawTimeoutMs);
     const answers = answer.isOk() ? (answer.value.value as (DrawAnswer | null)[]) : [];
     batch.draws.forEach((p, i) => {
@@ -254,7 +265,7 @@
     line.drawing = false;
   };
 
-  const sendReturns = async (): Promise<void> => {
+  const sendReturns = (): Promise<void> => {
     returns.push(...collectReturns(taker, readClock()));
     const mine = returns.filter((r) => shards.findOwn(shardOf(r.workspace)));
     takeReturns(mine);
@@ -266,16 +277,12 @@
       }),
     );
     if (holders.size === 0) returns = [];
-    await Promise.all(
-      [...holders].map(([incarnation, holder]) =>
-        peers.call(
-          holder.peers,
-          'rate.draw',
-          { draws: [], returns: takeReturnsFor(incarnation) },
-          drawTimeoutMs,
-        ),
-      ),
-    );
+    holders.forEach((holder, incarnation) => {
+      const due = takeReturnsFor(incarnation).map(toReturnMessage);
+      // A lost return loses tokens and never doubles them.
+      peers.notify(holder.peers, 'rate.draw', { draws: [], returns: due });
+    });
+    return Promise.resolve();
   };
 
   return {
@@ -312,7 +319,7 @@
       'rate.draw': (params) => {
         const parsed = drawsSchema.safeParse(params);
         if (!parsed.success) return throwInvalidParams('draws and returns expected');
-        takeReturns(parsed.data.returns);
+        takeReturns(parsed.data.returns.map(fromReturnMessage));
         return Promise.resolve(
           parsed.data.draws.map(
             ([shard, epoch, workspace, need, want]) =>
--- a/packages/peer/src/peer-client.ts
+++ b/packages/peer/src/peer-client.ts
@@ -34,6 +34,8 @@
     params: unknown,
     timeoutMs: number,
   ) => Promise<Result<PeerAnswer, PeerFault>>;
+  /** Sends a message that is not answered; it may be lost. */
+  readonly notify: (to: PeerEndpoint, method: string, params: unknown) => void;
   readonly close: () => void;
 }
 
@@ -132,6 +134,12 @@
         return err(classifyFailure(error));
       }
     },
+    notify: (to, method, params) => {
+      connectTo(to).then(
+        (connection) => connection.rpc.notify(method, params as object),
+        () => {},
+      );
+    },
     close: () => {
       connections.forEach((opening) => {
         opening.then(
