--- /dev/null
+++ b/packages/config/src/config.test.ts
@@ -0,0 +1,135 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { readDocument } from './document.js';
+import { readEntrySettings, readOperatorSettings } from './settings.js';
+
+const good = `; order book
+[limits]
+max-body-bytes = 2048
+[workspace forge]
+rate = 100
+burst = 1000
+[pool reader]
+version = v1
+prefill-rate = 20000
+urgent-first-token-ms = 2000
+urgent-between-tokens-ms = 36
+patient-first-token-ms = 10000
+patient-between-tokens-ms = 36
+[backend-server p1]
+role = prefill
+model = reader
+url = http://127.0.0.1:7001
+data-centre = a
+[backend-server desk]
+role = service
+service = desk
+url = http://[::1]:7002
+data-centre = a
+[route read]
+method = GET
+path = /stock/:id
+service = desk
+class = urgent
+idempotent = yes
+`;
+
+const problemsOf = (text: string): string[] => {
+  const read = readDocument(text);
+  return read.isErr() ? read.error.problems.map((p) => `${p.line} ${p.field}: ${p.reason}`) : [];
+};
+
+test('a good document is read with its defaults', (t) => {
+  const document = readDocument(good)._unsafeUnwrap();
+  t.is(document.limits.maxBodyBytes, 2_048);
+  t.is(document.limits.claimRetentionMs, 900_000);
+  t.is(document.pools.get('reader')?.slots, 20);
+  t.is(document.routes[0]?.open, false);
+});
+
+test('every mistake is told at once, with its line', (t) => {
+  const bad = good
+    .replace('rate = 100', 'rate = many')
+    .replace('burst = 1000', 'bursts = 1000')
+    .replace('model = reader', 'model = writer')
+    .replace('GET', 'FETCH')
+    .replace('[workspace forge]', 'stray\n[workspace forge]');
+  t.deepEqual(
+    problemsOf(bad),
+    [
+      '4 limits: expected "field = value"',
+      '6 workspace forge.rate: must be a whole number',
+      '5 workspace forge.burst: missing',
+      '7 workspace forge.bursts: unknown field',
+      '15 backend-server p1: no pool for model "writer"',
+      '26 route read.method: must be an HTTP method',
+    ].sort((a, b) => Number(a.split(' ')[0]) - Number(b.split(' ')[0])),
+  );
+});
+
+test('sections and fields that stand twice, or clash, are mistakes', (t) => {
+  t.regex(problemsOf(`${good}[workspace forge]\nrate = 1\nburst = 1`)[0] ?? '', /given twice/);
+  t.regex(problemsOf(`${good}idempotent = no`)[0] ?? '', /given twice, first on line/);
+  t.regex(
+    problemsOf(good.replace('7002', '7001').replace('[::1]', '127.0.0.1'))[0] ?? '',
+    /same url/,
+  );
+  t.regex(problemsOf(`${good}[castle x]`)[0] ?? '', /unknown section/);
+  t.regex(problemsOf(good.replace('/stock/:id', '/v1/stock'))[0] ?? '', /are taken/);
+  t.regex(problemsOf(good.replace('2048', '2048\ndrain-ms = 5'))[0] ?? '', /drain-ms/);
+  t.regex(problemsOf(good.replace('http://127.0.0.1:7001', 'http://host:1'))[0] ?? '', /IP:port/);
+});
+
+test('no text makes the parser throw', (t) => {
+  const line = fc.oneof(
+    fc.constantFrom(
+      '[limits]',
+      '[workspace a]',
+      '[pool m]',
+      'rate = 1',
+      'x',
+      '__proto__ = 1',
+      '=',
+      '[]',
+    ),
+    fc.string(),
+  );
+  fc.assert(
+    fc.property(fc.array(line, { size: 'max', maxLength: 40 }), (lines) => {
+      const read = readDocument(lines.join('\n'));
+      t.true(read.isOk() || read.error.problems.every((p) => p.reason !== ''));
+    }),
+    { numRuns: 500, seed: 49 },
+  );
+});
+
+const entry = `[entry]
+environment = trial
+stores = http://127.0.0.1:1, http://127.0.0.1:2
+vm = vm-1
+region = north
+data-centre = a
+callers = 127.0.0.1:8080
+peers = 127.0.0.1:8081
+operators = 127.0.0.1:8082
+peer-secrets = 0123456789abcdef
+operator-secrets = 0123456789abcdef, fedcba9876543210
+`;
+
+test('settings are read and checked', (t) => {
+  const settings = readEntrySettings(entry)._unsafeUnwrap();
+  t.is(settings.storeUrls.length, 2);
+  t.deepEqual(settings.callers, { host: '127.0.0.1', port: 8_080 });
+  t.is(settings.operatorSecrets.length, 2);
+  t.true(readEntrySettings(entry.replace('0123456789abcdef', 'short')).isErr());
+  t.true(readEntrySettings(entry.replace('127.0.0.1:8080', '127.0.0.1')).isErr());
+  t.true(readEntrySettings(`${entry}tls-cert = a.pem`).isErr());
+  t.true(readEntrySettings(`${entry}colour = red`).isErr());
+  t.true(readOperatorSettings('[operator]\nenvironment = trial').isErr());
+});
+
+test('listening on all addresses has to be said', (t) => {
+  const all = entry.replace('127.0.0.1:8080', '0.0.0.0:8080');
+  t.true(readEntrySettings(all).isErr());
+  t.true(readEntrySettings(`${all}listen-on-all = yes`).isOk());
+});
--- /dev/null
+++ b/packages/upgrade/src/plan-step.test.ts
@@ -0,0 +1,101 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { leavingSpreadMs, planUpgradeStep, type ObservedServer } from './plan-step.js';
+
+const slots = 4;
+const server = (name: string, changes: Partial<ObservedServer> = {}): ObservedServer => ({
+  name,
+  role: 'decode',
+  model: 'm',
+  version: 'v1',
+  state: 'serving',
+  held: 0,
+  leavingSince: undefined,
+  ...changes,
+});
+
+const view = (servers: ObservedServer[], now = 100_000) => ({
+  model: 'm',
+  targetVersion: 'v2',
+  slots,
+  servers,
+  now,
+  drainMs: 60_000,
+});
+
+test('nothing is done when all run the version', (t) => {
+  t.deepEqual(planUpgradeStep(view([server('a', { version: 'v2' })])), { kind: 'none' });
+});
+
+test('the least busy server leaves, while the others have room', (t) => {
+  const servers = [server('a', { held: 3 }), server('b', { held: 1 }), server('c', { held: 2 })];
+  t.deepEqual(planUpgradeStep(view(servers)), { kind: 'drain', server: 'b' });
+  const full = servers.map((s) => ({ ...s, held: slots }));
+  t.deepEqual(planUpgradeStep(view(full)), { kind: 'wait', reason: 'capacity' });
+});
+
+test('the only server of a role is never drained', (t) => {
+  t.deepEqual(planUpgradeStep(view([server('a')])), { kind: 'wait', reason: 'capacity' });
+});
+
+test('a leaving server is loaded when all VMs know and nothing is held', (t) => {
+  const leaving = (held: number, sinceMs: number) =>
+    view([server('a', { held, leavingSince: 100_000 - sinceMs }), server('b')]);
+  t.deepEqual(planUpgradeStep(leaving(0, 100)), { kind: 'wait', reason: 'draining' });
+  t.deepEqual(planUpgradeStep(leaving(1, 10_000)), { kind: 'wait', reason: 'draining' });
+  const load = { kind: 'load', server: 'a', version: 'v2' };
+  t.deepEqual(planUpgradeStep(leaving(0, leavingSpreadMs)), load);
+  t.deepEqual(planUpgradeStep(leaving(1, 60_000)), load);
+});
+
+test('an upgraded server is opened again before the next one leaves', (t) => {
+  const servers = [server('a', { version: 'v2', leavingSince: 1 }), server('b')];
+  t.deepEqual(planUpgradeStep(view(servers)), { kind: 'reopen', server: 'a' });
+  const loading = [server('a', { state: 'loading', leavingSince: 1 }), server('b')];
+  t.deepEqual(planUpgradeStep(view(loading)), { kind: 'wait', reason: 'loading' });
+});
+
+test('a document that changes in the middle only changes the target', (t) => {
+  const servers = [server('a', { version: 'v2', leavingSince: 1 }), server('b')];
+  const changed = { ...view(servers), targetVersion: 'v3' };
+  t.deepEqual(planUpgradeStep(changed), { kind: 'load', server: 'a', version: 'v3' });
+});
+
+test('whoever plans, at most one server is out, and all end up upgraded', (t) => {
+  const setup = fc.record({
+    decodes: fc.integer({ min: 2, max: 5 }),
+    prefills: fc.integer({ min: 2, max: 4 }),
+    held: fc.array(fc.integer({ min: 0, max: 1 }), { minLength: 9, maxLength: 9 }),
+    lostOrders: fc.integer({ min: 0, max: 3 }),
+  });
+  fc.assert(
+    fc.property(setup, ({ decodes, prefills, held, lostOrders }) => {
+      let servers = [
+        ...Array.from({ length: decodes }, (_, i) => server(`d${i}`, { held: held[i] ?? 0 })),
+        ...Array.from({ length: prefills }, (_, i) =>
+          server(`p${i}`, { role: 'prefill' as const }),
+        ),
+      ];
+      let left = lostOrders;
+      const change = (name: string, changes: Partial<ObservedServer>): void => {
+        servers = servers.map((s) => (s.name === name ? { ...s, ...changes } : s));
+      };
+      for (let now = 0; now < 2_000_000; now += 1_000) {
+        const step = planUpgradeStep(view(servers, now));
+        if (step.kind === 'drain') change(step.server, { leavingSince: now });
+        if (step.kind === 'reopen') change(step.server, { leavingSince: undefined });
+        if (step.kind === 'load') {
+          t.is(servers.find((s) => s.name === step.server)?.held, 0);
+          if (left > 0) left -= 1;
+          else change(step.server, { version: step.version });
+        }
+        servers
+          .filter((s) => s.leavingSince !== undefined)
+          .forEach((s) => change(s.name, { held: Math.max(0, s.held - 1) }));
+        t.true(servers.filter((s) => s.leavingSince !== undefined).length <= 1);
+      }
+      t.true(servers.every((s) => s.version === 'v2' && s.leavingSince === undefined));
+    }),
+    { numRuns: 30, seed: 48 },
+  );
+});
