--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -1,6 +1,6 @@
 import { mkdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
-import { request } from 'undici';
+import { Agent, request } from 'undici';
 import {
   assembleDocument,
   assembleEntrySettings,
@@ -53,6 +53,8 @@
   readonly entryLines?: string;
   /** Program of the entry processes, with arguments before the settings file. */
   readonly entryProgram?: { readonly file: string; readonly args: readonly string[] };
+  /** Certificate that the VMs' listeners for callers and operators show. */
+  readonly tls?: string;
   /** Start all engines in one process and all services in another. */
   readonly grouped?: boolean;
 }
@@ -62,12 +64,15 @@
     setTimeout(resolve, ms);
   });
 
+/** Accepts the certificates of tests, which nobody has signed. */
+const trusting = new Agent({ connect: { rejectUnauthorized: false } });
+
 /** Waits until an URL answers with status 200. */
 export const waitForUrl = async (url: string, timeoutMs = startTimeoutMs): Promise<void> => {
   const deadline = Date.now() + timeoutMs;
   for (;;) {
     try {
-      const res = await request(url);
+      const res = await request(url, { dispatcher: trusting });
       await res.body.dump();
       if (res.statusCode === 200) return;
     } catch {
@@ -93,7 +98,8 @@
   const documentFile = join(dir, `${environment}.ini`);
   const operatorFile = join(dir, 'operator.ini');
   writeFileSync(documentFile, assembleDocument(deployment, ports, documentOptions));
-  writeFileSync(operatorFile, assembleOperatorSettings(ports, environment));
+  const caLine = opts.tls === undefined ? '' : `tls-ca = ${opts.tls}\n`;
+  writeFileSync(operatorFile, assembleOperatorSettings(ports, environment) + caLine);
   const settings = assembleEntrySettings(deployment, ports, environment, opts.entryLines ?? '');
   settings.forEach((text, i) => writeFileSync(join(dir, `vm-${i + 1}.ini`), text));
 
@@ -118,7 +124,8 @@
   await waitForUrl(controlUrl(ports.store, 'counts'));
 
   const vms: Started[] = [];
-  const urls = ports.vms.map(([callers]) => `http://127.0.0.1:${callers}`);
+  const scheme = opts.tls === undefined ? 'http' : 'https';
+  const urls = ports.vms.map(([callers]) => `${scheme}://127.0.0.1:${callers}`);
   const operate = (...args: string[]): Promise<ProgramOutput> =>
     runProgram(programs.cli, ['--settings', operatorFile, '--json', ...args]);
 
--- a/packages/bench/src/load/measure.ts
+++ b/packages/bench/src/load/measure.ts
@@ -63,9 +63,12 @@
   readonly burst: number;
 }
 
+/** Longest waits for tokens, as the documents of the runs state them. */
+const rateWaitMs = { urgent: 200, patient: 5_000 } as const;
+
 /**
- * Marks the calls that one bucket for the whole fleet would admit, charging what each
- * call would use in the end.
+ * Marks the calls that one bucket for the whole fleet would admit, in order of arrival,
+ * with the same waits, charging what each call would use in the end.
  */
 export const findInsideRate = (
   calls: readonly LoadCall[],
@@ -76,14 +79,16 @@
   [...calls]
     .sort((a, b) => a.arrival.at - b.arrival.at)
     .forEach((call) => {
-      const { workspace, at } = call.arrival;
+      const { workspace, at, urgent } = call.arrival;
       const limit = limits.get(workspace);
       if (!limit) return;
       const known = levels.get(workspace) ?? { level: limit.burst, at };
       const filled = known.level + ((at - known.at) * limit.rate) / 1_000;
       const level = Math.min(limit.burst, filled);
       const cost = costOf(call.arrival);
-      const admitted = level >= cost;
+      // A level below nothing stands for tokens that waiting calls have claimed.
+      const waitMs = ((cost - level) * 1_000) / limit.rate;
+      const admitted = waitMs <= (urgent ? rateWaitMs.urgent : rateWaitMs.patient);
       if (admitted) inside.add(call);
       levels.set(workspace, { level: admitted ? level - cost : level, at });
     });
--- a/packages/entry/src/callers-app.ts
+++ b/packages/entry/src/callers-app.ts
@@ -26,6 +26,7 @@
   readonly text: Handler;
   readonly chat: Handler;
   readonly resume: Handler;
+  readonly issueKey: Handler;
   readonly service: Handler;
 }
 
@@ -122,6 +123,7 @@
     'POST /v1/completions': handlers.text,
     'POST /v1/chat/completions': handlers.chat,
     'GET /v1/resume': handlers.resume,
+    'POST /v1/idempotency-keys': handlers.issueKey,
   };
   const known = named[`${ctx.method} ${ctx.path}`];
   if (known) return known;
--- /dev/null
+++ b/packages/entry/src/controllers/claim-messages.ts
@@ -0,0 +1,50 @@
+import { z } from 'zod';
+
+/** An answer of a backend server as VMs pass it on. */
+export const answerSchema = z.object({
+  status: z.number(),
+  contentType: z.string(),
+  body: z.string().optional(),
+});
+
+const entrySchema = z.object({
+  id: z.string(),
+  fingerprint: z.string(),
+  writer: z.string(),
+  attempt: z.string(),
+  state: z.enum(['claimed', 'done', 'unknown', 'abandoned']),
+  answer: answerSchema.optional(),
+});
+
+/** An operation on a claim. */
+export const operationSchema = z.union([
+  z.object({
+    kind: z.literal('take'),
+    req: z.object({
+      id: z.string(),
+      fingerprint: z.string(),
+      writer: z.string(),
+      attempt: z.string(),
+    }),
+  }),
+  z.object({
+    kind: z.literal('note'),
+    note: z.object({
+      id: z.string(),
+      writer: z.string(),
+      attempt: z.string(),
+      state: z.enum(['done', 'unknown', 'abandoned']),
+      answer: answerSchema.optional(),
+    }),
+  }),
+]);
+
+/** The answer to an operation; a `fault` means that the store gave none. */
+export const claimAnswerSchema = z.union([
+  z.object({ kind: z.literal('granted') }),
+  z.object({ kind: z.literal('known'), entry: entrySchema }),
+  z.object({ kind: z.literal('fault') }),
+]);
+
+/** An answer of a backend server as VMs pass it on. */
+export type KeptAnswerMessage = z.output<typeof answerSchema>;
--- a/packages/entry/src/controllers/claims.ts
+++ b/packages/entry/src/controllers/claims.ts
@@ -16,6 +16,7 @@
 import type { Refusal } from '@hemlocksill/types/requests.js';
 import { readClock, sleepUntil } from '../clock.js';
 import type { LogEvent } from '../events.js';
+import { answerSchema, claimAnswerSchema, operationSchema } from './claim-messages.js';
 import type { Membership } from './membership.js';
 
 const callTimeoutMs = 3_000;
@@ -60,45 +61,6 @@
 
 type AttemptState = 'running' | ClaimNote['state'];
 
-const answerSchema = z.object({
-  status: z.number(),
-  contentType: z.string(),
-  body: z.string().optional(),
-});
-const entrySchema = z.object({
-  id: z.string(),
-  fingerprint: z.string(),
-  writer: z.string(),
-  attempt: z.string(),
-  state: z.enum(['claimed', 'done', 'unknown', 'abandoned']),
-  answer: answerSchema.optional(),
-});
-const operationSchema = z.union([
-  z.object({
-    kind: z.literal('take'),
-    req: z.object({
-      id: z.string(),
-      fingerprint: z.string(),
-      writer: z.string(),
-      attempt: z.string(),
-    }),
-  }),
-  z.object({
-    kind: z.literal('note'),
-    note: z.object({
-      id: z.string(),
-      writer: z.string(),
-      attempt: z.string(),
-      state: z.enum(['done', 'unknown', 'abandoned']),
-      answer: answerSchema.optional(),
-    }),
-  }),
-]);
-const claimAnswerSchema = z.union([
-  z.object({ kind: z.literal('granted') }),
-  z.object({ kind: z.literal('known'), entry: entrySchema }),
-  z.object({ kind: z.literal('fault') }),
-]);
 const attemptSchema = z.object({
   state: z.enum(['running', 'done', 'unknown', 'abandoned', 'not-here']),
   answer: answerSchema.optional(),
--- a/packages/entry/src/controllers/gossip.ts
+++ b/packages/entry/src/controllers/gossip.ts
@@ -5,6 +5,7 @@
 import type { Random } from '@hemlocksill/types/ports.js';
 import { readClock, repeatUntilStopped } from '../clock.js';
 import { memberSchema, type Member } from '../member.js';
+import type { ControlWatch } from './control-watch.js';
 import type { Membership } from './membership.js';
 import type { Revisions } from './revisions.js';
 
@@ -22,6 +23,9 @@
   proofAgeMs: z.number().optional(),
   storeReachable: z.boolean(),
   members: z.array(memberSchema).optional(),
+  entries: z
+    .array(z.object({ key: z.string(), value: z.string(), revision: z.number() }))
+    .optional(),
 });
 
 /** The exchange of revisions and proofs with peers. */
@@ -35,6 +39,9 @@
   readonly membership: Membership;
   readonly revisions: Revisions;
   readonly peers: PeerClient;
+  readonly watch: ControlWatch;
+  /** Prefix of members' entries, which are passed on in their own form. */
+  readonly membersPrefix: string;
   /** Peers to ask while no member is known. */
   readonly seeds: readonly { readonly host: string; readonly port: number }[];
   readonly random: Random;
@@ -50,7 +57,7 @@
 
 /** Exchanges revisions and proofs, so that one VM that sees the store serves all. */
 export const makeGossip = (opts: GossipOptions): Gossip => {
-  const { membership, revisions, peers, random } = opts;
+  const { membership, revisions, peers, watch, random } = opts;
   const views = new Map<string, { member: Member; view: PeerView; sentAt: number }>();
 
   const describeSelf = () => ({
@@ -69,6 +76,7 @@
       return;
     }
     if (parsed.data.members) membership.learnMembers(parsed.data.members);
+    parsed.data.entries?.forEach(watch.learn);
     const { revision, proofAgeMs, storeReachable } = parsed.data;
     views.set(answer.value.from.incarnation, {
       member,
@@ -101,8 +109,12 @@
     methods: {
       'gossip.sync': (params) => {
         const wants = z.object({ wantsMembers: z.literal(true) }).safeParse(params).success;
-        const members = wants ? membership.members() : undefined;
-        return Promise.resolve({ ...describeSelf(), members });
+        if (!wants) return Promise.resolve(describeSelf());
+        // A VM that has never reached the store learns the rest of the control entries too.
+        const entries = [...watch.entries.values()].filter(
+          (e) => !e.key.startsWith(opts.membersPrefix),
+        );
+        return Promise.resolve({ ...describeSelf(), members: membership.members(), entries });
       },
       'revisions.read': (params) => {
         const parsed = z.object({ known: z.array(z.string()) }).safeParse(params);
--- a/packages/entry/src/controllers/rate-shards.ts
+++ b/packages/entry/src/controllers/rate-shards.ts
@@ -135,6 +135,10 @@
     if (mine && parsed.value.epoch > mine.record.epoch) dropOwn(shard);
   });
 
+  /** A successor for the time of leaving, however new it is. */
+  const findAnyOther = (): Member | undefined =>
+    membership.others().find((m) => m.state === 'serving' && !membership.isSuspect(m.incarnation));
+
   const getDeadlineWith = (shard: OwnShard, voters: readonly ShardVoter[]): number => {
     const promised = voters.flatMap((v) => shard.promises.get(v.incarnation) ?? []);
     return getRightDeadline(shard.leaseUntil, promised, voters);
@@ -392,8 +396,18 @@
     return true;
   };
 
-  /** Looks after one shard; tells whether it wrote to the store. */
+  const tending = new Set<number>();
+
+  /** Looks after one shard; tells whether it used the store. */
   const tend = async (shard: number): Promise<boolean> => {
+    if (tending.has(shard)) return false;
+    tending.add(shard);
+    const used = await tendAlone(shard);
+    tending.delete(shard);
+    return used;
+  };
+
+  const tendAlone = async (shard: number): Promise<boolean> => {
     const mine = own.get(shard);
     if (mine) return tendOwn(shard, mine);
     const known = records.get(shard);
@@ -480,6 +494,8 @@
         const { shard, epoch, levels, entry } = parsed.data;
         if (entry.key === shardKey(shard)) watch.learn(entry);
         handedLevels.set(shard, { epoch, levels: new Map(levels) });
+        // At once, since requests wait for the holder.
+        void tend(shard);
         return Promise.resolve(true);
       },
     },
@@ -490,7 +506,7 @@
     handOverAll: async () => {
       leaving = true;
       for (const [shard, mine] of [...own]) {
-        const to = findPreferred(shard, true);
+        const to = findPreferred(shard, true) ?? findAnyOther();
         if (to) await handOver(shard, mine, to);
       }
     },
--- a/packages/entry/src/filters/claim-once.ts
+++ b/packages/entry/src/filters/claim-once.ts
@@ -1,9 +1,11 @@
 import { err, ok } from 'neverthrow';
 import { getClaimId, getFingerprint, keptBodyLimit } from '@hemlocksill/claims/claim-record.js';
+import { issueKey, looksIssued, readIssuedKey } from '@hemlocksill/claims/issued-key.js';
 import { assembleFailure, refuseBadRequest } from '@hemlocksill/errors/refusals.js';
 import { readClock } from '../clock.js';
 import type { Claims, ClaimResult } from '../controllers/claims.js';
-import type { Filter, Reply, ReplyResult, RequestContext } from '../request-context.js';
+import type { HomeClaims } from '../controllers/home-claims.js';
+import type { Filter, Handler, Reply, ReplyResult, RequestContext } from '../request-context.js';
 
 const inProgressRetryAfterMs = 1_000;
 const maxKeyLength = 200;
@@ -27,10 +29,12 @@
   return ok({ kind: 'whole', status, headers, body });
 };
 
-const noteReply = (claims: Claims, id: string, attempt: string, reply: Reply): void => {
+type NoteClaim = Claims['note'];
+
+const noteReply = (note: NoteClaim, id: string, attempt: string, reply: Reply): void => {
   if (reply.kind !== 'whole') return;
   const body = reply.body.toString();
-  claims.note(id, attempt, 'done', {
+  note(id, attempt, 'done', {
     status: reply.status,
     contentType: reply.headers['content-type'] ?? 'application/octet-stream',
     body: body.length <= keptBodyLimit ? body : undefined,
@@ -40,6 +44,24 @@
 const readIdempotencyKey = (ctx: RequestContext): string =>
   String(ctx.headers['idempotency-key'] ?? '');
 
+/** What the claim filter needs. */
+export interface ClaimOnceOptions {
+  readonly claims: Claims;
+  readonly homeClaims: HomeClaims;
+  /** Secrets that issued keys are signed with. */
+  readonly secrets: () => readonly string[];
+}
+
+/** Makes the handler that issues idempotency keys, whose claims need no store. */
+export const makeIssueKey =
+  (home: string, secrets: () => readonly string[]): Handler =>
+  (ctx) => {
+    const key = issueKey(ctx.workspace?.name ?? '', home, secrets()[0] ?? '');
+    const headers = { 'content-type': 'application/json', 'cache-control': 'no-store' };
+    const body = JSON.stringify({ idempotency_key: key });
+    return Promise.resolve(ok({ kind: 'whole', status: 200, headers, body }));
+  };
+
 /**
  * Lets a request that may not be repeated run at most once for its idempotency key.
  *
@@ -47,7 +69,7 @@
  * certain that nothing was sent.
  */
 export const makeClaimOnce =
-  (claims: Claims): Filter =>
+  ({ claims, homeClaims, secrets }: ClaimOnceOptions): Filter =>
   async (ctx, next) => {
     if (!ctx.route || ctx.route.idempotent) return next(ctx);
     const key = readIdempotencyKey(ctx);
@@ -62,16 +84,24 @@
       ctx.body.toString('latin1'),
     );
     const usableUntil = readClock() + claimUsableMs;
-    const taken = await claims.take(id, fingerprint);
+    const issued = readIssuedKey(key, ctx.workspace?.name ?? '', secrets());
+    if (!issued && looksIssued(key))
+      return err(refuseBadRequest('the idempotency key was not issued to this workspace'));
+    const note: NoteClaim = issued
+      ? (...noted) => homeClaims.note(issued.home, ...noted)
+      : claims.note;
+    const taken = issued
+      ? await homeClaims.take(issued.home, id, fingerprint)
+      : await claims.take(id, fingerprint);
     if (taken.isErr()) return err(taken.error);
     if (taken.value.kind !== 'granted') return answerKnown(taken.value);
     const { attempt } = taken.value;
     if (ctx.abort.signal.aborted || readClock() > usableUntil) {
-      claims.note(id, attempt, 'abandoned');
+      note(id, attempt, 'abandoned');
       return err(assembleFailure('not-run', 'the request was given up before it was sent'));
     }
     const result = await next(ctx);
-    if (result.isOk()) noteReply(claims, id, attempt, result.value);
-    else claims.note(id, attempt, result.error.outcome === 'not-run' ? 'abandoned' : 'unknown');
+    if (result.isOk()) noteReply(note, id, attempt, result.value);
+    else note(id, attempt, result.error.outcome === 'not-run' ? 'abandoned' : 'unknown');
     return result;
   };
--- a/packages/entry/src/start-entry.ts
+++ b/packages/entry/src/start-entry.ts
@@ -14,6 +14,7 @@
 import { makeClaims } from './controllers/claims.js';
 import { makeControlWatch } from './controllers/control-watch.js';
 import { makeGossip } from './controllers/gossip.js';
+import { makeHomeClaims } from './controllers/home-claims.js';
 import { makeMembership } from './controllers/membership.js';
 import { makeOrphans } from './controllers/orphans.js';
 import { makePools, type Pools } from './controllers/pools.js';
@@ -25,7 +26,7 @@
 import { makeEngineClient } from './engine-client.js';
 import { makeEventLog } from './events.js';
 import { makeChargeRate } from './filters/charge-rate.js';
-import { makeClaimOnce } from './filters/claim-once.js';
+import { makeClaimOnce, makeIssueKey } from './filters/claim-once.js';
 import { makeDecodeCompletion } from './filters/decode-completion.js';
 import { checkBodyForKey, checkHeaders, makeIdentify } from './filters/identify.js';
 import { makeObserveBurn } from './filters/observe-burn.js';
@@ -128,6 +129,8 @@
     membership,
     revisions,
     peers,
+    watch,
+    membersPrefix: keys.members,
     seeds: settings.seeds,
     random: Math.random,
   });
@@ -146,6 +149,7 @@
     retentionMs,
     logEvent,
   });
+  const homeClaims = makeHomeClaims({ membership, peers, retentionMs });
   const cancels = makeCancels(engines);
   const orphans = makeOrphans({
     membership,
@@ -211,7 +215,11 @@
       [observeBurn, checkHeaders, identify, trackRequest],
       makeResumeStream({ engines, cancels, table, incarnation }, peerSecrets),
     ),
-    service: composeFilters([...first, chargeRate, makeClaimOnce(claims)], service.handler),
+    service: composeFilters(
+      [...first, chargeRate, makeClaimOnce({ claims, homeClaims, secrets: peerSecrets })],
+      service.handler,
+    ),
+    issueKey: composeFilters([...first], makeIssueKey(incarnation, peerSecrets)),
   };
 
   const isReady = (): boolean => !leaving && snapshot() !== undefined && revisions.isProven();
@@ -263,6 +271,7 @@
       ...shards.methods,
       ...rate.methods,
       ...claims.methods,
+      ...homeClaims.methods,
       ...orphans.methods,
       ...pools.methods,
     },
--- a/packages/placement/src/fair-queue.ts
+++ b/packages/placement/src/fair-queue.ts
@@ -20,6 +20,13 @@
   readonly countAhead: (workspace: string) => number;
   /** Prompt tokens of all items. */
   readonly promptTokens: () => number;
+  /**
+   * Removes each item for which `test` holds, given the number of items that would be
+   * served before it.
+   */
+  readonly removeByRank: (
+    test: (item: PlacementRequest, ahead: number) => boolean,
+  ) => PlacementRequest[];
 }
 
 /**
@@ -79,7 +86,28 @@
     return removed;
   };
 
+  const countBefore = (flow: Flow, position: number): number => {
+    let ahead = position;
+    flows.forEach((other) => {
+      if (other !== flow) ahead += Math.min(other.items.length, position + 1);
+    });
+    return ahead;
+  };
+
+  const removeByRank: FairQueue['removeByRank'] = (test) => {
+    const late = new Set<string>();
+    flows.forEach((flow) => {
+      let position = 0;
+      flow.items.forEach((item) => {
+        if (test(item, countBefore(flow, position))) late.add(item.id);
+        else position += 1;
+      });
+    });
+    return late.size === 0 ? [] : removeWhere((item) => late.has(item.id));
+  };
+
   return {
+    removeByRank,
     push: (item) => {
       const known = flows.get(item.workspace);
       const flow = known ?? {
@@ -110,12 +138,8 @@
     removeWhere,
     size: () => size,
     countAhead: (workspace) => {
-      const own = flows.get(workspace)?.items.length ?? 0;
-      let ahead = own;
-      flows.forEach((flow, name) => {
-        if (name !== workspace) ahead += Math.min(flow.items.length, own + 1);
-      });
-      return ahead;
+      const own = flows.get(workspace) ?? { items: [], virtualTime: 0 };
+      return countBefore(own, own.items.length);
     },
     promptTokens: () => tokens,
   };
--- a/packages/placement/src/pool-scheduler.ts
+++ b/packages/placement/src/pool-scheduler.ts
@@ -39,6 +39,12 @@
 
 const shortestRetryMs = 250;
 
+/** Time between two reviews of the queues. */
+const reviewPeriodMs = 100;
+
+/** A prediction may be wrong by so much before a waiting request is given up. */
+const predictionSlackMs = 500;
+
 /** The one place that orders and places the completions of a pool. */
 export interface PoolScheduler {
   /** Takes the document's servers and limits into force. */
@@ -85,6 +91,7 @@
   const slotTimes: SlotTimes = new Map();
   let limits: PoolLimits = { slots: 1, prefillRate: 1, pieceTokens: 1, patientShare: 0.5 };
   let patientHeld = 0;
+  let reviewedAt = 0;
 
   const refreshAccepting = (now: number): void => {
     const isOpen = (name: string) =>
@@ -211,22 +218,47 @@
     state.busyUntil = Math.max(now, ...state.running.values());
   };
 
-  const predictFirstToken = (req: PlacementRequest, now: number): number => {
-    const sameClass = queues[req.class].countAhead(req.workspace);
+  /** Predicts when a request gets its first token that has `ahead` others of its class before it. */
+  const predictFirstToken = (req: PlacementRequest, ahead: number, now: number): number => {
+    const queue = queues[req.class];
     const urgentAhead = req.class === 'patient' ? queues.urgent.size() : 0;
     const slotWait = predictSlotWait(
       decodes.values(),
       limits.slots,
-      sameClass + urgentAhead,
+      ahead + urgentAhead,
       getSlotMs(slotTimes, req.class),
       now,
     );
-    const queued = queues.urgent.promptTokens() + (urgentAhead > 0 ? sameClass : 0);
-    const prefillWait = predictPrefillWait(prefills.values(), limits, queued, now);
+    const meanTokens = queue.size() === 0 ? 0 : queue.promptTokens() / queue.size();
+    const urgentTokens = urgentAhead > 0 ? queues.urgent.promptTokens() : 0;
+    const tokensAhead = ahead * meanTokens + urgentTokens;
+    const prefillWait = predictPrefillWait(prefills.values(), limits, tokensAhead, now);
     const best = choosePrefill(prefills.values(), req, limits, now, Number.POSITIVE_INFINITY);
     return now + Math.max(slotWait, prefillWait) + (best?.costMs ?? 0);
   };
 
+  const refuseAs = (req: PlacementRequest, predicted: number): PlacementDecision => ({
+    kind: 'refused',
+    id: req.id,
+    reason: 'late',
+    retryAfterMs: Math.max(shortestRetryMs, predicted - req.firstTokenBy),
+  });
+
+  /** Refuses what has become too late by now, so that nobody waits for nothing. */
+  const refuseHopeless = (now: number): PlacementDecision[] => {
+    if (now - reviewedAt < reviewPeriodMs) return [];
+    reviewedAt = now;
+    return (['urgent', 'patient'] as const).flatMap((cls) => {
+      const predictions = new Map<string, number>();
+      const late = queues[cls].removeByRank((req, ahead) => {
+        const predicted = predictFirstToken(req, ahead, now);
+        predictions.set(req.id, predicted);
+        return predicted > req.firstTokenBy + predictionSlackMs;
+      });
+      return late.map((req) => refuseAs(req, predictions.get(req.id) ?? now));
+    });
+  };
+
   return {
     setMembers: (members, newLimits, now) => {
       limits = newLimits;
@@ -268,11 +300,9 @@
       const slots = [...decodes.values()].some((s) => s.accepting);
       if (!open || !slots)
         return [{ kind: 'refused', id: req.id, reason: 'no-servers', retryAfterMs: 1_000 }];
-      const predicted = predictFirstToken(req, now);
-      if (predicted > req.firstTokenBy) {
-        const retryAfterMs = Math.max(shortestRetryMs, predicted - req.firstTokenBy);
-        return [{ kind: 'refused', id: req.id, reason: 'late', retryAfterMs }];
-      }
+      const ahead = queues[req.class].countAhead(req.workspace);
+      const predicted = predictFirstToken(req, ahead, now);
+      if (predicted > req.firstTokenBy) return [refuseAs(req, predicted)];
       queues[req.class].push(req);
       return run(now);
     },
@@ -313,7 +343,7 @@
       if (kind === 'evicted') state?.pieces.delete(piece);
       else if (state) rememberPieces(state, [piece]);
     },
-    tick: run,
+    tick: (now) => [...refuseHopeless(now), ...run(now)],
     describe: () => ({
       queued: { urgent: queues.urgent.size(), patient: queues.patient.size() },
       servers: [
