--- a/packages/bench/src/bench-main.ts
+++ b/packages/bench/src/bench-main.ts
@@ -64,7 +64,7 @@
   percent(ofBound),
   percent(f.wastedPrefill),
   percent(f.worstServed),
-  `${f.wrongfulRefusals}/${f.insideRate}`,
+  `${f.wrongfulRefusals}+${f.wrongfulOfFlooder}/${f.insideRate}`,
   f.tokensOverRate.toFixed(0),
   f.firstTokenP95.toFixed(0),
   f.refusalP95.toFixed(0),
@@ -109,7 +109,9 @@
       landing: opts.landing,
     });
     results.push({ name, seed, result });
-    console.error(`${name} seed ${seed}: ${JSON.stringify(result.figures.refusals)}`);
+    console.error(
+      `${name} seed ${seed}: ${JSON.stringify(result.figures.refusals)} p50, p95 of the time to refuse: ${JSON.stringify(result.figures.refusalTimes)}`,
+    );
   }
 }
 const { deployment: deploymentName, load, seconds, fault, flood, landing } = opts;
--- a/packages/bench/src/load/measure.ts
+++ b/packages/bench/src/load/measure.ts
@@ -32,12 +32,17 @@
   readonly worstWorkspace: string;
   /** Refusals by rate of requests that were inside it. */
   readonly wrongfulRefusals: number;
+  /** The same of the workspace that floods, which competes with itself. */
+  readonly wrongfulOfFlooder: number;
   readonly insideRate: number;
   readonly tokensOverRate: number;
   readonly firstTokenP50: number;
   readonly firstTokenP95: number;
   readonly refusalP95: number;
+  /** Refusals by code. */
   readonly refusals: Readonly<Record<string, number>>;
+  /** 50th and 95th percentile of the time to a refusal, by code, in milliseconds. */
+  readonly refusalTimes: Readonly<Record<string, readonly [number, number]>>;
   readonly unknown: number;
 }
 
@@ -128,6 +133,22 @@
   return counts;
 };
 
+const measureRefusalTimes = (calls: readonly LoadCall[]): Record<string, [number, number]> => {
+  const times = new Map<string, number[]>();
+  calls
+    .filter((c) => c.end.status >= 400)
+    .forEach(({ end }) => {
+      const code = end.code ?? '';
+      times.set(code, [...(times.get(code) ?? []), end.endedAt - end.startedAt]);
+    });
+  return Object.fromEntries(
+    [...times].map(([code, ms]) => [
+      code,
+      [Math.round(percentile(ms, 0.5)), Math.round(percentile(ms, 0.95))],
+    ]),
+  );
+};
+
 /** Measures a load run from what its callers and the engines recorded. */
 export const measureLoad = (
   calls: readonly LoadCall[],
@@ -147,7 +168,8 @@
   const wasted = engineList.reduce((sum, e) => sum + e.wastedPrefillTokens, 0);
   const inside = findInsideRate(calls, limits);
   const rateCodes = ['rate-exceeded', 'rate-not-known'];
-  const wrongful = [...inside].filter((c) => rateCodes.includes(c.end.code ?? ''));
+  const refusedInside = [...inside].filter((c) => rateCodes.includes(c.end.code ?? ''));
+  const wrongful = refusedInside.filter((c) => c.arrival.workspace !== flooder);
   const worst = measureWorst(inside, calls, flooder);
   const over = [...limits].map(([workspace, { rate, burst }]) => {
     const spends = calls
@@ -172,6 +194,7 @@
     worstServed: worst.share,
     worstWorkspace: worst.workspace,
     wrongfulRefusals: wrongful.length,
+    wrongfulOfFlooder: refusedInside.length - wrongful.length,
     insideRate: inside.size,
     tokensOverRate: Math.max(0, ...over),
     firstTokenP50: percentile(firsts, 0.5),
@@ -181,6 +204,7 @@
       0.95,
     ),
     refusals: countRefusals(calls),
+    refusalTimes: measureRefusalTimes(calls),
     unknown: calls.filter((c) => c.end.outcome === 'outcome-unknown').length,
   };
 };
--- a/packages/entry/src/controllers/rate.ts
+++ b/packages/entry/src/controllers/rate.ts
@@ -3,6 +3,13 @@
 import { refuseRate, refuseRateUnknown, refuseTooLarge } from '@hemlocksill/errors/refusals.js';
 import type { PeerClient, PeerEndpoint } from '@hemlocksill/peer/peer-client.js';
 import { throwInvalidParams, type PeerMethod } from '@hemlocksill/peer/peer-server.js';
+import {
+  makeGrantPace,
+  noteGrant,
+  noteShort,
+  predictGrantWait,
+  type GrantPace,
+} from '@hemlocksill/rate/grant-pace.js';
 import { acceptReturn, answerDraw, type DrawAnswer } from '@hemlocksill/rate/holder.js';
 import { shardOf } from '@hemlocksill/rate/shard-record.js';
 import {
@@ -28,6 +35,9 @@
 /** Pause before a draw is tried again when no holder could be asked. */
 const noHolderPauseMs = 100;
 const longestPauseMs = 250;
+
+/** Share of its time that the predicted wait of a new waiter may take. */
+const admittedShare = 0.7;
 const noHolderRetryAfterMs = 2_000;
 
 /** Admission by the rates of workspaces. */
@@ -63,6 +73,7 @@
 interface Line {
   readonly waiters: Waiter[];
   drawing: boolean;
+  readonly pace: GrantPace;
 }
 
 type DrawOutcome = { answer: DrawAnswer; epoch: number; sentAt: number } | undefined;
@@ -201,6 +212,27 @@
     });
   };
 
+  /** Refuses waiters whose tokens cannot come in time. */
+  const refuseLate = (workspace: string, line: Line, newest?: Waiter): void => {
+    const rate = findWorkspace(workspace)?.rate ?? 1;
+    const now = readClock();
+    let tokens = 0;
+    const waits = new Map<Waiter, number>();
+    line.waiters.forEach((w) => {
+      const waitMs = predictGrantWait(line.pace, tokens + w.tokens, rate, now);
+      waits.set(w, waitMs);
+      // A waiter that is refused does not delay those behind it.
+      if (now + waitMs <= w.deadline) tokens += w.tokens;
+    });
+    const isLate = (w: Waiter): boolean => {
+      const share = w === newest ? admittedShare : 1;
+      return (waits.get(w) ?? 0) > (w.deadline - now) * share;
+    };
+    refuseWhere(line, isLate, (w) =>
+      refuseRate('the workspace is over its rate', Math.ceil(waits.get(w) ?? 0)),
+    );
+  };
+
   /** Handles the answer to a draw; returns how long to pause before the next. */
   const handleOutcome = (workspace: string, line: Line, outcome: DrawOutcome): number => {
     if (!outcome) {
@@ -218,6 +250,7 @@
     }
     const { answer, epoch, sentAt } = outcome;
     if (answer.kind === 'granted') {
+      noteGrant(line.pace, answer.tokens, readClock());
       addGrant(taker, workspace, { epoch, slot: answer.slot, tokens: answer.tokens }, sentAt);
       return 0;
     }
@@ -229,18 +262,8 @@
       );
       return 0;
     }
-    const readyAt = readClock() + answer.waitMs;
-    const perToken = answer.waitMs / Math.max(1, line.waiters[0]?.tokens ?? 1);
-    let ahead = 0;
-    refuseWhere(
-      line,
-      (w) => {
-        const dueAt = readyAt + ahead * perToken;
-        ahead += w.tokens;
-        return w.deadline < dueAt;
-      },
-      () => refuseRate('the workspace is over its rate', answer.waitMs),
-    );
+    noteShort(line.pace, readClock());
+    refuseLate(workspace, line);
     return Math.min(answer.waitMs, longestPauseMs);
   };
 
@@ -294,7 +317,7 @@
         );
       const now = readClock();
       recordDemand(taker, name, tokens, now);
-      const line = lines.get(name) ?? { waiters: [], drawing: false };
+      const line = lines.get(name) ?? { waiters: [], drawing: false, pace: makeGrantPace() };
       lines.set(name, line);
       if (line.waiters.length === 0) {
         const reservation = reserveTokens(taker, name, tokens, now);
@@ -305,6 +328,7 @@
         // Urgent requests may wait less and so come first.
         const behind = line.waiters.findIndex((w) => w.deadline > deadline);
         line.waiters.splice(behind < 0 ? line.waiters.length : behind, 0, waiter);
+        refuseLate(name, line, waiter);
         signal.addEventListener('abort', () => {
           const at = line.waiters.indexOf(waiter);
           if (at < 0) return;
--- a/packages/placement/src/fair-queue.ts
+++ b/packages/placement/src/fair-queue.ts
@@ -16,16 +16,19 @@
   readonly remove: (id: string) => PlacementRequest | undefined;
   readonly removeWhere: (test: (item: PlacementRequest) => boolean) => PlacementRequest[];
   readonly size: () => number;
-  /** Items that would be served before a new item of a workspace. */
-  readonly countAhead: (workspace: string) => number;
+  /**
+   * Counts the items that would be served before a new item of a workspace, and the prompt
+   * tokens of those that are its own.
+   */
+  readonly rankNext: (workspace: string) => { readonly ahead: number; readonly ownTokens: number };
   /** Prompt tokens of all items. */
   readonly promptTokens: () => number;
   /**
    * Removes each item for which `test` holds, given the number of items that would be
-   * served before it.
+   * served before it and the prompt tokens of those that are of its own workspace.
    */
   readonly removeByRank: (
-    test: (item: PlacementRequest, ahead: number) => boolean,
+    test: (item: PlacementRequest, ahead: number, ownTokens: number) => boolean,
   ) => PlacementRequest[];
 }
 
@@ -98,9 +101,14 @@
     const late = new Set<string>();
     flows.forEach((flow) => {
       let position = 0;
+      let ownTokens = 0;
       flow.items.forEach((item) => {
-        if (test(item, countBefore(flow, position))) late.add(item.id);
-        else position += 1;
+        if (test(item, countBefore(flow, position), ownTokens)) {
+          late.add(item.id);
+          return;
+        }
+        position += 1;
+        ownTokens += item.promptTokens;
       });
     });
     return late.size === 0 ? [] : removeWhere((item) => late.has(item.id));
@@ -137,9 +145,10 @@
     remove: (id) => removeWhere((item) => item.id === id)[0],
     removeWhere,
     size: () => size,
-    countAhead: (workspace) => {
+    rankNext: (workspace) => {
       const own = flows.get(workspace) ?? { items: [], virtualTime: 0 };
-      return countBefore(own, own.items.length);
+      const ownTokens = own.items.reduce((sum, item) => sum + item.promptTokens, 0);
+      return { ahead: countBefore(own, own.items.length), ownTokens };
     },
     promptTokens: () => tokens,
   };
--- a/packages/placement/src/pool-scheduler.ts
+++ b/packages/placement/src/pool-scheduler.ts
@@ -17,6 +17,7 @@
   PoolMember,
   PrefillState,
 } from './pool-types.js';
+import { makeServePace } from './serve-pace.js';
 import {
   getSlotMs,
   observeSlotMs,
@@ -42,6 +43,9 @@
 /** Time between two reviews of the queues. */
 const reviewPeriodMs = 100;
 
+/** Share of the time left that the predicted wait of a new request may take. */
+const admittedShare = 0.8;
+
 /** A prediction may be wrong by so much before a waiting request is given up. */
 const predictionSlackMs = 500;
 
@@ -88,6 +92,7 @@
     urgent: makeFairQueue(),
     patient: makeFairQueue(),
   };
+  const paces = { urgent: makeServePace(), patient: makeServePace() };
   const slotTimes: SlotTimes = new Map();
   let limits: PoolLimits = { slots: 1, prefillRate: 1, pieceTokens: 1, patientShare: 0.5 };
   let patientHeld = 0;
@@ -177,6 +182,8 @@
       prefill && chooseDecode(decodes.values(), limits.slots, prefill.state.dataCentre);
     if (!prefill || !decode) return undefined;
     queues[first].take(costOf(req));
+    const hasBacklog = queues[first].rankNext(req.workspace).ownTokens > 0;
+    paces[first].noteServed(req.workspace, req.promptTokens, hasBacklog, now);
     return place(req, prefill, decode, now);
   };
 
@@ -218,8 +225,8 @@
     state.busyUntil = Math.max(now, ...state.running.values());
   };
 
-  /** Predicts when a request gets its first token that has `ahead` others of its class before it. */
-  const predictFirstToken = (req: PlacementRequest, ahead: number, now: number): number => {
+  /** Predicts the wait for the first token with `ahead` others of the class before it. */
+  const predictWait = (req: PlacementRequest, ahead: number, now: number): number => {
     const queue = queues[req.class];
     const urgentAhead = req.class === 'patient' ? queues.urgent.size() : 0;
     const slotWait = predictSlotWait(
@@ -234,7 +241,23 @@
     const tokensAhead = ahead * meanTokens + urgentTokens;
     const prefillWait = predictPrefillWait(prefills.values(), limits, tokensAhead, now);
     const best = choosePrefill(prefills.values(), req, limits, now, Number.POSITIVE_INFINITY);
-    return now + Math.max(slotWait, prefillWait) + (best?.costMs ?? 0);
+    return Math.max(slotWait, prefillWait) + (best?.costMs ?? 0);
+  };
+
+  /**
+   * Predicts when a request gets its first token.
+   *
+   * @param ahead - requests of its class that would be served before it
+   * @param ownTokens - prompt tokens among them that are of its own workspace
+   */
+  const predictFirstToken = (
+    req: PlacementRequest,
+    ahead: number,
+    ownTokens: number,
+    now: number,
+  ): number => {
+    const byPace = paces[req.class].predictMs(req.workspace, ownTokens + req.promptTokens, now);
+    return now + Math.max(predictWait(req, ahead, now), byPace);
   };
 
   const refuseAs = (req: PlacementRequest, predicted: number): PlacementDecision => ({
@@ -250,8 +273,8 @@
     reviewedAt = now;
     return (['urgent', 'patient'] as const).flatMap((cls) => {
       const predictions = new Map<string, number>();
-      const late = queues[cls].removeByRank((req, ahead) => {
-        const predicted = predictFirstToken(req, ahead, now);
+      const late = queues[cls].removeByRank((req, ahead, ownTokens) => {
+        const predicted = predictFirstToken(req, ahead, ownTokens, now);
         predictions.set(req.id, predicted);
         return predicted > req.firstTokenBy + predictionSlackMs;
       });
@@ -300,9 +323,10 @@
       const slots = [...decodes.values()].some((s) => s.accepting);
       if (!open || !slots)
         return [{ kind: 'refused', id: req.id, reason: 'no-servers', retryAfterMs: 1_000 }];
-      const ahead = queues[req.class].countAhead(req.workspace);
-      const predicted = predictFirstToken(req, ahead, now);
-      if (predicted > req.firstTokenBy) return [refuseAs(req, predicted)];
+      const { ahead, ownTokens } = queues[req.class].rankNext(req.workspace);
+      const predicted = predictFirstToken(req, ahead, ownTokens, now);
+      const latest = now + (req.firstTokenBy - now) * admittedShare;
+      if (predicted > latest) return [refuseAs(req, predicted)];
       queues[req.class].push(req);
       return run(now);
     },
