--- /dev/null
+++ b/packages/bench/src/readme.test.ts
@@ -0,0 +1,18 @@
+import { readFileSync, writeFileSync } from 'node:fs';
+import { fileURLToPath } from 'node:url';
+import test from 'ava';
+
+const packagesWithExample = ['config', 'rate', 'claims', 'placement'];
+
+const fileOf = (path: string): string => fileURLToPath(new URL(`../../${path}`, import.meta.url));
+
+packagesWithExample.forEach((name) => {
+  test(`the example of ${name}'s README runs`, async (t) => {
+    const readme = readFileSync(fileOf(`${name}/README.md`), 'utf8');
+    const code = /```js\n([^]*?)```/.exec(readme)?.[1];
+    t.truthy(code);
+    const file = fileOf(`${name}/dist/readme-example.mjs`);
+    writeFileSync(file, code ?? '');
+    await t.notThrowsAsync(import(file));
+  });
+});
--- a/packages/bench/src/upgrade.test.ts
+++ b/packages/bench/src/upgrade.test.ts
@@ -41,18 +41,20 @@
   return versions;
 };
 
+const pickVm = (killed: number, sequence: number): number =>
+  [0, 1, 2].filter((vm) => vm !== killed)[sequence % 2] ?? 0;
+
 test('all backend servers are upgraded under load, through a change and the loss of the controller', async (t) => {
   const fleet = await startFleet(small, mkdtempSync(join(tmpdir(), 'hemlocksill-test-')), {
     document: { limits: 'max-request-ms = 20000\ndrain-ms = 20000\n' },
   });
   t.teardown(() => fleet.stop());
   const { key } = await fleet.giveKey('quotation');
-  let stop = false;
-  let killed = -1;
+  const state = { stop: false, killed: -1 };
   const ends: { vm: number; end: CallEnd }[] = [];
   const callForever = async (caller: number): Promise<void> => {
-    for (let i = 0; !stop; i += 1) {
-      const vm = [0, 1, 2].filter((v) => v !== killed)[(caller + i) % 2] ?? 0;
+    for (let i = 0; !state.stop; i += 1) {
+      const vm = pickVm(state.killed, caller + i);
       const end = await callCompletion({
         url: fleet.urls[vm] ?? '',
         key,
@@ -70,10 +72,10 @@
   await sleep(5_000);
   t.is(await submitVersion(fleet, 'v3'), 0);
   const controller = await findController(fleet);
-  killed = controller;
+  state.killed = controller;
   fleet.vms[controller]?.child.kill('SIGKILL');
   const versions = await awaitVersion(fleet, 'v3');
-  stop = true;
+  state.stop = true;
   await Promise.all(callers);
   t.deepEqual([...new Set(versions)], ['v3']);
   const engines = await readEngines(fleet);
