--- a/packages/placement/src/pool-scheduler.ts
+++ b/packages/placement/src/pool-scheduler.ts
@@ -46,9 +46,6 @@
 /** Share of the time left that the predicted wait of a new request may take. */
 const admittedShare = 0.8;
 
-/** A prediction may be wrong by so much before a waiting request is given up. */
-const predictionSlackMs = 500;
-
 /** The one place that orders and places the completions of a pool. */
 export interface PoolScheduler {
   /** Takes the document's servers and limits into force. */
@@ -276,7 +273,7 @@
       const late = queues[cls].removeByRank((req, ahead, ownTokens) => {
         const predicted = predictFirstToken(req, ahead, ownTokens, now);
         predictions.set(req.id, predicted);
-        return predicted > req.firstTokenBy + predictionSlackMs;
+        return predicted > req.firstTokenBy;
       });
       return late.map((req) => refuseAs(req, predictions.get(req.id) ?? now));
     });
