--- a/packages/entry/src/controllers/rate.ts
+++ b/packages/entry/src/controllers/rate.ts
@@ -251,21 +251,21 @@
     );
   };
 
+  /** Refuses those that have waited long enough for a holder. */
+  const refuseWithoutHolder = (line: Line): number => {
+    const late = readClock() + noHolderPauseMs;
+    const message = 'the rate of the workspace cannot be checked now';
+    refuseWhere(
+      line,
+      (w) => w.holderDeadline <= late,
+      () => refuseRateUnknown(message, noHolderRetryAfterMs),
+    );
+    return noHolderPauseMs;
+  };
+
   /** Handles the answer to a draw; returns how long to pause before the next. */
   const handleOutcome = (workspace: string, line: Line, outcome: DrawOutcome): number => {
-    if (!outcome) {
-      const late = readClock() + noHolderPauseMs;
-      refuseWhere(
-        line,
-        (w) => w.holderDeadline <= late,
-        () =>
-          refuseRateUnknown(
-            'the rate of the workspace cannot be checked now',
-            noHolderRetryAfterMs,
-          ),
-      );
-      return noHolderPauseMs;
-    }
+    if (!outcome) return refuseWithoutHolder(line);
     const { answer, epoch, sentAt } = outcome;
     if (answer.kind === 'granted') {
       addGrant(taker, workspace, { epoch, slot: answer.slot, tokens: answer.tokens }, sentAt);
@@ -279,6 +279,8 @@
       );
       return 0;
     }
+    // A new holder that has nothing yet tells nothing about the rate.
+    if (answer.starting) return refuseWithoutHolder(line);
     const ownWaiting = line.waiters.reduce((sum, w) => sum + w.tokens, 0);
     noteShortage(line.shortage, answer.backlog, ownWaiting, readClock());
     refuseLate(workspace, line);
--- a/packages/rate/src/fleet-rate.test.ts
+++ b/packages/rate/src/fleet-rate.test.ts
@@ -216,3 +216,12 @@
   t.is(answerDraw(fourth, { ...half, need: 501 }, limit, 5_500).kind, 'short');
   t.is(answerDraw(fourth, half, limit, 5_500).kind, 'granted');
 });
+
+test('a new holder tells that its buckets do not fill yet', (t) => {
+  const holder = makeHolder(0, 2, grantHoldsMs, startEmpty);
+  const draw = { workspace, need: 10, want: 10, asker: 'vm-1' };
+  const early = answerDraw(holder, draw, limit, 0);
+  t.true(early.kind === 'short' && early.starting);
+  const later = answerDraw(holder, draw, limit, grantHoldsMs);
+  t.true(later.kind === 'short' && !later.starting);
+});
--- a/packages/rate/src/holder.ts
+++ b/packages/rate/src/holder.ts
@@ -25,7 +25,13 @@
 export type DrawAnswer =
   | { readonly kind: 'granted'; readonly slot: number; readonly tokens: number }
   /** Too few tokens now; `backlog` is what all VMs together wait for. */
-  | { readonly kind: 'short'; readonly waitMs: number; readonly backlog: number }
+  | {
+      readonly kind: 'short';
+      readonly waitMs: number;
+      readonly backlog: number;
+      /** Whether the holder is new and its buckets do not fill yet. */
+      readonly starting: boolean;
+    }
   | { readonly kind: 'never' };
 
 /** Unused tokens of one workspace on their way back. */
@@ -131,7 +137,12 @@
   const backlog = countBacklog(holder, draw, now);
   const waitMs = Math.max(1, getWaitMs(bucket, draw.need));
   const deposited = bucket.deposited > 0;
-  return { kind: 'short', waitMs: deposited ? Math.min(waitMs, recallMs) : waitMs, backlog };
+  return {
+    kind: 'short',
+    waitMs: deposited ? Math.min(waitMs, recallMs) : waitMs,
+    backlog,
+    starting: now < holder.fillsFrom,
+  };
 };
 
 /** Takes unused tokens back; those of another epoch are lost. */
