--- a/packages/entry/src/controllers/rate-shards.ts
+++ b/packages/entry/src/controllers/rate-shards.ts
@@ -28,6 +28,7 @@
 import { getOwnDeadline, type OwnShard, type OwnShards } from './own-shard.js';
 import { makePromiseBook } from './promise-book.js';
 import { makeRateDeposits } from './rate-deposits.js';
+import { makeShardDeposits } from './shard-deposits.js';
 import { makeShardPromises } from './shard-promises.js';
 import { makeShardRanking } from './shard-ranking.js';
 import { makeShardTakeover } from './shard-takeover.js';
@@ -37,9 +38,6 @@
 const promisePeriodMs = 1_000;
 const depositPeriodMs = 1_000;
 
-/** A workspace that was short lately gets no new deposit. */
-const recallHoldsMs = 3_000;
-
 /** Shards taken or handed over in one pass, so that store writes come spread out. */
 const changesPerPass = 8;
 
@@ -105,10 +103,10 @@
   const namedSince = new Map<number, { epoch: number; since: number }>();
   const promiseBook = makePromiseBook();
   const deposits = makeRateDeposits(peers);
-  const recalled = new Map<string, number>();
   let leaving = false;
   let nextShard = 0;
   const ranking = makeShardRanking(membership, () => leaving);
+  const shardDeposits = makeShardDeposits(own, deposits, ranking);
   const takeover = makeShardTakeover(membership, peers, promiseBook);
 
   const shardKey = (shard: number): string => `${keys.rateShards}${shard}`;
@@ -336,20 +334,6 @@
     return takeOver(shard, startEmpty);
   };
 
-  const updateDeposits = async (): Promise<void> => {
-    if (leaving) return;
-    const recent = readClock() - recallHoldsMs;
-    recalled.forEach((at, workspace) => {
-      if (at < recent) recalled.delete(workspace);
-    });
-    const wanted = new Set(recalled.keys());
-    await Promise.all(
-      [...own].map(([shard, mine]) =>
-        deposits.update(mine.holder, ranking.findSuccessor(shard), wanted),
-      ),
-    );
-  };
-
   const tendAll = async (): Promise<void> => {
     let changes = 0;
     for (let i = 0; i < shardCount && changes < changesPerPass; i += 1) {
@@ -377,12 +361,7 @@
     learnEntry: (shard, entry) => {
       if (entry.key === shardKey(shard)) watch.learn(entry);
     },
-    recallDeposit: (shard, workspace) => {
-      recalled.set(workspace, readClock());
-      const mine = own.get(shard);
-      if (mine && (mine.holder.buckets.get(workspace)?.deposited ?? 0) > 0)
-        void deposits.update(mine.holder, ranking.findSuccessor(shard), new Set(recalled.keys()));
-    },
+    recallDeposit: shardDeposits.recall,
     countOwn: () => own.size,
     methods: {
       ...deposits.methods,
@@ -401,7 +380,9 @@
     start: (signal) => {
       void repeatUntilStopped(periodMs, signal, tendAll);
       void repeatUntilStopped(promisePeriodMs, signal, promises.ask);
-      void repeatUntilStopped(depositPeriodMs, signal, updateDeposits);
+      void repeatUntilStopped(depositPeriodMs, signal, async () => {
+        if (!leaving) await shardDeposits.updateAll();
+      });
     },
     handOverAll: async () => {
       leaving = true;
