--- a/packages/config/src/settings.ts
+++ b/packages/config/src/settings.ts
@@ -60,14 +60,16 @@
   return { host: match[1].replace(/[[\]]/g, ''), port };
 };
 
-const endpoint = z.string().transform((text, ctx) => {
+/** An IP address and a port. */
+export const endpoint = z.string().transform((text, ctx) => {
   const parsed = parseEndpoint(text);
   if (parsed) return parsed;
   ctx.addIssue({ code: 'custom', message: 'must be IP:port' });
   return z.NEVER;
 });
 
-const endpoints = z.string().transform((text, ctx) => {
+/** Addresses separated by commas. */
+export const endpoints = z.string().transform((text, ctx) => {
   const parsed = splitList(text).map(parseEndpoint);
   if (parsed.every((p) => p !== undefined)) return parsed;
   ctx.addIssue({ code: 'custom', message: 'must be a list of IP:port' });
@@ -145,7 +147,8 @@
   return reasons;
 };
 
-const readOneSection = <T>(
+/** Reads a text that has one section and lists all its mistakes. */
+export const readOneSection = <T>(
   text: string,
   header: string,
   schema: z.ZodType<T>,
--- /dev/null
+++ b/packages/router/src/peer-views.ts
@@ -0,0 +1,55 @@
+import { serve, type ServerType } from '@hono/node-server';
+import { Hono } from 'hono';
+import { JSONRPCServer } from 'json-rpc-2.0';
+import { err, ok, type Result } from 'neverthrow';
+import type { Endpoint } from '@hemlocksill/config/settings.js';
+import type { RawView } from './view-controller.js';
+
+/** Time for a peer's answer. */
+const callMs = 800;
+
+const rpcPath = '/rpc';
+
+/** Serves this VM's view to others. */
+export const servePeerViews = (
+  at: Endpoint,
+  raw: () => RawView,
+  onError: (error: Error) => void,
+): ServerType => {
+  const rpc = new JSONRPCServer();
+  rpc.addMethod('getView', () => raw());
+  const app = new Hono();
+  app.post(rpcPath, async (c) => {
+    const answer = await rpc.receiveJSON(await c.req.text());
+    return answer ? c.json(answer) : c.body(null, 204);
+  });
+  const server = serve({ fetch: app.fetch, hostname: at.host, port: at.port });
+  server.on('error', onError);
+  return server;
+};
+
+const isView = (value: unknown): value is RawView => {
+  const view = value as Partial<RawView> | undefined;
+  return Array.isArray(view?.servers) && Array.isArray(view.removed);
+};
+
+/**
+ * Asks a peer for its view.
+ *
+ * @example
+ * await fetchPeerView('10.1.0.25:8229');
+ */
+export const fetchPeerView = async (address: string): Promise<Result<RawView, string>> => {
+  try {
+    const res = await fetch(`http://${address}${rpcPath}`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify({ jsonrpc: '2.0', id: 1, method: 'getView' }),
+      signal: AbortSignal.timeout(callMs),
+    });
+    const { result } = (await res.json()) as { result?: unknown };
+    return isView(result) ? ok(result) : err('the answer is no view');
+  } catch (error) {
+    return err(error instanceof Error ? error.message : 'unknown fault');
+  }
+};
--- /dev/null
+++ b/packages/router/src/router-metrics.ts
@@ -0,0 +1,78 @@
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+/** Upper bounds of the latency buckets, in milliseconds, around the usual objectives. */
+const latencyBucketsMs = [10, 25, 50, 100, 200, 400, 900, 2_000, 5_000, 14_000];
+
+/** Counters and histograms that a router serves as text. */
+export interface RouterMetrics {
+  readonly ended: Counter<'kind' | 'outcome'>;
+  readonly firstByteMs: Histogram<'kind'>;
+  readonly repeats: Counter<'reason'>;
+  readonly wastedPromptTokens: Counter;
+  readonly open: Gauge;
+  readonly waiting: Gauge;
+  readonly configVersion: Gauge;
+  readonly storeReachable: Gauge;
+  readonly linesLeftOut: Counter;
+  readonly render: () => Promise<string>;
+}
+
+/**
+ * Makes the metrics of a process; docs/OPERATIONS.md lists them.
+ *
+ * @example
+ * makeRouterMetrics().ended.inc({ kind: 'stream', outcome: 'answered' });
+ */
+export const makeRouterMetrics = (): RouterMetrics => {
+  const registry = new Registry();
+  const registers = [registry];
+  const prefix = 'hemlocksill_';
+  return {
+    ended: new Counter({
+      name: `${prefix}requests_total`,
+      help: 'Requests that ended, by kind and outcome',
+      labelNames: ['kind', 'outcome'],
+      registers,
+    }),
+    firstByteMs: new Histogram({
+      name: `${prefix}first_byte_ms`,
+      help: 'Milliseconds from arrival to the first byte of the answer',
+      labelNames: ['kind'],
+      buckets: latencyBucketsMs,
+      registers,
+    }),
+    repeats: new Counter({
+      name: `${prefix}repeated_sends_total`,
+      help: 'Sends beyond the first of a request',
+      labelNames: ['reason'],
+      registers,
+    }),
+    wastedPromptTokens: new Counter({
+      name: `${prefix}wasted_prompt_tokens_total`,
+      help: 'Prompt tokens read for a request that did not run',
+      registers,
+    }),
+    open: new Gauge({ name: `${prefix}open_requests`, help: 'Requests in progress', registers }),
+    waiting: new Gauge({
+      name: `${prefix}waiting_streams`,
+      help: 'Streams that wait for engine memory',
+      registers,
+    }),
+    configVersion: new Gauge({
+      name: `${prefix}config_version`,
+      help: 'Version of the configuration in force',
+      registers,
+    }),
+    storeReachable: new Gauge({
+      name: `${prefix}store_reachable`,
+      help: '1 while the store answers',
+      registers,
+    }),
+    linesLeftOut: new Counter({
+      name: `${prefix}log_lines_left_out_total`,
+      help: 'Log lines left out because their reader was slow',
+      registers,
+    }),
+    render: () => registry.metrics(),
+  };
+};
--- /dev/null
+++ b/packages/router/src/sse-events.ts
@@ -0,0 +1,54 @@
+/** Splits a stream of server-sent events into whole events. */
+export interface EventSplitter {
+  /** Takes bytes and returns the whole events that they complete, if any. */
+  readonly push: (chunk: Buffer) => Buffer | undefined;
+  /** Number of the last whole event. */
+  readonly lastId: () => string | undefined;
+  /** Whether bytes of an unfinished event are left. */
+  readonly hasRest: () => boolean;
+}
+
+const newline = 0x0a;
+
+/** Position after the last empty line, or 0. */
+const findEnd = (data: Buffer): number => {
+  for (let at = data.length - 1; at > 0; at -= 1) {
+    if (data[at] !== newline) continue;
+    if (data[at - 1] === newline) return at + 1;
+    if (data[at - 1] === 0x0d && data[at - 2] === newline) return at + 1;
+  }
+  return 0;
+};
+
+const readLastId = (events: Buffer): string | undefined => {
+  const text = events.toString('latin1');
+  const at = Math.max(text.lastIndexOf('\nid:'), text.startsWith('id:') ? 0 : -1);
+  if (at < 0) return undefined;
+  const start = text.indexOf(':', at) + 1;
+  const end = text.indexOf('\n', start);
+  return text.slice(start, end < 0 ? undefined : end).trim();
+};
+
+/**
+ * Makes a splitter; an event that breaks off half-way is never passed on.
+ *
+ * @example
+ * makeEventSplitter().push(Buffer.from('id: 1\ndata: a\n\nid: 2\n'))?.toString(); // 'id: 1\ndata: a\n\n'
+ */
+export const makeEventSplitter = (): EventSplitter => {
+  let rest: Buffer = Buffer.alloc(0);
+  let last: string | undefined;
+  return {
+    push: (chunk) => {
+      const data = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
+      const end = findEnd(data);
+      rest = data.subarray(end);
+      if (end === 0) return undefined;
+      const events = data.subarray(0, end);
+      last = readLastId(events) ?? last;
+      return events;
+    },
+    lastId: () => last,
+    hasRest: () => rest.length > 0,
+  };
+};
--- /dev/null
+++ b/packages/routing/src/engine-ledger.ts
@@ -0,0 +1,93 @@
+/** Work that one VM has at one engine. */
+export interface EngineLoad {
+  /** Tokens of memory that its running and reserved requests need at most. */
+  readonly tokens: number;
+  readonly requests: number;
+  /** Prompt tokens that it has sent to be read and that are not read yet. */
+  readonly prefillTokens: number;
+}
+
+/** What a VM has at the engines, by backend server. */
+export type LoadRows = Readonly<Record<string, readonly [number, number, number]>>;
+
+interface PeerLoads {
+  rows: LoadRows;
+  heardAt: number;
+}
+
+/** Time after which a silent peer's work no longer counts; its requests end with it. */
+const peerSilentMs = 2_000;
+
+/** Time for which an engine that refused work counts as full. */
+const fullRestMs = 60;
+
+/** The work of all VMs at each engine, as far as this VM knows. */
+export interface EngineLedger {
+  readonly addDecode: (server: string, tokens: number) => void;
+  readonly removeDecode: (server: string, tokens: number) => void;
+  readonly addPrefill: (server: string, tokens: number) => void;
+  readonly removePrefill: (server: string, tokens: number) => void;
+  readonly noteFull: (server: string, now: number) => void;
+  readonly isFull: (server: string, now: number) => boolean;
+  readonly notePeer: (incarnation: string, rows: LoadRows, now: number) => void;
+  readonly dropPeer: (incarnation: string) => void;
+  /** Work of all VMs at an engine. */
+  readonly total: (server: string, now: number) => EngineLoad;
+  readonly ownRows: () => LoadRows;
+}
+
+/**
+ * Makes an empty ledger.
+ *
+ * Load pattern: all VMs place long prompts at the same moment; engines' own reports are
+ * hundreds of milliseconds old and would send all of them to the same engine.
+ *
+ * @example
+ * const ledger = makeEngineLedger();
+ * ledger.addDecode('i-1', 3_300);
+ * ledger.total('i-1', now).tokens; // 3300
+ */
+export const makeEngineLedger = (): EngineLedger => {
+  const own = new Map<string, [number, number, number]>();
+  const peers = new Map<string, PeerLoads>();
+  const fullUntil = new Map<string, number>();
+  const add = (server: string, tokens: number, requests: number, prefill: number): void => {
+    const row = own.get(server) ?? [0, 0, 0];
+    row[0] += tokens;
+    row[1] += requests;
+    row[2] += prefill;
+    if (row[0] === 0 && row[1] === 0 && row[2] === 0) own.delete(server);
+    else own.set(server, row);
+  };
+  return {
+    addDecode: (server, tokens) => add(server, tokens, 1, 0),
+    removeDecode: (server, tokens) => add(server, -tokens, -1, 0),
+    addPrefill: (server, tokens) => add(server, 0, 0, tokens),
+    removePrefill: (server, tokens) => add(server, 0, 0, -tokens),
+    noteFull: (server, now) => {
+      fullUntil.set(server, now + fullRestMs);
+    },
+    isFull: (server, now) => (fullUntil.get(server) ?? 0) > now,
+    notePeer: (incarnation, rows, now) => {
+      peers.set(incarnation, { rows, heardAt: now });
+    },
+    dropPeer: (incarnation) => {
+      peers.delete(incarnation);
+    },
+    total: (server, now) => {
+      const row = own.get(server);
+      let tokens = row?.[0] ?? 0;
+      let requests = row?.[1] ?? 0;
+      let prefillTokens = row?.[2] ?? 0;
+      peers.forEach((peer) => {
+        const theirs = peer.rows[server];
+        if (!theirs || now - peer.heardAt > peerSilentMs) return;
+        tokens += theirs[0];
+        requests += theirs[1];
+        prefillTokens += theirs[2];
+      });
+      return { tokens, requests, prefillTokens };
+    },
+    ownRows: () => Object.fromEntries([...own].map(([id, row]) => [id, [...row]])),
+  };
+};
--- /dev/null
+++ b/packages/routing/src/place-work.ts
@@ -0,0 +1,125 @@
+import type { BackendServer, EngineLimits } from '@hemlocksill/types/routing.js';
+import type { EngineLedger } from './engine-ledger.js';
+import type { ServerHealth } from './server-health.js';
+
+/** Load share that a backend server in the VM's own data centre may have on top. */
+const sameDataCentreBonus = 0.15;
+
+/** Weight of the share of failed calls against the share of load. */
+const failureWeight = 2;
+
+/** Prompt tokens that an engine reads in a millisecond until its pace is known. */
+export const assumedPrefillPace = 30;
+
+/** Extra milliseconds of a prefill whose memory must cross between data centres. */
+const otherDataCentreMs = 20;
+
+/** What placement knows when it chooses. */
+export interface PlacementView {
+  readonly ledger: EngineLedger;
+  readonly health: ServerHealth;
+  readonly dataCentre: string;
+  readonly now: number;
+}
+
+/** A request that needs an engine's memory. */
+export interface EngineNeed {
+  readonly promptTokens: number;
+  /** Memory of the prompt and of the output that is expected. */
+  readonly totalTokens: number;
+}
+
+const isOpen = (server: BackendServer, view: PlacementView): boolean =>
+  !view.health.isResting(server.id, view.now);
+
+/**
+ * Chooses the decode engine with the most free memory that can hold the whole request.
+ *
+ * Load pattern: prompts of uneven size fill engines whose slots are mostly free; an engine
+ * chosen by its free slots rejects the request after its prompt was read.
+ *
+ * @example
+ * chooseDecode(servers, { promptTokens: 3_000, totalTokens: 3_100 }, limits, view, new Set());
+ */
+export const chooseDecode = (
+  servers: readonly BackendServer[],
+  need: EngineNeed,
+  limits: EngineLimits,
+  view: PlacementView,
+  excluded: ReadonlySet<string>,
+): BackendServer | undefined => {
+  let best: BackendServer | undefined;
+  let bestScore = Number.POSITIVE_INFINITY;
+  servers.forEach((server) => {
+    if (server.stage === 'prefill' || excluded.has(server.id) || !isOpen(server, view)) return;
+    if (view.ledger.isFull(server.id, view.now)) return;
+    const load = view.ledger.total(server.id, view.now);
+    if (load.requests >= limits.slots) return;
+    if (load.tokens + need.totalTokens > limits.memoryTokens) return;
+    const taken = load.tokens / limits.memoryTokens;
+    const far = server.dataCentre === view.dataCentre ? 0 : sameDataCentreBonus;
+    const score = taken + far + failureWeight * view.health.failureShare(server.id);
+    if (score < bestScore) {
+      best = server;
+      bestScore = score;
+    }
+  });
+  return best;
+};
+
+/**
+ * Chooses the prefill engine that will have read the prompt first, near its decode engine.
+ *
+ * @example
+ * choosePrefill(servers, 3_000, 'north-a', view, new Set());
+ */
+export const choosePrefill = (
+  servers: readonly BackendServer[],
+  promptTokens: number,
+  decodeDataCentre: string,
+  view: PlacementView,
+  excluded: ReadonlySet<string>,
+): { readonly server: BackendServer; readonly doneMs: number } | undefined => {
+  let best: BackendServer | undefined;
+  let bestMs = Number.POSITIVE_INFINITY;
+  servers.forEach((server) => {
+    if (server.stage !== 'prefill' || excluded.has(server.id) || !isOpen(server, view)) return;
+    const load = view.ledger.total(server.id, view.now);
+    const readMs = (load.prefillTokens + promptTokens) / assumedPrefillPace;
+    const farMs = server.dataCentre === decodeDataCentre ? 0 : otherDataCentreMs;
+    const doneMs = readMs + farMs + 100 * view.health.failureShare(server.id);
+    if (doneMs < bestMs) {
+      best = server;
+      bestMs = doneMs;
+    }
+  });
+  return best && { server: best, doneMs: bestMs };
+};
+
+/**
+ * Chooses a backend server of a plain service by the share of its slots that is taken.
+ *
+ * @example
+ * choosePlain(servers, view, new Set(['i-1']));
+ */
+export const choosePlain = (
+  servers: readonly BackendServer[],
+  view: PlacementView,
+  excluded: ReadonlySet<string>,
+): BackendServer | undefined => {
+  let best: BackendServer | undefined;
+  let bestScore = Number.POSITIVE_INFINITY;
+  const open = servers.filter((s) => !excluded.has(s.id) && isOpen(s, view));
+  // Rather try a resting backend server than refuse.
+  const candidates = open.length > 0 ? open : servers.filter((s) => !excluded.has(s.id));
+  candidates.forEach((server) => {
+    const taken = view.ledger.total(server.id, view.now).requests / Math.max(1, server.slots);
+    const far = server.dataCentre === view.dataCentre ? 0 : sameDataCentreBonus;
+    const score = taken + far + failureWeight * view.health.failureShare(server.id);
+    if (score < bestScore) {
+      best = server;
+      bestScore = score;
+    }
+  });
+  return best;
+};
