Count engine memory as it is used, and let all VMs hear each other

Cause: of eight VMs only 36 of 56 pairs heard each other: a VM listed the others before it entered itself, so that two which started together never met.

--- a/packages/router/src/call-context.ts
+++ b/packages/router/src/call-context.ts
@@ -85,6 +85,8 @@
   const { log, metrics } = hooks;
   const leaveCallbacks: (() => void)[] = [];
   let ended = false;
+  /** Pieces of the answer that were passed on. */
+  let writes = 0;
 
   const record = (end: CallEnd, fields: Readonly<Record<string, unknown>>): void => {
     if (ended) return;
@@ -95,6 +97,8 @@
       id: ctx.call.facts.id,
       route: route.name,
       kind: route.kind,
+      workspace: ctx.workspace?.name,
+      cost: ctx.cost,
       ms: Math.round(hooks.now() - ctx.arrivedAt),
       version: ctx.table.config.version,
     };
@@ -125,10 +129,11 @@
     hasHead: () => res.headersSent,
     head: writeHead,
     write: (bytes) => {
+      writes += 1;
       res.write(bytes);
     },
     end: () => {
-      record('answered', { status: res.statusCode });
+      record('answered', { status: res.statusCode, writes });
       res.end();
     },
     whole: (head, body) => {
--- a/packages/router/src/peers-controller.ts
+++ b/packages/router/src/peers-controller.ts
@@ -1,4 +1,5 @@
 import { createSocket } from 'node:dgram';
+import { err, ok, type Result } from 'neverthrow';
 import type { Endpoint } from '@hemlocksill/config/settings.js';
 import type { Store } from '@hemlocksill/types/ports.js';
 import { decodeGossip, encodeGossip, type GossipMessage } from './gossip-message.js';
@@ -29,6 +30,8 @@
 
 const entryRetryMs = 1_000;
 
+const addressPattern = /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/;
+
 interface Peer {
   readonly vm: string;
   incarnation: string;
@@ -205,26 +208,40 @@
       setTimeout(resolve, ms);
     });
 
-  /** Enters this VM in the store and learns the others; their messages do the rest. */
+  const key = deps.vmPrefix + deps.vm;
+
+  /** Writes this VM's entry, over one of an earlier incarnation. */
+  const writeEntry = async (): Promise<Result<unknown, string>> => {
+    const present = await deps.store.get(key);
+    if (present.isErr()) return err(present.error);
+    if (present.value?.value === own) return ok(undefined);
+    const lease = await deps.store.grantLease(entryTtlMs);
+    if (lease.isErr()) return err(lease.error);
+    const written = await deps.store.cas({
+      key,
+      expected: present.value?.revision ?? 0,
+      value: own,
+      leaseId: lease.value,
+    });
+    return written.andThen((answer) => (answer.kind === 'written' ? ok(undefined) : err('conflict')));
+  };
+
+  /**
+   * Enters this VM in the store, then learns the others: of two that start together, the one
+   * that lists later finds the other, and its message makes it known.
+   */
   const enter = async (): Promise<void> => {
-    const key = deps.vmPrefix + deps.vm;
     while (!stopped) {
-      const known = await deps.store.list(deps.vmPrefix);
-      if (known.isOk()) {
-        known.value.entries.forEach((entry) => {
-          if (/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/.test(entry.value)) candidates.add(entry.value);
+      const entered = await writeEntry();
+      if (entered.isErr()) log(2109, { reason: entered.error });
+      const listed = await deps.store.list(deps.vmPrefix);
+      if (listed.isOk()) {
+        listed.value.entries.forEach((entry) => {
+          if (addressPattern.test(entry.value)) candidates.add(entry.value);
         });
         noteChange();
-        const present = known.value.entries.find((entry) => entry.key === key);
-        if (present?.value === own) return;
-        const lease = await deps.store.grantLease(entryTtlMs);
-        const expected = present?.revision ?? 0;
-        const written = lease.isOk()
-          ? await deps.store.cas({ key, expected, value: own, leaseId: lease.value })
-          : lease;
-        if (written.isOk() && 'kind' in (written.value as object)) return;
-        log(2109, { reason: written.isErr() ? written.error : 'conflict' });
       }
+      if (entered.isOk() && listed.isOk()) return;
       await pause(entryRetryMs);
     }
   };
--- a/packages/router/src/run-plain.ts
+++ b/packages/router/src/run-plain.ts
@@ -112,14 +112,13 @@
     let head: BackendHead | undefined;
     let gatheredBytes = 0;
     const gathered: Buffer[] = [];
-    deps.plainLedger.addDecode(server.id, 0);
-    const settle = (): void => deps.plainLedger.removeDecode(server.id, 0);
+    const held = deps.plainLedger.addDecode(server.id, 0);
     sends += 1;
     let finished = false;
     const once = (action: () => void): void => {
       if (finished) return;
       finished = true;
-      settle();
+      held.release();
       action();
     };
     const cancelSend = deps.backends.send(
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -10,6 +10,7 @@
   choosePrefill,
   type EngineNeed,
 } from '@hemlocksill/routing/place-work.js';
+import type { HeldMemory } from '@hemlocksill/routing/engine-ledger.js';
 import type { CallContext, Responder } from './call-context.js';
 import type { RunDeps } from './run-deps.js';
 import { makeEventSplitter } from './sse-events.js';
@@ -32,12 +33,12 @@
 /** Time after which a request refused for want of an engine may come back. */
 const noEngineRetryMs = 500;
 
+/** Output that a reservation covers; more grows into the engine's headroom. */
+const reservedOutputTokens = 144;
+
 /** Tokens of memory that engines hand out at once. */
 const blockTokens = 16;
 
-/** Part of the largest output that a request is expected to need without a guess of its own. */
-const expectedOutputShare = 1;
-
 interface Placement {
   readonly decode: BackendServer;
   readonly prefill: BackendServer;
@@ -49,8 +50,10 @@
 /** Estimates the engine memory of a request. */
 export const estimateNeed = (ctx: CallContext): EngineNeed => {
   const { promptTokens, maxOutputTokens } = ctx.call.facts;
-  const output = Math.ceil(maxOutputTokens * expectedOutputShare);
-  return { promptTokens, totalTokens: roundUp(promptTokens + output) };
+  return {
+    promptTokens: roundUp(promptTokens),
+    mostTokens: roundUp(promptTokens + maxOutputTokens),
+  };
 };
 
 /** Runs a stream at a prefill and a decode engine and passes its events on. */
@@ -76,7 +79,7 @@
 
   const predictRetryMs = (): number => {
     if (!engine) return noEngineRetryMs;
-    const waiting = deps.queue.waitingTokens(service.name) + need.totalTokens;
+    const waiting = deps.queue.waitingTokens(service.name) + need.promptTokens;
     const engines = deps.listReady(service.name);
     return deps.pace.predictFreeMs(engines, engine, deps.engineLedger, waiting, deps.now());
   };
@@ -88,17 +91,20 @@
   };
 
   /** Counts a placement's memory until the returned function is called. */
-  const hold = (placement: Placement): (() => void) => {
+  const hold = (placement: Placement): HeldMemory => {
     const startedAt = deps.now();
-    deps.engineLedger.addDecode(placement.decode.id, need.totalTokens);
+    const held = deps.engineLedger.addDecode(placement.decode.id, need.promptTokens);
     deps.noteLoadChange();
-    let held = true;
-    return () => {
-      if (!held) return;
-      held = false;
-      deps.engineLedger.removeDecode(placement.decode.id, need.totalTokens);
-      deps.pace.noteStream(deps.now() - startedAt);
-      deps.noteLoadChange();
+    let isHeld = true;
+    return {
+      grow: held.grow,
+      release: () => {
+        if (!isHeld) return;
+        isHeld = false;
+        held.release();
+        deps.pace.noteStream(deps.now() - startedAt);
+        deps.noteLoadChange();
+      },
     };
   };
 
@@ -125,7 +131,7 @@
       service: service.name,
       workspace: ctx.workspace?.name ?? '',
       rank: ctx.workspace?.priority ?? route.priority,
-      totalTokens: need.totalTokens,
+      totalTokens: need.promptTokens,
       arrivedAt: ctx.arrivedAt,
       waitUntil,
       tryPlace: (now: number) => {
@@ -154,7 +160,7 @@
       giveUp('no engine is ready', noEngineRetryMs);
       return;
     }
-    if (need.totalTokens > engine.memoryTokens) {
+    if (need.mostTokens > engine.memoryTokens) {
       giveUp('the prompt is larger than an engine', noEngineRetryMs);
       return;
     }
@@ -166,25 +172,25 @@
 
   /** Reserves the decode engine's memory, so that no prompt is read in vain. */
   const reserve = (placement: Placement, tries: number): void => {
-    const release = hold(placement);
+    const held = hold(placement);
     const ttlMs = Math.min(
       engine?.reservationMs ?? 0,
       placement.prefillMs + reservationSlackMs,
     );
     if (ttlMs <= 0) {
-      prefill(placement, undefined, release);
+      prefill(placement, undefined, held);
       return;
     }
-    deps.backends.reserve(placement.decode, need.totalTokens, Math.ceil(ttlMs), (outcome) => {
+    deps.backends.reserve(placement.decode, need.promptTokens + reservedOutputTokens, Math.ceil(ttlMs), (outcome) => {
       if (outcome.kind === 'reserved') {
-        if (responder.isOpen()) prefill(placement, outcome.reservation, release);
+        if (responder.isOpen()) prefill(placement, outcome.reservation, held);
         else {
-          release();
+          held.release();
           deps.backends.dropReservation(placement.decode, outcome.reservation);
         }
         return;
       }
-      release();
+      held.release();
       if (!responder.isOpen()) return;
       if (outcome.kind === 'full') deps.engineLedger.noteFull(placement.decode.id, deps.now());
       else
@@ -198,13 +204,13 @@
   const prefill = (
     placement: Placement,
     reservation: string | undefined,
-    release: () => void,
+    held: HeldMemory,
   ): void => {
     deps.log(2305, {
       id,
       prefill: placement.prefill.id,
       decode: placement.decode.id,
-      tokens: need.totalTokens,
+      promptTokens: need.promptTokens,
       used: deps.engineLedger.total(placement.decode.id, deps.now()).tokens,
       waitedMs: Math.round(deps.now() - ctx.arrivedAt),
     });
@@ -222,7 +228,7 @@
       return true;
     };
     const giveBack = (): void => {
-      release();
+      held.release();
       if (reservation !== undefined)
         deps.backends.dropReservation(placement.decode, reservation);
     };
@@ -240,7 +246,7 @@
           excluded,
         );
       if (again) {
-        prefill({ ...placement, prefill: again.server, prefillMs: again.doneMs }, reservation, release);
+        prefill({ ...placement, prefill: again.server, prefillMs: again.doneMs }, reservation, held);
         return;
       }
       giveBack();
@@ -253,7 +259,7 @@
         return;
       }
       deps.health.note(placement.prefill.id, 'answered', deps.now());
-      decode(placement.decode, outcome.result, reservation, release);
+      decode(placement.decode, outcome.result, reservation, held);
     });
     cancel = () => {
       if (!close()) return;
@@ -272,7 +278,7 @@
     server: BackendServer,
     prefilled: PrefillResult,
     reservation: string | undefined,
-    release: () => void,
+    held: HeldMemory,
   ): void => {
     const splitter = makeEventSplitter();
     const sentAt = deps.now();
@@ -283,7 +289,7 @@
       if (!open) return false;
       open = false;
       clearTimeout(watch);
-      release();
+      held.release();
       return true;
     };
     runs += 1;
@@ -317,7 +323,10 @@
             deps.health.note(server.id, 'answered', deps.now());
           }
           const events = splitter.push(chunk);
-          if (events) pass(events);
+          if (events) {
+            held.grow(engine?.tokensPerEvent ?? 1);
+            pass(events);
+          }
           armWatch();
         },
         end: () => {
--- a/packages/router/src/view-controller.ts
+++ b/packages/router/src/view-controller.ts
@@ -6,8 +6,11 @@
 import type { ServerDirectory } from '@hemlocksill/routing/server-directory.js';
 import type { LogRouterEvent } from './events.js';
 
-/** Longest wait of a watch; a connection that went silent is found within it. */
-const watchWaitMs = 1_000;
+/**
+ * Longest wait of a watch. A connection that went silent is found within it, or sooner from
+ * the revisions that the peers tell.
+ */
+const watchWaitMs = 4_000;
 
 /** Pause before a call to the store that failed is made again. */
 const retryMs = 150;
--- a/packages/routing/src/engine-ledger.ts
+++ b/packages/routing/src/engine-ledger.ts
@@ -1,6 +1,6 @@
-/** Work that one VM has at one engine. */
+/** Work at one engine. */
 export interface EngineLoad {
-  /** Tokens of memory that its running and reserved requests need at most. */
+  /** Tokens of memory that running and reserved requests hold by now. */
   readonly tokens: number;
   readonly requests: number;
   /** Prompt tokens that it has sent to be read and that are not read yet. */
@@ -21,17 +21,27 @@
 /** Time for which an engine that refused work counts as full. */
 const fullRestMs = 60;
 
+/** Output tokens a second of one stream until streams have been seen. */
+export const assumedGrowthPerS = 400;
+
+/** A request's memory at an engine. */
+export interface HeldMemory {
+  /** Counts output tokens that the request has generated. */
+  readonly grow: (tokens: number) => void;
+  /** Ends the count; further calls do nothing. */
+  readonly release: () => void;
+}
+
 /** The work of all VMs at each engine, as far as this VM knows. */
 export interface EngineLedger {
-  readonly addDecode: (server: string, tokens: number) => void;
-  readonly removeDecode: (server: string, tokens: number) => void;
+  readonly addDecode: (server: string, tokens: number) => HeldMemory;
   readonly addPrefill: (server: string, tokens: number) => void;
   readonly removePrefill: (server: string, tokens: number) => void;
   readonly noteFull: (server: string, now: number) => void;
   readonly isFull: (server: string, now: number) => boolean;
   readonly notePeer: (incarnation: string, rows: LoadRows, now: number) => void;
   readonly dropPeer: (incarnation: string) => void;
-  /** Work of all VMs at an engine. */
+  /** Work of all VMs at an engine; that of peers has grown since it was told. */
   readonly total: (server: string, now: number) => EngineLoad;
   readonly ownRows: () => LoadRows;
 }
@@ -44,8 +54,9 @@
  *
  * @example
  * const ledger = makeEngineLedger();
- * ledger.addDecode('i-1', 3_300);
+ * const held = ledger.addDecode('i-1', 3_300);
  * ledger.total('i-1', now).tokens; // 3300
+ * held.release();
  */
 export const makeEngineLedger = (): EngineLedger => {
   const own = new Map<string, [number, number, number]>();
@@ -60,8 +71,23 @@
     else own.set(server, row);
   };
   return {
-    addDecode: (server, tokens) => add(server, tokens, 1, 0),
-    removeDecode: (server, tokens) => add(server, -tokens, -1, 0),
+    addDecode: (server, tokens) => {
+      let held = tokens;
+      let isHeld = true;
+      add(server, tokens, 1, 0);
+      return {
+        grow: (more) => {
+          if (!isHeld) return;
+          held += more;
+          add(server, more, 0, 0);
+        },
+        release: () => {
+          if (!isHeld) return;
+          isHeld = false;
+          add(server, -held, -1, 0);
+        },
+      };
+    },
     addPrefill: (server, tokens) => add(server, 0, 0, tokens),
     removePrefill: (server, tokens) => add(server, 0, 0, -tokens),
     noteFull: (server, now) => {
@@ -82,7 +108,8 @@
       peers.forEach((peer) => {
         const theirs = peer.rows[server];
         if (!theirs || now - peer.heardAt > peerSilentMs) return;
-        tokens += theirs[0];
+        const grownS = (now - peer.heardAt) / 1_000;
+        tokens += theirs[0] + theirs[1] * grownS * assumedGrowthPerS;
         requests += theirs[1];
         prefillTokens += theirs[2];
       });
--- a/packages/routing/src/place-work.ts
+++ b/packages/routing/src/place-work.ts
@@ -1,5 +1,5 @@
 import type { BackendServer, EngineLimits } from '@hemlocksill/types/routing.js';
-import type { EngineLedger } from './engine-ledger.js';
+import { assumedGrowthPerS, type EngineLedger } from './engine-ledger.js';
 import type { ServerHealth } from './server-health.js';
 
 /** Load share that a backend server in the VM's own data centre may have on top. */
@@ -22,24 +22,35 @@
   readonly now: number;
 }
 
+/**
+ * Time for which running streams must be able to grow before one of them ends. Streams of a
+ * full engine end several times a second and free more than the others need.
+ */
+const growthMs = 1_000;
+
 /** A request that needs an engine's memory. */
 export interface EngineNeed {
   readonly promptTokens: number;
-  /** Memory of the prompt and of the output that is expected. */
-  readonly totalTokens: number;
+  /** Memory of the prompt and of the longest output that is allowed. */
+  readonly mostTokens: number;
 }
 
+/** Memory that must stay free for the growth of the streams that run at an engine. */
+export const headroomFor = (requests: number): number =>
+  Math.ceil((requests * assumedGrowthPerS * growthMs) / 1_000);
+
 const isOpen = (server: BackendServer, view: PlacementView): boolean =>
   !view.health.isResting(server.id, view.now);
 
 /**
- * Chooses the decode engine with the most free memory that can hold the whole request.
+ * Chooses the decode engine with the most free memory.
  *
- * Load pattern: prompts of uneven size fill engines whose slots are mostly free; an engine
- * chosen by its free slots rejects the request after its prompt was read.
+ * Load pattern: prompts of uneven size fill engines whose slots are mostly free, and outputs
+ * end long before they reach their allowed length. Memory is counted as it is used, prompt
+ * and output so far: reserving the longest output would leave a third of it idle.
  *
  * @example
- * chooseDecode(servers, { promptTokens: 3_000, totalTokens: 3_100 }, limits, view, new Set());
+ * chooseDecode(servers, { promptTokens: 3_000, mostTokens: 6_060 }, limits, view, new Set());
  */
 export const chooseDecode = (
   servers: readonly BackendServer[],
@@ -55,7 +66,8 @@
     if (view.ledger.isFull(server.id, view.now)) return;
     const load = view.ledger.total(server.id, view.now);
     if (load.requests >= limits.slots) return;
-    if (load.tokens + need.totalTokens > limits.memoryTokens) return;
+    const needed = load.tokens + need.promptTokens + headroomFor(load.requests + 1);
+    if (needed > limits.memoryTokens) return;
     const taken = load.tokens / limits.memoryTokens;
     const far = server.dataCentre === view.dataCentre ? 0 : sameDataCentreBonus;
     const score = taken + far + failureWeight * view.health.failureShare(server.id);
--- a/packages/types/src/routing.ts
+++ b/packages/types/src/routing.ts
@@ -37,6 +37,8 @@
   readonly slots: number;
   /** Tokens that the memory of one engine holds. */
   readonly memoryTokens: number;
+  /** Output tokens that one event of a stream holds. */
+  readonly tokensPerEvent: number;
   /** Time that a prefill result is kept for its decode engine. */
   readonly prefillTtlMs: number;
   /** Longest time that memory may be reserved ahead of a request; 0 where it may not. */
