--- a/packages/config/src/router-settings.ts
+++ b/packages/config/src/router-settings.ts
@@ -27,6 +27,8 @@
   readonly retryWindowMs: number;
   /** Cost that a workspace's window may hold beyond rate and burst. */
   readonly quotaSlack: number;
+  /** Window in which a workspace's rate is judged. */
+  readonly quotaWindowMs: number;
   /** Bound on the time until a configuration is in force. */
   readonly configApplyMs: number;
   readonly logLevel: 'debug' | 'info' | 'warn' | 'error';
@@ -56,6 +58,7 @@
   'retry-slack': decimal.default(50),
   'retry-window-s': decimal.default(10),
   'quota-slack': decimal.default(0),
+  'quota-window-s': decimal.default(8),
   'config-apply-ms': wholeNumber(1, 600_000).default(2_000),
   'log-level': z.enum(['debug', 'info', 'warn', 'error']).default('info'),
 });
@@ -84,6 +87,7 @@
     retrySlack: v['retry-slack'],
     retryWindowMs: v['retry-window-s'] * millisecondsPerSecond,
     quotaSlack: v['quota-slack'],
+    quotaWindowMs: v['quota-window-s'] * millisecondsPerSecond,
     configApplyMs: v['config-apply-ms'],
     logLevel: v['log-level'],
   }));
--- a/packages/router/src/events.ts
+++ b/packages/router/src/events.ts
@@ -26,6 +26,7 @@
   2201: { level: 'info', text: 'peer heard' },
   2202: { level: 'warn', text: 'peer silent' },
   2203: { level: 'warn', text: 'peer message not readable' },
+  2204: { level: 'info', text: 'role towards the store changed' },
   2301: { level: 'info', text: 'request answered' },
   2302: { level: 'info', text: 'request refused' },
   2303: { level: 'warn', text: 'request failed' },
--- a/packages/router/src/gossip-message.ts
+++ b/packages/router/src/gossip-message.ts
@@ -2,58 +2,74 @@
 import type { AdmittedTotals } from '@hemlocksill/routing/fleet-quota.js';
 import type { SeenRevisions } from './view-controller.js';
 
-/** What a VM tells the others about itself; a newer one replaces all before it. */
-export interface GossipMessage {
-  readonly vm: string;
+/** Whether a VM follows the store itself, or learns changes from those that do. */
+export type ViewRole = 'watcher' | 'reader';
+
+/** What changes often at a VM. */
+export interface LoadUpdate {
   /** Names one run of the process. */
   readonly incarnation: string;
   readonly sequence: number;
-  /** Address of the VM's peer interface, as IP:port. */
-  readonly address: string;
   readonly seen: SeenRevisions;
   readonly loads: LoadRows;
+  /** Totals since the start of the process; an update holds those that changed. */
   readonly admitted: AdmittedTotals;
   /** Tokens of streams that wait at the VM, by service. */
   readonly waiting: Readonly<Record<string, number>>;
   /** Whether the process is about to end. */
   readonly isLeaving: boolean;
+  readonly role: ViewRole;
+  readonly isStoreReachable: boolean;
 }
 
-type Row = [
-  string,
-  string,
-  number,
-  string,
-  number,
-  number,
-  LoadRows,
-  AdmittedTotals,
-  Record<string, number>,
-  number,
+/** A VM's whole account of itself, sent regularly; updates between them are smaller. */
+export interface GossipMessage extends LoadUpdate {
+  readonly vm: string;
+  /** Address of the VM's peer interface, as IP:port. */
+  readonly address: string;
+}
+
+/** A message as it is read from the wire. */
+export type Gossip =
+  | { readonly kind: 'whole'; readonly message: GossipMessage }
+  | { readonly kind: 'update'; readonly update: LoadUpdate };
+
+const leavingFlag = 1;
+const watcherFlag = 2;
+const reachableFlag = 4;
+
+const updateLength = 8;
+const wholeLength = 10;
+
+const encodeFlags = (u: LoadUpdate): number =>
+  (u.isLeaving ? leavingFlag : 0) +
+  (u.role === 'watcher' ? watcherFlag : 0) +
+  (u.isStoreReachable ? reachableFlag : 0);
+
+const encodeRow = (u: LoadUpdate): unknown[] => [
+  u.incarnation,
+  u.sequence,
+  u.seen.config,
+  u.seen.servers,
+  u.loads,
+  u.admitted,
+  u.waiting,
+  encodeFlags(u),
 ];
 
-/** Encodes a message; fields go by position, since it is sent many times a second. */
-export const encodeGossip = (m: GossipMessage): Buffer =>
-  Buffer.from(
-    JSON.stringify([
-      m.vm,
-      m.incarnation,
-      m.sequence,
-      m.address,
-      m.seen.config,
-      m.seen.servers,
-      m.loads,
-      m.admitted,
-      m.waiting,
-      m.isLeaving ? 1 : 0,
-    ]),
-  );
+/** Encodes an update; fields go by position, since it is sent many times a second. */
+export const encodeUpdate = (update: LoadUpdate): Buffer =>
+  Buffer.from(JSON.stringify(encodeRow(update)));
+
+/** Encodes a whole message. */
+export const encodeGossip = (message: GossipMessage): Buffer =>
+  Buffer.from(JSON.stringify([...encodeRow(message), message.vm, message.address]));
 
 const isRecord = (value: unknown): value is Record<string, unknown> =>
   typeof value === 'object' && value !== null && !Array.isArray(value);
 
 const areNumbers = (value: unknown): value is Record<string, number> =>
-  isRecord(value) && Object.values(value).every((n) => typeof n === 'number' && Number.isFinite(n));
+  isRecord(value) && Object.values(value).every((n) => Number.isFinite(n));
 
 const areLoads = (value: unknown): value is LoadRows =>
   isRecord(value) &&
@@ -61,20 +77,25 @@
     (row) => Array.isArray(row) && row.length === 3 && row.every((n) => Number.isFinite(n)),
   );
 
-const isRow = (row: unknown): row is Row =>
-  Array.isArray(row) &&
-  row.length === 10 &&
-  typeof row[0] === 'string' &&
-  typeof row[1] === 'string' &&
-  Number.isFinite(row[2]) &&
-  typeof row[3] === 'string' &&
-  /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/.test(row[3]) &&
-  Number.isFinite(row[4]) &&
-  Number.isFinite(row[5]) &&
-  areLoads(row[6]) &&
-  areNumbers(row[7]) &&
-  areNumbers(row[8]) &&
-  Number.isFinite(row[9]);
+const hasFlag = (flags: number, flag: number): boolean => Math.floor(flags / flag) % 2 === 1;
+
+const decodeUpdate = (row: readonly unknown[]): LoadUpdate | undefined => {
+  const [incarnation, sequence, config, servers, loads, admitted, waiting, flags] = row;
+  if (typeof incarnation !== 'string') return undefined;
+  if (![sequence, config, servers, flags].every((n) => Number.isFinite(n))) return undefined;
+  if (!areLoads(loads) || !areNumbers(admitted) || !areNumbers(waiting)) return undefined;
+  return {
+    incarnation,
+    sequence: Number(sequence),
+    seen: { config: Number(config), servers: Number(servers) },
+    loads,
+    admitted,
+    waiting,
+    isLeaving: hasFlag(Number(flags), leavingFlag),
+    role: hasFlag(Number(flags), watcherFlag) ? 'watcher' : 'reader',
+    isStoreReachable: hasFlag(Number(flags), reachableFlag),
+  };
+};
 
 /**
  * Decodes a message; undefined where the bytes are none.
@@ -82,23 +103,20 @@
  * @example
  * decodeGossip(Buffer.from('x')); // undefined
  */
-export const decodeGossip = (bytes: Buffer): GossipMessage | undefined => {
+export const decodeGossip = (bytes: Buffer): Gossip | undefined => {
   let row: unknown;
   try {
     row = JSON.parse(bytes.toString('utf8'));
   } catch {
     return undefined;
   }
-  if (!isRow(row)) return undefined;
-  return {
-    vm: row[0],
-    incarnation: row[1],
-    sequence: row[2],
-    address: row[3],
-    seen: { config: row[4], servers: row[5] },
-    loads: row[6],
-    admitted: row[7],
-    waiting: row[8],
-    isLeaving: row[9] !== 0,
-  };
+  if (!Array.isArray(row)) return undefined;
+  const update = decodeUpdate(row);
+  if (!update) return undefined;
+  if (row.length === updateLength) return { kind: 'update', update };
+  const [vm, address] = row.slice(updateLength) as unknown[];
+  if (row.length !== wholeLength || typeof vm !== 'string' || typeof address !== 'string')
+    return undefined;
+  if (!/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/.test(address)) return undefined;
+  return { kind: 'whole', message: { ...update, vm, address } };
 };
--- a/packages/router/src/handle-call.ts
+++ b/packages/router/src/handle-call.ts
@@ -23,6 +23,8 @@
   readonly status: 400 | 401 | 404 | 413 | 429 | 431 | 503;
   readonly reason: string;
   readonly retryMs?: number;
+  readonly workspace?: string;
+  readonly cost?: number;
 }
 
 /** A request as far as the filters have read it. */
@@ -111,7 +113,7 @@
   const cost = costOf(facts, workspace);
   const { admitted, retryAfterMs } = deps.quota.tryAdmit(workspace.name, workspace, cost, now);
   if (admitted) return ok(cost);
-  return err({ status: 429, reason: 'the workspace is over its rate', retryMs: retryAfterMs });
+  return err({ status: 429, reason: 'the workspace is over its rate', retryMs: retryAfterMs, workspace: workspace.name, cost });
 };
 
 const readBody = (
@@ -137,6 +139,8 @@
     status: why.status,
     reason: why.reason,
     version: deps.table()?.config.version ?? null,
+    workspace: why.workspace,
+    cost: why.cost,
     method: req.method,
     port: req.socket.remotePort,
   });
--- a/packages/router/src/peer-views.ts
+++ b/packages/router/src/peer-views.ts
@@ -3,21 +3,26 @@
 import { JSONRPCServer } from 'json-rpc-2.0';
 import { err, ok, type Result } from 'neverthrow';
 import type { Endpoint } from '@hemlocksill/config/settings.js';
-import type { RawView } from './view-controller.js';
+import type { RawView, SeenRevisions } from './view-controller.js';
 
 /** Time for a peer's answer. */
 const callMs = 800;
 
 const rpcPath = '/rpc';
 
+const readSeen = (params: unknown): SeenRevisions => {
+  const seen = params as Partial<SeenRevisions> | undefined;
+  return { config: Number(seen?.config ?? 0), servers: Number(seen?.servers ?? 0) };
+};
+
 /** Serves this VM's view to others. */
 export const servePeerViews = (
   at: Endpoint,
-  raw: () => RawView,
+  rawSince: (seen: SeenRevisions) => RawView,
   onError: (error: Error) => void,
 ): ServerType => {
   const rpc = new JSONRPCServer();
-  rpc.addMethod('getView', () => raw());
+  rpc.addMethod('getView', (seen) => rawSince(readSeen(seen)));
   const app = new Hono();
   app.post(rpcPath, async (c) => {
     const answer = await rpc.receiveJSON(await c.req.text());
@@ -34,17 +39,20 @@
 };
 
 /**
- * Asks a peer for its view.
+ * Asks a peer for what it knows beyond some revisions.
  *
  * @example
- * await fetchPeerView('10.1.0.25:8229');
+ * await fetchPeerView('10.1.0.25:8229', { config: 0, servers: 0 });
  */
-export const fetchPeerView = async (address: string): Promise<Result<RawView, string>> => {
+export const fetchPeerView = async (
+  address: string,
+  seen: SeenRevisions,
+): Promise<Result<RawView, string>> => {
   try {
     const res = await fetch(`http://${address}${rpcPath}`, {
       method: 'POST',
       headers: { 'content-type': 'application/json' },
-      body: JSON.stringify({ jsonrpc: '2.0', id: 1, method: 'getView' }),
+      body: JSON.stringify({ jsonrpc: '2.0', id: 1, method: 'getView', params: seen }),
       signal: AbortSignal.timeout(callMs),
     });
     const { result } = (await res.json()) as { result?: unknown };
--- a/packages/router/src/peers-controller.ts
+++ b/packages/router/src/peers-controller.ts
@@ -2,19 +2,33 @@
 import { err, ok, type Result } from 'neverthrow';
 import type { Endpoint } from '@hemlocksill/config/settings.js';
 import type { Store } from '@hemlocksill/types/ports.js';
-import { decodeGossip, encodeGossip, type GossipMessage } from './gossip-message.js';
+import { shouldWatch } from '@hemlocksill/routing/choose-watchers.js';
+import {
+  decodeGossip,
+  encodeGossip,
+  encodeUpdate,
+  type GossipMessage,
+  type LoadUpdate,
+} from './gossip-message.js';
+import type { AdmittedTotals } from '@hemlocksill/routing/fleet-quota.js';
 import type { LogRouterEvent } from './events.js';
 import { fetchPeerView } from './peer-views.js';
 import type { ViewController } from './view-controller.js';
 
-/** Time between two messages while nothing changes. */
+/** Time between two whole messages of a VM that follows the store, or of a small fleet. */
 const heartbeatMs = 500;
 
+/** Time between two whole messages for each VM of a larger fleet. */
+const heartbeatPerVmMs = 25;
+
 /** Time for which changes are gathered into one message. */
 const gatherMs = 5;
 
-/** Silence after which a peer's work and share no longer count. */
-const silentMs = 2_000;
+/** Heartbeats that may be missed before a peer counts as silent. */
+const missedHeartbeats = 3;
+
+/** Silence after which a VM that follows the store is no longer relied on. */
+const watcherSilentMs = 1_100;
 
 /** Silence after which a peer is no longer sent to. */
 const forgottenMs = 60_000;
@@ -38,8 +52,7 @@
   sequence: number;
   address: string;
   heardAt: number;
-  seen: GossipMessage['seen'];
-  waiting: GossipMessage['waiting'];
+  last: LoadUpdate;
   isSilent: boolean;
 }
 
@@ -50,6 +63,8 @@
   /** Tells the others soon that something changed. */
   readonly noteChange: () => void;
   readonly tick: (now: number) => void;
+  /** Whether this VM follows the store itself. */
+  readonly isWatcher: () => boolean;
   /** VMs that are believed to run, this one included. */
   readonly countVms: () => number;
   /** Share of these that were heard lately, this one included. */
@@ -66,8 +81,8 @@
   readonly vmPrefix: string;
   readonly store: Store;
   readonly view: ViewController;
-  readonly describe: () => Pick<GossipMessage, 'loads' | 'admitted' | 'waiting' | 'isLeaving'>;
-  readonly onHeard: (message: GossipMessage, now: number) => void;
+  readonly describe: () => Pick<LoadUpdate, 'loads' | 'admitted' | 'waiting'>;
+  readonly onHeard: (update: LoadUpdate, now: number) => void;
   readonly onGone: (incarnation: string) => void;
   readonly log: LogRouterEvent;
   readonly now: () => number;
@@ -87,11 +102,16 @@
   const { log, view } = deps;
   const own = `${deps.at.host}:${deps.at.port}`;
   const peers = new Map<string, Peer>();
+  const byIncarnation = new Map<string, Peer>();
   /** Addresses that may hold a VM that was not heard yet. */
   const candidates = new Set<string>();
   const socket = createSocket('udp4');
   let sequence = 0;
-  let sentAt = 0;
+  let wholeAt = Number.NEGATIVE_INFINITY;
+  let watching = true;
+  /** Whether the next message must be whole. */
+  let greet = true;
+  let told: AdmittedTotals = {};
   let gather: NodeJS.Timeout | undefined;
   let stopped = false;
   let lagSince: number | undefined;
@@ -104,19 +124,39 @@
     return all;
   };
 
-  const send = (): void => {
+  const periodMs = (): number =>
+    watching ? heartbeatMs : Math.max(heartbeatMs, (peers.size + 1) * heartbeatPerVmMs);
+
+  /** Keeps the totals that changed since they were last sent. */
+  const selectChanged = (admitted: AdmittedTotals): AdmittedTotals => {
+    const changed = Object.entries(admitted).filter(([name, total]) => told[name] !== total);
+    told = { ...admitted };
+    return Object.fromEntries(changed);
+  };
+
+  const send = (isLeaving = false): void => {
     gather = undefined;
     if (stopped) return;
-    sentAt = deps.now();
+    const now = deps.now();
+    const isWhole = isLeaving || now - wholeAt >= periodMs() || greet;
+    if (isWhole) wholeAt = now;
+    greet = false;
     sequence += 1;
-    const bytes = encodeGossip({
-      vm: deps.vm,
+    const described = deps.describe();
+    const changed = selectChanged(described.admitted);
+    const update: LoadUpdate = {
       incarnation: deps.incarnation,
       sequence,
-      address: own,
       seen: view.seen(),
-      ...deps.describe(),
-    });
+      ...described,
+      admitted: isWhole ? described.admitted : changed,
+      isLeaving,
+      role: watching ? 'watcher' : 'reader',
+      isStoreReachable: view.isStoreReachable(),
+    };
+    const bytes = isWhole
+      ? encodeGossip({ ...update, vm: deps.vm, address: own })
+      : encodeUpdate(update);
     targets().forEach((address) => {
       const [host = '', port] = address.split(':');
       // A lost message is replaced by the next one.
@@ -126,83 +166,129 @@
 
   const noteChange = (): void => {
     if (gather || stopped) return;
-    gather = setTimeout(send, gatherMs);
+    gather = setTimeout(() => send(), gatherMs);
   };
 
-  const hear = (message: GossipMessage): void => {
-    if (message.vm === deps.vm && message.incarnation === deps.incarnation) return;
+  const greetAll = (): void => {
+    greet = true;
+    noteChange();
+  };
+
+  const forget = (peer: Peer): void => {
+    peers.delete(peer.vm);
+    byIncarnation.delete(peer.incarnation);
+    deps.onGone(peer.incarnation);
+  };
+
+  const take = (peer: Peer, update: LoadUpdate): void => {
+    if (peer.sequence >= update.sequence) return;
     const now = deps.now();
+    if (peer.isSilent) log(2201, { peer: peer.vm, incarnation: peer.incarnation });
+    peer.sequence = update.sequence;
+    peer.heardAt = now;
+    peer.last = update;
+    peer.isSilent = false;
+    if (update.isLeaving) {
+      forget(peer);
+      return;
+    }
+    deps.onHeard(update, now);
+    catchUp(now);
+  };
+
+  const hearWhole = (message: GossipMessage): void => {
+    if (message.incarnation === deps.incarnation) return;
     const known = peers.get(message.vm);
-    const isSame = known?.incarnation === message.incarnation;
-    if (known && isSame && known.sequence >= message.sequence) return;
-    if (known && !isSame) deps.onGone(known.incarnation);
-    if (!isSame || known?.isSilent) log(2201, { peer: message.vm, incarnation: message.incarnation });
+    if (known && known.incarnation !== message.incarnation) forget(known);
     candidates.delete(message.address);
-    peers.set(message.vm, {
+    const current = peers.get(message.vm);
+    if (current) {
+      take(current, message);
+      return;
+    }
+    const peer: Peer = {
       vm: message.vm,
       incarnation: message.incarnation,
-      sequence: message.sequence,
+      sequence: 0,
       address: message.address,
-      heardAt: now,
-      seen: message.seen,
-      waiting: message.waiting,
+      heardAt: deps.now(),
+      last: message,
       isSilent: false,
-    });
-    if (message.isLeaving) {
-      peers.delete(message.vm);
-      deps.onGone(message.incarnation);
-      return;
-    }
-    deps.onHeard(message, now);
+    };
+    log(2201, { peer: message.vm, incarnation: message.incarnation });
+    peers.set(message.vm, peer);
+    byIncarnation.set(message.incarnation, peer);
+    take(peer, message);
     // A VM that is new here does not know this one either.
-    if (!isSame) noteChange();
+    greetAll();
   };
 
   const fetchFrom = async (address: string): Promise<void> => {
     fetchedAt = deps.now();
-    const got = await fetchPeerView(address);
+    const got = await fetchPeerView(address, view.seen());
     if (got.isErr()) {
       log(2110, { peer: address, reason: got.error });
       return;
     }
     log(2108, { peer: address, servers: got.value.servers.length });
     view.merge(got.value);
+    fetchedAt = 0;
   };
 
   const isAhead = (peer: Peer): boolean => {
     const seen = view.seen();
-    return peer.seen.config > seen.config || peer.seen.servers > seen.servers;
+    return peer.last.seen.config > seen.config || peer.last.seen.servers > seen.servers;
   };
 
+  const pickOne = <T>(list: readonly T[]): T | undefined =>
+    list[Math.floor(Math.random() * list.length)];
+
   /** Fetches a view that is ahead, or any view while this VM has none and no store. */
   const catchUp = (now: number): void => {
     if (now - fetchedAt < fetchPauseMs) return;
-    const heard = [...peers.values()].filter((peer) => !peer.isSilent);
-    const ahead = heard.find(isAhead);
+    const ahead = pickOne([...peers.values()].filter((peer) => !peer.isSilent && isAhead(peer)));
     if (ahead) {
       lagSince ??= now;
-      if (now - lagSince > viewLagMs) void fetchFrom(ahead.address);
+      // A VM that watches hears the same change itself at about the same time.
+      if (!watching || now - lagSince > viewLagMs) void fetchFrom(ahead.address);
       return;
     }
     lagSince = undefined;
     if (view.isComplete() || view.isStoreReachable()) return;
-    const all = [...targets()];
-    const pick = all[Math.floor(Math.random() * all.length)];
+    const pick = pickOne([...targets()]);
     if (pick !== undefined) void fetchFrom(pick);
   };
 
+  const silentMs = (peer: Peer): number => {
+    const slow = Math.max(heartbeatMs, (peers.size + 1) * heartbeatPerVmMs);
+    return (peer.last.role === 'watcher' ? heartbeatMs : slow) * missedHeartbeats;
+  };
+
   const watchSilence = (now: number): void =>
     peers.forEach((peer) => {
       const silence = now - peer.heardAt;
-      if (silence > forgottenMs) {
-        peers.delete(peer.vm);
-        deps.onGone(peer.incarnation);
-      } else if (silence > silentMs && !peer.isSilent) {
+      if (silence > forgottenMs) forget(peer);
+      else if (silence > silentMs(peer) && !peer.isSilent) {
         peer.isSilent = true;
         log(2202, { peer: peer.vm, silenceMs: Math.round(silence) });
       }
     });
 
+  const chooseRole = (now: number): void => {
+    const others = [...peers.values()].map((peer) => ({
+      incarnation: peer.incarnation,
+      isStoreReachable: peer.last.isStoreReachable,
+      isWatcher: peer.last.role === 'watcher',
+      isFresh: now - peer.heardAt < (peer.last.role === 'watcher' ? watcherSilentMs : silentMs(peer)),
+    }));
+    const { incarnation } = deps;
+    const next = shouldWatch({ incarnation, isStoreReachable: view.isStoreReachable() }, others);
+    if (next === watching) return;
+    watching = next;
+    log(2204, { role: next ? 'watcher' : 'reader', heard: others.filter((vm) => vm.isFresh).length });
+    greetAll();
+  };
+
   const pause = (ms: number): Promise<void> =>
     new Promise((resolve) => {
       setTimeout(resolve, ms);
@@ -239,7 +325,7 @@
         listed.value.entries.forEach((entry) => {
           if (addressPattern.test(entry.value)) candidates.add(entry.value);
         });
-        noteChange();
+        greetAll();
       }
       if (entered.isOk() && listed.isOk()) return;
       await pause(entryRetryMs);
@@ -250,19 +336,23 @@
     start: () => {
       deps.seeds.forEach((seed) => candidates.add(`${seed.host}:${seed.port}`));
       socket.on('message', (bytes, from) => {
-        const message = decodeGossip(bytes);
-        if (message) hear(message);
-        else log(2203, { from: from.address, bytes: bytes.length });
+        const gossip = decodeGossip(bytes);
+        if (!gossip) log(2203, { from: from.address, bytes: bytes.length });
+        else if (gossip.kind === 'whole') hearWhole(gossip.message);
+        else {
+          const peer = byIncarnation.get(gossip.update.incarnation);
+          if (peer) take(peer, gossip.update);
+        }
       });
       socket.on('error', (error) => log(2203, { reason: error.message }));
       socket.bind(deps.at.port, deps.at.host, () => {
-        noteChange();
+        greetAll();
         void enter();
       });
     },
     stop: async () => {
       if (gather) clearTimeout(gather);
-      send();
+      send(true);
       stopped = true;
       await pause(1);
       socket.close();
@@ -270,9 +360,11 @@
     noteChange,
     tick: (now) => {
       watchSilence(now);
+      chooseRole(now);
       catchUp(now);
-      if (now - sentAt >= heartbeatMs) noteChange();
+      if (now - wholeAt >= periodMs()) noteChange();
     },
+    isWatcher: () => watching,
     countVms: () => peers.size + 1,
     heardShare: () => {
       const heard = [...peers.values()].filter((peer) => !peer.isSilent).length;
@@ -280,7 +372,7 @@
     },
     waitingTokens: (service) =>
       [...peers.values()].reduce(
-        (sum, peer) => (peer.isSilent ? sum : sum + (peer.waiting[service] ?? 0)),
+        (sum, peer) => (peer.isSilent ? sum : sum + (peer.last.waiting[service] ?? 0)),
         0,
       ),
   };
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -97,7 +97,11 @@
   const health = makeServerHealth();
   const engineLedger = makeEngineLedger();
   const plainLedger = makeEngineLedger();
-  const quota = makeFleetQuota(settings.quotaSlack, settings.isFirstStart);
+  const quota = makeFleetQuota(
+    { windowMs: settings.quotaWindowMs, slack: settings.quotaSlack },
+    settings.isFirstStart,
+    now(),
+  );
   const pace = makeStreamPace();
   const repeats = new Map<string, RetryWindow>();
   let leaving = false;
@@ -109,6 +113,7 @@
     directory,
     log,
     now,
+    isWatcher: () => peers.isWatcher(),
     onChange: () => {
       applyLimits();
       peers.noteChange();
@@ -143,11 +148,10 @@
       loads: engineLedger.ownRows(),
       admitted: quota.totals(),
       waiting: describeWaiting(),
-      isLeaving: false,
     }),
-    onHeard: (message, at) => {
-      engineLedger.notePeer(message.incarnation, message.loads, at);
-      quota.notePeer(message.incarnation, message.admitted, at);
+    onHeard: (update, at) => {
+      engineLedger.notePeer(update.incarnation, update.loads, at);
+      quota.notePeer(update.incarnation, update.admitted, at);
       if (queue.size() > 0) queue.review(at);
     },
     onGone: (gone) => engineLedger.dropPeer(gone),
@@ -235,7 +239,7 @@
     }),
   );
 
-  const peerServer = servePeerViews(settings.peers, view.raw, (error) =>
+  const peerServer = servePeerViews(settings.peers, view.rawSince, (error) =>
     log(2005, { reason: error.message }),
   );
 
--- a/packages/router/src/view-controller.ts
+++ b/packages/router/src/view-controller.ts
@@ -12,6 +12,9 @@
  */
 const watchWaitMs = 4_000;
 
+/** Pause between two looks at whether this VM is to follow the store. */
+const idleMs = 50;
+
 /** Pause before a call to the store that failed is made again. */
 const retryMs = 150;
 
@@ -37,7 +40,8 @@
   readonly isComplete: () => boolean;
   readonly isStoreReachable: () => boolean;
   readonly seen: () => SeenRevisions;
-  readonly raw: () => RawView;
+  /** What is known beyond some revisions. */
+  readonly rawSince: (seen: SeenRevisions) => RawView;
   /** Takes what a peer knows into account, as far as it is newer. */
   readonly merge: (view: RawView) => void;
 }
@@ -49,6 +53,8 @@
   readonly directory: ServerDirectory;
   readonly log: LogRouterEvent;
   readonly now: () => number;
+  /** Whether this VM follows the store itself. */
+  readonly isWatcher: () => boolean;
   readonly onChange: () => void;
 }
 
@@ -173,6 +179,10 @@
         else await sleep(retryMs);
         continue;
       }
+      if (!deps.isWatcher()) {
+        await sleep(idleMs);
+        continue;
+      }
       const answer = await store.watch(prefix, after, watchWaitMs);
       if (answer.isErr()) {
         noteStore(false, answer.error);
@@ -213,7 +223,11 @@
     isComplete: () => table !== undefined && hasServers,
     isStoreReachable: () => reachable,
     seen: () => ({ config: rawConfig?.revision ?? 0, servers: newestOf(rawServers, removed) }),
-    raw: () => ({ config: rawConfig, servers: [...rawServers.values()], removed: [...removed] }),
+    rawSince: (seen) => ({
+      config: rawConfig && rawConfig.revision > seen.config ? rawConfig : undefined,
+      servers: [...rawServers.values()].filter((entry) => entry.revision > seen.servers),
+      removed: [...removed].filter(([, revision]) => revision > seen.servers),
+    }),
     merge: (view) => {
       if (view.config) takeConfig(view.config, 'peer');
       view.servers.forEach((entry) => takeServer(entry, 'peer'));
--- a/packages/routing/src/engine-ledger.ts
+++ b/packages/routing/src/engine-ledger.ts
@@ -15,8 +15,8 @@
   heardAt: number;
 }
 
-/** Time after which a silent peer's work no longer counts; its requests end with it. */
-const peerSilentMs = 2_000;
+/** Time after which the work of a peer that is not heard no longer counts. */
+const peerSilentMs = 7_000;
 
 /** Time for which an engine that refused work counts as full. */
 const fullRestMs = 60;
--- a/packages/routing/src/fleet-quota.ts
+++ b/packages/routing/src/fleet-quota.ts
@@ -1,5 +1,12 @@
-/** Part of a window's slack that a bucket may hold beyond its burst. */
-const slackShare = 0.25;
+import { makeSpendWindow, type SpendWindow } from './spend-window.js';
+
+/**
+ * Part of a window's slack that a bucket may hold beyond its burst, and part that a VM which
+ * starts in the middle of a day may hand out at once. What is left of the slack covers
+ * requests that are admitted before the VMs hear of each other's.
+ */
+const bucketSlackShare = 0.55;
+const startSlackShare = 0.12;
 
 /** The rate of a workspace, in cost units. */
 export interface QuotaLimit {
@@ -7,26 +14,39 @@
   readonly burst: number;
 }
 
+/** The window in which the rate is judged. */
+export interface QuotaWindow {
+  readonly windowMs: number;
+  /** Cost that a window may hold beyond rate and burst. */
+  readonly slack: number;
+}
+
 interface Bucket {
-  level: number;
+  /** Undefined while full, until the workspace's limit is met for the first time. */
+  level: number | undefined;
   filledAt: number;
-  limit: QuotaLimit;
+  readonly spent: SpendWindow;
 }
 
-/** What a VM has admitted for a workspace since it started. */
+/** What a VM has admitted for each workspace since it started. */
 export type AdmittedTotals = Readonly<Record<string, number>>;
 
+/** An answer to a request for admission. */
+export interface Admission {
+  readonly admitted: boolean;
+  /** Time until the request would fit; 0 where it is admitted. */
+  readonly retryAfterMs: number;
+}
+
 /** Limits workspaces over all VMs together, each VM holding a replica of every bucket. */
 export interface FleetQuota {
-  /** Charges a request; otherwise tells in how many milliseconds it would fit. */
+  /** Charges a request, or tells when it would fit. */
   readonly tryAdmit: (
     workspace: string,
     limit: QuotaLimit,
     cost: number,
     now: number,
-  ) => { readonly admitted: boolean; readonly retryAfterMs: number };
-  /** Gives back the cost of a request that did not run. */
-  readonly refund: (workspace: string, cost: number) => void;
+  ) => Admission;
   /** Takes what a peer's incarnation says it has admitted in all. */
   readonly notePeer: (incarnation: string, totals: AdmittedTotals, now: number) => void;
   readonly totals: () => AdmittedTotals;
@@ -37,83 +57,91 @@
 /**
  * Makes the limiter of a VM.
  *
- * Load pattern: one workspace sends many times its rate through all VMs at once. Totals are
- * cumulative, so that a lost or doubled message changes nothing for long. A VM that starts
- * in the middle of a day can't know what was just admitted and begins nearly empty.
+ * Load pattern: one workspace sends many times its rate through all VMs at once, others send
+ * a few large requests in a burst. A request is admitted while the window holds less than
+ * rate and burst allow, or while the bucket has tokens. Totals are cumulative, so that a lost
+ * or doubled message changes nothing for long. A VM that starts in the middle of a day can't
+ * know the window before and begins with little.
  *
- * @param slack - cost that a window may hold beyond rate and burst
  * @param startsFull - whether nothing can have been admitted before
  * @example
- * const quota = makeFleetQuota(140_000, true);
+ * const quota = makeFleetQuota({ windowMs: 8_000, slack: 140_000 }, true, now);
  * quota.tryAdmit('forge', { ratePerS: 100, burst: 50 }, 20, now).admitted; // true
  */
-export const makeFleetQuota = (slack: number, startsFull: boolean): FleetQuota => {
+export const makeFleetQuota = (
+  window: QuotaWindow,
+  startsFull: boolean,
+  startedAt: number,
+): FleetQuota => {
+  const { windowMs, slack } = window;
   const buckets = new Map<string, Bucket>();
   const own: Record<string, number> = {};
   const peers = new Map<string, Record<string, number>>();
-  const unclaimed = new Map<string, number>();
   let heardShare = 1;
 
-  const capacityOf = (limit: QuotaLimit): number => limit.burst + slack * slackShare;
+  const capacityOf = (limit: QuotaLimit): number =>
+    (limit.burst + slack * bucketSlackShare) * heardShare;
 
-  const refill = (bucket: Bucket, limit: QuotaLimit, now: number): void => {
+  const getBucket = (workspace: string): Bucket => {
+    const known = buckets.get(workspace);
+    if (known) return known;
+    const bucket: Bucket = {
+      level: startsFull ? undefined : slack * startSlackShare,
+      filledAt: startedAt,
+      spent: makeSpendWindow(windowMs),
+    };
+    buckets.set(workspace, bucket);
+    return bucket;
+  };
+
+  /** Refills a bucket and returns its level. */
+  const refill = (bucket: Bucket, limit: QuotaLimit, now: number): number => {
     const elapsedS = Math.max(0, now - bucket.filledAt) / 1_000;
-    bucket.level = Math.min(
-      capacityOf(limit),
-      bucket.level + elapsedS * limit.ratePerS * heardShare,
-    );
+    const before = bucket.level ?? capacityOf(limit) - bucket.spent.sum(now);
+    const refilled = before + elapsedS * limit.ratePerS * heardShare;
+    const level = Math.min(capacityOf(limit), refilled);
+    bucket.level = level;
     bucket.filledAt = now;
-    bucket.limit = limit;
+    return level;
   };
 
-  const openBucket = (workspace: string, limit: QuotaLimit, now: number): Bucket => {
-    const known = buckets.get(workspace);
-    if (known) {
-      refill(known, limit, now);
-      return known;
-    }
-    const start = startsFull ? capacityOf(limit) : slack * slackShare;
-    const bucket = { level: start - (unclaimed.get(workspace) ?? 0), filledAt: now, limit };
-    unclaimed.delete(workspace);
-    buckets.set(workspace, bucket);
-    return bucket;
+  const spend = (bucket: Bucket, cost: number, now: number): void => {
+    if (bucket.level !== undefined) bucket.level -= cost;
+    bucket.spent.add(cost, now);
   };
 
-  const notePeerTotal = (known: Record<string, number>, workspace: string, total: number) => {
-    const spent = total - (known[workspace] ?? 0);
-    if (spent <= 0) return;
-    known[workspace] = total;
-    const bucket = buckets.get(workspace);
-    if (bucket) bucket.level -= spent;
-    else unclaimed.set(workspace, (unclaimed.get(workspace) ?? 0) + spent);
+  const knowsWindow = (now: number): boolean => startsFull || now - startedAt >= windowMs;
+
+  /** Whether the window stays within rate and burst, as far as its past is known. */
+  const fitsWindow = (bucket: Bucket, limit: QuotaLimit, cost: number, now: number): boolean => {
+    const most = (limit.ratePerS * windowMs) / 1_000 + limit.burst;
+    return knowsWindow(now) && bucket.spent.sum(now) + cost <= most * heardShare;
   };
 
   return {
     tryAdmit: (workspace, limit, cost, now) => {
       if (limit.ratePerS <= 0) return { admitted: true, retryAfterMs: 0 };
-      const bucket = openBucket(workspace, limit, now);
-      // A request larger than the bucket must still be able to pass when the bucket is full.
+      const bucket = getBucket(workspace);
+      const level = refill(bucket, limit, now);
+      // A request larger than the bucket must still pass when the bucket is full.
       const needed = Math.min(cost, capacityOf(limit));
-      if (bucket.level < needed) {
-        const retryAfterMs = ((needed - bucket.level) / limit.ratePerS) * 1_000;
+      if (level < needed && !fitsWindow(bucket, limit, cost, now)) {
+        const retryAfterMs = ((needed - level) / limit.ratePerS) * 1_000;
         return { admitted: false, retryAfterMs };
       }
-      bucket.level -= cost;
+      spend(bucket, cost, now);
       own[workspace] = (own[workspace] ?? 0) + cost;
       return { admitted: true, retryAfterMs: 0 };
     },
-    refund: (workspace, cost) => {
-      const bucket = buckets.get(workspace);
-      if (bucket) bucket.level += cost;
-      // Peers only hear of it as less to come.
-      own[workspace] = Math.max(0, (own[workspace] ?? 0) - cost);
-    },
-    notePeer: (incarnation, totals) => {
+    notePeer: (incarnation, totals, now) => {
       const known = peers.get(incarnation) ?? {};
       peers.set(incarnation, known);
-      Object.entries(totals).forEach(([workspace, total]) =>
-        notePeerTotal(known, workspace, total),
-      );
+      Object.entries(totals).forEach(([workspace, total]) => {
+        const spent = total - (known[workspace] ?? 0);
+        if (spent <= 0) return;
+        known[workspace] = total;
+        spend(getBucket(workspace), spent, now);
+      });
     },
     totals: () => own,
     setHeardShare: (share) => {
--- /dev/null
+++ b/packages/routing/src/spend-window.ts
@@ -0,0 +1,42 @@
+/** Parts into which a window is divided; an amount counts until its whole part is over. */
+const partsPerWindow = 32;
+
+/** Sum of what was spent in a sliding window. */
+export interface SpendWindow {
+  readonly add: (amount: number, now: number) => void;
+  readonly sum: (now: number) => number;
+}
+
+/**
+ * Makes an empty window; its sum is never below the true one.
+ *
+ * @param windowMs - length of the window in milliseconds
+ * @example
+ * const spent = makeSpendWindow(8_000);
+ * spent.add(20, now);
+ * spent.sum(now); // 20
+ */
+export const makeSpendWindow = (windowMs: number): SpendWindow => {
+  const partMs = windowMs / partsPerWindow;
+  const parts: { readonly endsAt: number; amount: number }[] = [];
+  let total = 0;
+  const drop = (now: number): void => {
+    for (let first = parts[0]; first && first.endsAt + windowMs <= now; [first] = parts) {
+      total -= first.amount;
+      parts.shift();
+    }
+  };
+  return {
+    add: (amount, now) => {
+      drop(now);
+      total += amount;
+      const last = parts.at(-1);
+      if (last && now < last.endsAt) last.amount += amount;
+      else parts.push({ endsAt: now + partMs, amount });
+    },
+    sum: (now) => {
+      drop(now);
+      return total;
+    },
+  };
+};
