--- a/ava.config.js
+++ b/ava.config.js
@@ -1,5 +1,5 @@
 export default {
-  files: ['packages/*/dist/**/*.test.js'],
+  files: ['{packages/*,platform}/dist/**/*.test.js'],
   timeout: '3m',
   concurrency: 4,
 };
