--- a/packages/router/src/events.ts
+++ b/packages/router/src/events.ts
@@ -42,7 +42,10 @@
 export type RouterEventId = keyof typeof routerEvents;
 
 /** Writes a numbered event; fields must hold no key, prompt or answer. */
-export type LogRouterEvent = (id: RouterEventId, fields?: Readonly<Record<string, unknown>>) => void;
+export type LogRouterEvent = (
+  id: RouterEventId,
+  fields?: Readonly<Record<string, unknown>>,
+) => void;
 
 /**
  * Makes a writer of numbered events on a logger.
--- a/packages/router/src/handle-call.ts
+++ b/packages/router/src/handle-call.ts
@@ -78,8 +78,7 @@
 
 const readFilters = (deps: CallDeps, req: IncomingMessage): Result<FilterState, Rejection> => {
   const table = deps.table();
-  if (!table)
-    return err({ status: 503, reason: 'no configuration yet', retryMs: noConfigRetryMs });
+  if (!table) return err({ status: 503, reason: 'no configuration yet', retryMs: noConfigRetryMs });
   const limited = filterLimits(table, req);
   if (limited.isErr()) return err(limited.error);
   const route = filterRoute(table, req);
@@ -107,13 +106,23 @@
   return facts.hasTokens ? facts.promptTokens + facts.maxOutputTokens : workspace.plainCost;
 };
 
-const filterQuota = (deps: CallDeps, state: FilterState, now: number): Result<number, Rejection> => {
+const filterQuota = (
+  deps: CallDeps,
+  state: FilterState,
+  now: number,
+): Result<number, Rejection> => {
   const { workspace, facts } = state;
   if (!workspace) return ok(0);
   const cost = costOf(facts, workspace);
   const { admitted, retryAfterMs } = deps.quota.tryAdmit(workspace.name, workspace, cost, now);
   if (admitted) return ok(cost);
-  return err({ status: 429, reason: 'the workspace is over its rate', retryMs: retryAfterMs, workspace: workspace.name, cost });
+  return err({
+    status: 429,
+    reason: 'the workspace is over its rate',
+    retryMs: retryAfterMs,
+    workspace: workspace.name,
+    cost,
+  });
 };
 
 const readBody = (
@@ -132,7 +141,12 @@
   req.on('error', () => {});
 };
 
-const reject = (deps: CallDeps, req: IncomingMessage, res: ServerResponse, why: Rejection): void => {
+const reject = (
+  deps: CallDeps,
+  req: IncomingMessage,
+  res: ServerResponse,
+  why: Rejection,
+): void => {
   const { log, random, isLeaving } = deps.hooks;
   const retryMs = (why.retryMs ?? 0) * (1 + 0.3 * random());
   log(2308, {
--- a/packages/router/src/peers-controller.ts
+++ b/packages/router/src/peers-controller.ts
@@ -279,13 +279,17 @@
       incarnation: peer.incarnation,
       isStoreReachable: peer.last.isStoreReachable,
       isWatcher: peer.last.role === 'watcher',
-      isFresh: now - peer.heardAt < (peer.last.role === 'watcher' ? watcherSilentMs : silentMs(peer)),
+      isFresh:
+        now - peer.heardAt < (peer.last.role === 'watcher' ? watcherSilentMs : silentMs(peer)),
     }));
     const { incarnation } = deps;
     const next = shouldWatch({ incarnation, isStoreReachable: view.isStoreReachable() }, others);
     if (next === watching) return;
     watching = next;
-    log(2204, { role: next ? 'watcher' : 'reader', heard: others.filter((vm) => vm.isFresh).length });
+    log(2204, {
+      role: next ? 'watcher' : 'reader',
+      heard: others.filter((vm) => vm.isFresh).length,
+    });
     greetAll();
   };
 
@@ -309,7 +313,9 @@
       value: own,
       leaseId: lease.value,
     });
-    return written.andThen((answer) => (answer.kind === 'written' ? ok(undefined) : err('conflict')));
+    return written.andThen((answer) =>
+      answer.kind === 'written' ? ok(undefined) : err('conflict'),
+    );
   };
 
   /**
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -5,11 +5,7 @@
   CancelCall,
   PrefillResult,
 } from '@hemlocksill/types/routing-ports.js';
-import {
-  chooseDecode,
-  choosePrefill,
-  type EngineNeed,
-} from '@hemlocksill/routing/place-work.js';
+import { chooseDecode, choosePrefill, type EngineNeed } from '@hemlocksill/routing/place-work.js';
 import type { HeldMemory } from '@hemlocksill/routing/engine-ledger.js';
 import type { CallContext, Responder } from './call-context.js';
 import type { RunDeps } from './run-deps.js';
@@ -114,13 +110,7 @@
     const view = deps.view();
     const decode = chooseDecode(engines, need, engine, view, excluded);
     if (!decode) return undefined;
-    const prefill = choosePrefill(
-      engines,
-      need.promptTokens,
-      decode.dataCentre,
-      view,
-      excluded,
-    );
+    const prefill = choosePrefill(engines, need.promptTokens, decode.dataCentre, view, excluded);
     return prefill && { decode, prefill: prefill.server, prefillMs: prefill.doneMs };
   };
 
@@ -173,32 +163,33 @@
   /** Reserves the decode engine's memory, so that no prompt is read in vain. */
   const reserve = (placement: Placement, tries: number): void => {
     const held = hold(placement);
-    const ttlMs = Math.min(
-      engine?.reservationMs ?? 0,
-      placement.prefillMs + reservationSlackMs,
-    );
+    const ttlMs = Math.min(engine?.reservationMs ?? 0, placement.prefillMs + reservationSlackMs);
     if (ttlMs <= 0) {
       prefill(placement, undefined, held);
       return;
     }
-    deps.backends.reserve(placement.decode, need.promptTokens + reservedOutputTokens, Math.ceil(ttlMs), (outcome) => {
-      if (outcome.kind === 'reserved') {
-        if (responder.isOpen()) prefill(placement, outcome.reservation, held);
-        else {
-          held.release();
-          deps.backends.dropReservation(placement.decode, outcome.reservation);
+    deps.backends.reserve(
+      placement.decode,
+      need.promptTokens + reservedOutputTokens,
+      Math.ceil(ttlMs),
+      (outcome) => {
+        if (outcome.kind === 'reserved') {
+          if (responder.isOpen()) prefill(placement, outcome.reservation, held);
+          else {
+            held.release();
+            deps.backends.dropReservation(placement.decode, outcome.reservation);
+          }
+          return;
         }
-        return;
-      }
-      held.release();
-      if (!responder.isOpen()) return;
-      if (outcome.kind === 'full') deps.engineLedger.noteFull(placement.decode.id, deps.now());
-      else
-        noteFault(placement.decode, 'reserve', { kind: 'not-sent', reason: outcome.reason });
-      const next = tries < mostReservations ? choose() : undefined;
-      if (next) reserve(next, tries + 1);
-      else enqueue(Math.max(latestStart(), deps.now() + 1), deps.now() + 20);
-    });
+        held.release();
+        if (!responder.isOpen()) return;
+        if (outcome.kind === 'full') deps.engineLedger.noteFull(placement.decode.id, deps.now());
+        else noteFault(placement.decode, 'reserve', { kind: 'not-sent', reason: outcome.reason });
+        const next = tries < mostReservations ? choose() : undefined;
+        if (next) reserve(next, tries + 1);
+        else enqueue(Math.max(latestStart(), deps.now() + 1), deps.now() + 20);
+      },
+    );
   };
 
   const prefill = (
@@ -229,8 +220,7 @@
     };
     const giveBack = (): void => {
       held.release();
-      if (reservation !== undefined)
-        deps.backends.dropReservation(placement.decode, reservation);
+      if (reservation !== undefined) deps.backends.dropReservation(placement.decode, reservation);
     };
     const onFault = (fault: CallFault): void => {
       noteFault(placement.prefill, 'prefill', fault);
@@ -246,7 +236,11 @@
           excluded,
         );
       if (again) {
-        prefill({ ...placement, prefill: again.server, prefillMs: again.doneMs }, reservation, held);
+        prefill(
+          { ...placement, prefill: again.server, prefillMs: again.doneMs },
+          reservation,
+          held,
+        );
         return;
       }
       giveBack();
@@ -267,11 +261,14 @@
       giveBack();
     };
     if (!open) return;
-    watch = setTimeout(() => {
-      if (!close()) return;
-      cancelPrefill();
-      onFault({ kind: 'unknown', reason: 'no prefill in time' });
-    }, placement.prefillMs * 2 + prefillSlackMs);
+    watch = setTimeout(
+      () => {
+        if (!close()) return;
+        cancelPrefill();
+        onFault({ kind: 'unknown', reason: 'no prefill in time' });
+      },
+      placement.prefillMs * 2 + prefillSlackMs,
+    );
   };
 
   const decode = (
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -4,7 +4,11 @@
 import { Hono } from 'hono';
 import type { RouterSettings } from '@hemlocksill/config/router-settings.js';
 import type { Store } from '@hemlocksill/types/ports.js';
-import type { BackendClient, ReadCallFacts, StoreFormat } from '@hemlocksill/types/routing-ports.js';
+import type {
+  BackendClient,
+  ReadCallFacts,
+  StoreFormat,
+} from '@hemlocksill/types/routing-ports.js';
 import { makeEngineLedger } from '@hemlocksill/routing/engine-ledger.js';
 import { makeFleetQuota } from '@hemlocksill/routing/fleet-quota.js';
 import type { PlacementView } from '@hemlocksill/routing/place-work.js';
@@ -63,10 +67,7 @@
   readonly shutDown: () => Promise<void>;
 }
 
-const serveText = (
-  at: { host: string; port: number },
-  routes: (app: Hono) => void,
-): ServerType => {
+const serveText = (at: { host: string; port: number }, routes: (app: Hono) => void): ServerType => {
   const app = new Hono();
   routes(app);
   return serve({ fetch: app.fetch, hostname: at.host, port: at.port });
--- /dev/null
+++ b/packages/routing/src/fixtures.ts
@@ -0,0 +1,65 @@
+import type {
+  BackendServer,
+  EngineLimits,
+  Route,
+  RoutingConfig,
+} from '@hemlocksill/types/routing.js';
+
+/** A route with every field set; tests replace what they are about. */
+export const makeRoute = (part: Partial<Route>): Route => ({
+  name: 'r',
+  host: 'shop.example',
+  pathPrefix: '/',
+  kind: 'idempotent',
+  timeoutMs: 1_000,
+  targetMs: 100,
+  targetGapMs: 0,
+  priority: 1,
+  split: [{ service: 'desk', weight: 1 }],
+  attempts: 2,
+  isPublic: false,
+  isResumable: false,
+  ...part,
+});
+
+/** A configuration with some routes. */
+export const makeConfig = (routes: readonly Route[], version = 1): RoutingConfig => ({
+  version,
+  routes,
+  services: [{ name: 'desk', maxConnections: 10, engine: undefined }],
+  limits: { headerBytes: 16_384, bodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+  workspaces: [
+    {
+      name: 'forge',
+      keys: ['k1', 'k2'],
+      priority: 1,
+      ratePerS: 100,
+      burst: 100,
+      unit: 'tokens',
+      plainCost: 200,
+    },
+  ],
+});
+
+/** A backend server with every field set. */
+export const makeServer = (part: Partial<BackendServer>): BackendServer => ({
+  id: 'i-1',
+  born: 1,
+  service: 'desk',
+  host: '10.0.0.1',
+  port: 80,
+  dataCentre: 'north-a',
+  state: 'ready',
+  slots: 6,
+  stage: undefined,
+  ...part,
+});
+
+/** Limits of a small engine. */
+export const engineLimits: EngineLimits = {
+  slots: 4,
+  memoryTokens: 10_000,
+  tokensPerEvent: 18,
+  prefillTtlMs: 500,
+  reservationMs: 2_000,
+};
--- /dev/null
+++ b/packages/routing/src/fleet-quota.test.ts
@@ -0,0 +1,115 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { makeFleetQuota, type FleetQuota } from './fleet-quota.js';
+
+const windowMs = 8_000;
+const slack = 140_000;
+const limit = { ratePerS: 12_000, burst: 12_000 };
+const overage = 0.1;
+const allowed = (limit.ratePerS * 8 + limit.burst) * (1 + overage) + slack;
+
+interface Spent {
+  readonly at: number;
+  readonly cost: number;
+}
+
+const mostInWindow = (spent: readonly Spent[]): number =>
+  Math.max(
+    0,
+    ...spent.map(({ at }) =>
+      spent
+        .filter((one) => one.at >= at && one.at < at + windowMs)
+        .reduce((sum, one) => sum + one.cost, 0),
+    ),
+  );
+
+interface Play {
+  readonly vms: number;
+  /** Requests a second over all VMs. */
+  readonly perS: number;
+  readonly seconds: number;
+  readonly cost: number;
+  readonly gossipMs: number;
+  /** Time at which all VMs are killed, if any. */
+  readonly killAt?: number;
+}
+
+/** Plays a flood by one workspace over VMs that hear each other late. */
+const play = ({ vms, perS, seconds, cost, gossipMs, killAt }: Play): Spent[] => {
+  const make = (first: boolean, at: number): FleetQuota =>
+    makeFleetQuota({ windowMs, slack }, first, at);
+  let fleet = Array.from({ length: vms }, () => make(true, 0));
+  let life = 0;
+  const spent: Spent[] = [];
+  let nextGossip = 0;
+  let killed = false;
+  for (let step = 0; step < perS * seconds; step += 1) {
+    const now = (step * 1_000) / perS;
+    if (killAt !== undefined && now >= killAt && !killed) {
+      killed = true;
+      life += 1;
+      fleet = Array.from({ length: vms }, () => make(false, now));
+    }
+    if (now >= nextGossip) {
+      nextGossip += gossipMs;
+      fleet.forEach((from, a) =>
+        fleet.forEach((to, b) => {
+          if (a !== b) to.notePeer(`${life}-${a}`, { ...from.totals() }, now);
+        }),
+      );
+    }
+    if (fleet[step % vms]?.tryAdmit('w', limit, cost, now).admitted) spent.push({ at: now, cost });
+  }
+  return spent;
+};
+
+test('a flood over eight VMs stays within the bound of each window', (t) => {
+  const spent = play({ vms: 8, perS: 40, seconds: 30, cost: 6_000, gossipMs: 100 });
+  t.true(mostInWindow(spent) <= allowed);
+});
+
+test('a flood stays within the bound when all VMs are killed in its middle', (t) => {
+  fc.assert(
+    fc.property(fc.integer({ min: 1_000, max: 16_000 }), (killAt) => {
+      const spent = play({ vms: 8, perS: 40, seconds: 20, cost: 6_000, gossipMs: 100, killAt });
+      return mostInWindow(spent) <= allowed;
+    }),
+    { numRuns: 30 },
+  );
+  t.pass();
+});
+
+test('nothing that keeps within rate and burst is refused', (t) => {
+  const spent = play({ vms: 8, perS: 2, seconds: 40, cost: 6_000, gossipMs: 100 });
+  t.is(spent.length, 80);
+});
+
+test('a burst within the window of rate and burst passes at once', (t) => {
+  const quota = makeFleetQuota({ windowMs, slack: 0 }, true, 0);
+  const admitted = Array.from({ length: 20 }, () => quota.tryAdmit('w', limit, 6_000, 100));
+  t.is(admitted.filter((one) => one.admitted).length, 18);
+  t.true((admitted.at(-1)?.retryAfterMs ?? 0) > 0);
+});
+
+test('totals told twice or late count once', (t) => {
+  const quota = makeFleetQuota({ windowMs, slack: 0 }, true, 0);
+  quota.notePeer('p', { w: 100_000 }, 0);
+  quota.notePeer('p', { w: 100_000 }, 1);
+  quota.notePeer('p', { w: 40_000 }, 2);
+  t.true(quota.tryAdmit('w', limit, 6_000, 3).admitted);
+  t.false(quota.tryAdmit('w', limit, 6_000, 4).admitted);
+});
+
+test('a VM that hears an eighth of the fleet hands out an eighth', (t) => {
+  const quota = makeFleetQuota({ windowMs, slack: 0 }, true, 0);
+  quota.setHeardShare(1 / 8);
+  let admitted = 0;
+  for (let now = 0; now < windowMs; now += 10)
+    if (quota.tryAdmit('w', limit, 500, now).admitted) admitted += 500;
+  t.true(admitted <= (limit.ratePerS * 8 + limit.burst) / 8 + 500);
+});
+
+test('a workspace without a rate is never refused', (t) => {
+  const quota = makeFleetQuota({ windowMs, slack: 0 }, false, 0);
+  t.true(quota.tryAdmit('w', { ratePerS: 0, burst: 0 }, 1e9, 0).admitted);
+});
--- a/packages/routing/src/fleet-quota.ts
+++ b/packages/routing/src/fleet-quota.ts
@@ -41,12 +41,7 @@
 /** Limits workspaces over all VMs together, each VM holding a replica of every bucket. */
 export interface FleetQuota {
   /** Charges a request, or tells when it would fit. */
-  readonly tryAdmit: (
-    workspace: string,
-    limit: QuotaLimit,
-    cost: number,
-    now: number,
-  ) => Admission;
+  readonly tryAdmit: (workspace: string, limit: QuotaLimit, cost: number, now: number) => Admission;
   /** Takes what a peer's incarnation says it has admitted in all. */
   readonly notePeer: (incarnation: string, totals: AdmittedTotals, now: number) => void;
   readonly totals: () => AdmittedTotals;
--- /dev/null
+++ b/packages/routing/src/limits.test.ts
@@ -0,0 +1,105 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { shouldWatch } from './choose-watchers.js';
+import { makeRetryWindow } from './retry-window.js';
+import { makeServerHealth } from './server-health.js';
+import { makeSpendWindow } from './spend-window.js';
+
+test('repeats of all VMs together stay within the bound of the fleet', (t) => {
+  const bound = { ratio: 0.2, slack: 56, windowMs: 10_000 };
+  fc.assert(
+    fc.property(fc.integer({ min: 1, max: 90 }), fc.integer({ min: 1, max: 60 }), (vms, perS) => {
+      const windows = Array.from({ length: vms }, () => makeRetryWindow(bound));
+      const repeats: number[] = [];
+      let requests = 0;
+      for (let step = 0; step < perS * 10; step += 1) {
+        const now = (step * 1_000) / perS;
+        const vm = windows[step % vms];
+        vm?.noteRequest(now);
+        requests += 1;
+        // Every request fails twice.
+        if (vm?.tryRepeat(vms, now)) repeats.push(now);
+        if (vm?.tryRepeat(vms, now)) repeats.push(now);
+      }
+      return repeats.length <= bound.ratio * requests + bound.slack;
+    }),
+    { numRuns: 50 },
+  );
+  t.pass();
+});
+
+test('a server that is unreachable rests, longer each time, and returns', (t) => {
+  const health = makeServerHealth();
+  health.note('a', 'unreachable', 0);
+  t.true(health.isResting('a', 100));
+  t.false(health.isResting('a', 400));
+  health.note('a', 'unreachable', 400);
+  t.true(health.isResting('a', 1_100));
+  t.false(health.isResting('a', 1_200));
+  health.note('a', 'answered', 1_200);
+  health.note('a', 'unreachable', 1_300);
+  t.false(health.isResting('a', 1_700));
+});
+
+test('one broken call does not make a server rest, two in a row do', (t) => {
+  const health = makeServerHealth();
+  health.note('a', 'broken', 0);
+  t.false(health.isResting('a', 1));
+  health.note('a', 'broken', 2);
+  t.true(health.isResting('a', 3));
+});
+
+test('errors of its own raise the failure share only', (t) => {
+  const health = makeServerHealth();
+  for (let at = 0; at < 10; at += 1) health.note('a', 'error-answer', at);
+  t.false(health.isResting('a', 10));
+  t.true(health.failureShare('a') > 0.5);
+});
+
+test('a spend window never sums to less than was spent within it', (t) => {
+  const spend = fc.record({ gap: fc.integer({ min: 0, max: 500 }), amount: fc.nat(100) });
+  fc.assert(
+    fc.property(fc.array(spend, { maxLength: 60, size: 'max' }), (spends) => {
+      const window = makeSpendWindow(1_000);
+      const all: { at: number; amount: number }[] = [];
+      let now = 0;
+      return spends.every(({ gap, amount }) => {
+        now += gap;
+        window.add(amount, now);
+        all.push({ at: now, amount });
+        const sumSince = (ms: number) =>
+          all.filter((one) => one.at > now - ms).reduce((sum, one) => sum + one.amount, 0);
+        const sum = window.sum(now);
+        return sum >= sumSince(1_000) && sum <= sumSince(1_100);
+      });
+    }),
+  );
+  t.pass();
+});
+
+const vm = (incarnation: string, part = {}) => ({
+  incarnation,
+  isStoreReachable: true,
+  isWatcher: true,
+  isFresh: true,
+  ...part,
+});
+
+test('three of many VMs follow the store', (t) => {
+  const names = ['a', 'b', 'c', 'd', 'e', 'f'];
+  const watching = names.filter((own) =>
+    shouldWatch(
+      { incarnation: own, isStoreReachable: true },
+      names.filter((name) => name !== own).map((name) => vm(name)),
+    ),
+  );
+  t.deepEqual(watching, ['a', 'b', 'c']);
+});
+
+test('a VM that hears no watcher with a store follows it itself', (t) => {
+  const own = { incarnation: 'z', isStoreReachable: true };
+  t.true(shouldWatch(own, []));
+  t.true(shouldWatch(own, [vm('a', { isFresh: false }), vm('b', { isWatcher: false })]));
+  t.true(shouldWatch(own, [vm('a', { isStoreReachable: false })]));
+  t.false(shouldWatch(own, [vm('a'), vm('b'), vm('c')]));
+});
--- a/packages/routing/src/route-table.ts
+++ b/packages/routing/src/route-table.ts
@@ -1,4 +1,9 @@
-import type { Route, RoutedWorkspace, RoutingConfig, ServiceInfo } from '@hemlocksill/types/routing.js';
+import type {
+  Route,
+  RoutedWorkspace,
+  RoutingConfig,
+  ServiceInfo,
+} from '@hemlocksill/types/routing.js';
 
 /** Answers the questions that each request puts to the configuration in force. */
 export interface RouteTable {
