A VM that starts among others takes over what they know of rates

Cause: a VM that restarted began each bucket with 12% of the slack and refused what its peers would have admitted, for a whole window. Whole messages now carry level and window of each workspace.

--- a/packages/router/src/gossip-message.ts
+++ b/packages/router/src/gossip-message.ts
@@ -1,5 +1,5 @@
 import type { LoadRows } from '@hemlocksill/routing/engine-ledger.js';
-import type { AdmittedTotals } from '@hemlocksill/routing/fleet-quota.js';
+import type { AdmittedTotals, QuotaLevels } from '@hemlocksill/routing/fleet-quota.js';
 import type { SeenRevisions } from './view-controller.js';
 
 /** Whether a VM follows the store itself, or learns changes from those that do. */
@@ -27,6 +27,8 @@
   readonly vm: string;
   /** Address of the VM's peer interface, as IP:port. */
   readonly address: string;
+  /** What the VM knows of rates, for one that has just started; undefined if it knows little. */
+  readonly levels: QuotaLevels | undefined;
 }
 
 /** A message as it is read from the wire. */
@@ -39,7 +41,7 @@
 const reachableFlag = 4;
 
 const updateLength = 8;
-const wholeLength = 10;
+const wholeLength = 11;
 
 const encodeFlags = (u: LoadUpdate): number =>
   (u.isLeaving ? leavingFlag : 0) +
@@ -63,7 +65,9 @@
 
 /** Encodes a whole message. */
 export const encodeGossip = (message: GossipMessage): Buffer =>
-  Buffer.from(JSON.stringify([...encodeRow(message), message.vm, message.address]));
+  Buffer.from(
+    JSON.stringify([...encodeRow(message), message.vm, message.address, message.levels ?? null]),
+  );
 
 const isRecord = (value: unknown): value is Record<string, unknown> =>
   typeof value === 'object' && value !== null && !Array.isArray(value);
@@ -77,6 +81,12 @@
     (row) => Array.isArray(row) && row.length === 3 && row.every((n) => Number.isFinite(n)),
   );
 
+const areLevels = (value: unknown): value is QuotaLevels =>
+  isRecord(value) &&
+  Object.values(value).every(
+    (pair) => Array.isArray(pair) && pair.length === 2 && pair.every((n) => Number.isFinite(n)),
+  );
+
 const hasFlag = (flags: number, flag: number): boolean => Math.floor(flags / flag) % 2 === 1;
 
 const decodeUpdate = (row: readonly unknown[]): LoadUpdate | undefined => {
@@ -114,9 +124,10 @@
   const update = decodeUpdate(row);
   if (!update) return undefined;
   if (row.length === updateLength) return { kind: 'update', update };
-  const [vm, address] = row.slice(updateLength) as unknown[];
+  const [vm, address, levels] = row.slice(updateLength) as unknown[];
   if (row.length !== wholeLength || typeof vm !== 'string' || typeof address !== 'string')
     return undefined;
   if (!/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/.test(address)) return undefined;
-  return { kind: 'whole', message: { ...update, vm, address } };
+  if (levels !== null && !areLevels(levels)) return undefined;
+  return { kind: 'whole', message: { ...update, vm, address, levels: levels ?? undefined } };
 };
--- a/packages/router/src/peers-controller.ts
+++ b/packages/router/src/peers-controller.ts
@@ -3,6 +3,7 @@
 import type { Endpoint } from '@hemlocksill/config/settings.js';
 import type { Store } from '@hemlocksill/types/ports.js';
 import { shouldWatch } from '@hemlocksill/routing/choose-watchers.js';
+import type { AdmittedTotals, QuotaLevels } from '@hemlocksill/routing/fleet-quota.js';
 import {
   decodeGossip,
   encodeGossip,
@@ -10,7 +11,6 @@
   type GossipMessage,
   type LoadUpdate,
 } from './gossip-message.js';
-import type { AdmittedTotals } from '@hemlocksill/routing/fleet-quota.js';
 import type { LogRouterEvent } from './events.js';
 import { fetchPeerView } from './peer-views.js';
 import type { ViewController } from './view-controller.js';
@@ -82,6 +82,8 @@
   readonly store: Store;
   readonly view: ViewController;
   readonly describe: () => Pick<LoadUpdate, 'loads' | 'admitted' | 'waiting'>;
+  readonly describeLevels: (now: number) => QuotaLevels | undefined;
+  readonly onLevels: (levels: QuotaLevels, now: number) => void;
   readonly onHeard: (update: LoadUpdate, now: number) => void;
   readonly onGone: (incarnation: string) => void;
   readonly log: LogRouterEvent;
@@ -155,7 +157,7 @@
       isStoreReachable: view.isStoreReachable(),
     };
     const bytes = isWhole
-      ? encodeGossip({ ...update, vm: deps.vm, address: own })
+      ? encodeGossip({ ...update, vm: deps.vm, address: own, levels: deps.describeLevels(now) })
       : encodeUpdate(update);
     targets().forEach((address) => {
       const [host = '', port] = address.split(':');
@@ -198,6 +200,7 @@
 
   const hearWhole = (message: GossipMessage): void => {
     if (message.incarnation === deps.incarnation) return;
+    if (message.levels) deps.onLevels(message.levels, deps.now());
     const known = peers.get(message.vm);
     if (known && known.incarnation !== message.incarnation) forget(known);
     candidates.delete(message.address);
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -150,6 +150,8 @@
       admitted: quota.totals(),
       waiting: describeWaiting(),
     }),
+    describeLevels: quota.levels,
+    onLevels: quota.adopt,
     onHeard: (update, at) => {
       engineLedger.notePeer(update.incarnation, update.loads, at);
       quota.notePeer(update.incarnation, update.admitted, at);
--- a/packages/routing/src/fleet-quota.ts
+++ b/packages/routing/src/fleet-quota.ts
@@ -8,6 +8,12 @@
 const bucketSlackShare = 0.55;
 const startSlackShare = 0.12;
 
+/**
+ * Part of the slack up to which a window may be spent in one burst. After a burst all VMs may
+ * be killed, and their successors hand out the rate of a whole window again.
+ */
+const windowSlackShare = 0.7;
+
 /** The rate of a workspace, in cost units. */
 export interface QuotaLimit {
   readonly ratePerS: number;
@@ -38,6 +44,9 @@
   readonly retryAfterMs: number;
 }
 
+/** What a VM knows of each workspace: the bucket's level and what the window holds. */
+export type QuotaLevels = Readonly<Record<string, readonly [number, number]>>;
+
 /** Limits workspaces over all VMs together, each VM holding a replica of every bucket. */
 export interface FleetQuota {
   /** Charges a request, or tells when it would fit. */
@@ -45,6 +54,10 @@
   /** Takes what a peer's incarnation says it has admitted in all. */
   readonly notePeer: (incarnation: string, totals: AdmittedTotals, now: number) => void;
   readonly totals: () => AdmittedTotals;
+  /** Levels for a VM that has just started; undefined while this VM does not know them. */
+  readonly levels: (now: number) => QuotaLevels | undefined;
+  /** Takes over the levels of a VM that knows them, while this VM does not. */
+  readonly adopt: (levels: QuotaLevels, now: number) => void;
   /** Share of the VMs that this VM hears, itself included; the rest may spend theirs unheard. */
   readonly setHeardShare: (share: number) => void;
 }
@@ -73,6 +86,7 @@
   const own: Record<string, number> = {};
   const peers = new Map<string, Record<string, number>>();
   let heardShare = 1;
+  let adopted = false;
 
   const capacityOf = (limit: QuotaLimit): number =>
     (limit.burst + slack * bucketSlackShare) * heardShare;
@@ -105,11 +119,15 @@
     bucket.spent.add(cost, now);
   };
 
-  const knowsWindow = (now: number): boolean => startsFull || now - startedAt >= windowMs;
+  const knowsWindow = (now: number): boolean =>
+    startsFull || adopted || now - startedAt >= windowMs;
 
   /** Whether the window stays within rate and burst, as far as its past is known. */
   const fitsWindow = (bucket: Bucket, limit: QuotaLimit, cost: number, now: number): boolean => {
-    const most = (limit.ratePerS * windowMs) / 1_000 + limit.burst;
+    const most = Math.min(
+      (limit.ratePerS * windowMs) / 1_000 + limit.burst,
+      limit.burst + slack * windowSlackShare,
+    );
     return knowsWindow(now) && bucket.spent.sum(now) + cost <= most * heardShare;
   };
 
@@ -139,6 +157,27 @@
       });
     },
     totals: () => own,
+    levels: (now) => {
+      if (!knowsWindow(now)) return undefined;
+      const known = [...buckets].filter(([, bucket]) => bucket.level !== undefined);
+      return Object.fromEntries(
+        known.map(([workspace, bucket]) => [
+          workspace,
+          [Math.round(bucket.level ?? 0), Math.round(bucket.spent.sum(now))] as const,
+        ]),
+      );
+    },
+    adopt: (levels, now) => {
+      if (knowsWindow(now)) return;
+      adopted = true;
+      Object.entries(levels).forEach(([workspace, [level, spent]]) => {
+        const bucket = getBucket(workspace);
+        bucket.level = level;
+        bucket.filledAt = now;
+        // What this VM already counted stays counted twice, until the window has passed.
+        bucket.spent.add(spent, now);
+      });
+    },
     setHeardShare: (share) => {
       heardShare = share;
     },
