--- a/packages/entry/src/entry.test.ts
+++ b/packages/entry/src/entry.test.ts
@@ -175,7 +175,7 @@
   readFileSync(new URL(`../../../docs/${name}`, import.meta.url), 'utf8');
 
 test('docs/EVENTS.md and the catalogue of events are equal', (t) => {
-  const rows = [...readDoc('EVENTS.md').matchAll(/^\| (\d{4}) +\| (\w+) +\| ([^|]+?) +\|/gm)];
+  const rows = [...readDoc('EVENTS.md').matchAll(/^\| (1\d{3}) +\| (\w+) +\| ([^|]+?) +\|/gm)];
   const listed = rows.map(([, id, level, text]) => [Number(id), level, text]);
   const known = Object.entries(eventCatalogue).map(([id, e]) => [Number(id), e.level, e.text]);
   t.deepEqual(listed, known);
--- a/packages/router/src/events.ts
+++ b/packages/router/src/events.ts
@@ -1,4 +1,5 @@
 import type Logger from 'bunyan';
+import type { LineBudget } from './line-budget.js';
 
 /** Level an event is logged at. */
 export type RouterEventLevel = 'debug' | 'info' | 'warn' | 'error';
@@ -48,14 +49,14 @@
 ) => void;
 
 /**
- * Makes a writer of numbered events on a logger.
+ * Makes a writer of numbered events on a logger, within a budget of lines.
  *
  * @example
- * makeRouterLog(bunyan.createLogger({ name: 'router' }))(2001, { vm: 'vm-1' });
+ * makeRouterLog(bunyan.createLogger({ name: 'router' }), makeLineBudget())(2001, { vm: 'vm-1' });
  */
 export const makeRouterLog =
-  (log: Logger): LogRouterEvent =>
+  (log: Logger, budget: LineBudget): LogRouterEvent =>
   (id, fields = {}) => {
     const { level, text } = routerEvents[id];
-    log[level]({ event: id, ...fields }, text);
+    if (budget.admit(level, performance.now())) log[level]({ event: id, ...fields }, text);
   };
--- /dev/null
+++ b/packages/router/src/gossip-message.test.ts
@@ -0,0 +1,45 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { decodeGossip, encodeGossip, encodeUpdate, type GossipMessage } from './gossip-message.js';
+
+const message: GossipMessage = {
+  vm: 'vm-1',
+  incarnation: 'a1',
+  sequence: 7,
+  address: '10.0.0.1:80',
+  seen: { config: 3, servers: 9 },
+  loads: { 'i-1': [3_000, 1, 200] },
+  admitted: { forge: 900 },
+  waiting: { llm: 3_000 },
+  isLeaving: false,
+  role: 'watcher',
+  isStoreReachable: true,
+  levels: { forge: [10, 20] },
+};
+
+test('a whole message and an update come through as they were', (t) => {
+  t.deepEqual(decodeGossip(encodeGossip(message)), { kind: 'whole', message });
+  const { vm, address, levels, ...update } = message;
+  t.truthy([vm, address, levels]);
+  t.deepEqual(decodeGossip(encodeUpdate(update)), { kind: 'update', update });
+  const unsure = { ...message, levels: undefined, isLeaving: true, role: 'reader' as const };
+  t.deepEqual(decodeGossip(encodeGossip(unsure)), { kind: 'whole', message: unsure });
+});
+
+test('bytes that are no message are none, whatever they are', (t) => {
+  const whole = encodeGossip(message).toString();
+  const flipped = fc
+    .tuple(fc.nat(whole.length - 1), fc.string({ minLength: 1, maxLength: 3 }))
+    .map(([at, text]) => whole.slice(0, at) + text + whole.slice(at + 1));
+  fc.assert(
+    fc.property(fc.oneof(fc.string(), fc.json(), flipped), (text) => {
+      const got = decodeGossip(Buffer.from(text));
+      if (!got) return true;
+      const update = got.kind === 'whole' ? got.message : got.update;
+      return (
+        Number.isFinite(update.sequence) && Object.values(update.loads).every((r) => r.length === 3)
+      );
+    }),
+  );
+  t.pass();
+});
--- /dev/null
+++ b/packages/router/src/sse-events.test.ts
@@ -0,0 +1,35 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { makeEventSplitter } from './sse-events.js';
+
+test('whole events come out in order, whichever way the bytes are cut', (t) => {
+  const event = fc.record({ data: fc.stringMatching(/^[a-z]{0,8}$/), crlf: fc.boolean() });
+  fc.assert(
+    fc.property(fc.array(event, { maxLength: 10 }), fc.array(fc.nat(20)), (events, cuts) => {
+      const text = events
+        .map(({ data, crlf }, n) => {
+          const eol = crlf ? '\r\n' : '\n';
+          return `id: ${n + 1}${eol}data: ${data}${eol}${eol}`;
+        })
+        .join('');
+      const splitter = makeEventSplitter();
+      let out = '';
+      let rest = `${text}id: 99\ndata: unfinished`;
+      [...cuts, rest.length].forEach((cut) => {
+        out += splitter.push(Buffer.from(rest.slice(0, cut)))?.toString() ?? '';
+        rest = rest.slice(cut);
+      });
+      const expectedId = events.length > 0 ? String(events.length) : undefined;
+      return out === text && splitter.lastId() === expectedId && splitter.hasRest();
+    }),
+  );
+  t.pass();
+});
+
+test('a version line before the id is passed on with its event', (t) => {
+  const splitter = makeEventSplitter();
+  const events = splitter.push(Buffer.from('weight-versions: 2\nid: 4\ndata: x\n\n'));
+  t.is(events?.toString(), 'weight-versions: 2\nid: 4\ndata: x\n\n');
+  t.is(splitter.lastId(), '4');
+  t.false(splitter.hasRest());
+});
