--- a/packages/router/src/gossip-message.ts
+++ b/packages/router/src/gossip-message.ts
@@ -27,6 +27,8 @@
   readonly vm: string;
   /** Address of the VM's peer interface, as IP:port. */
   readonly address: string;
+  /** Time since the process started. */
+  readonly ageMs: number;
   /** What the VM knows of rates, for one that has just started; undefined if it knows little. */
   readonly levels: QuotaLevels | undefined;
 }
@@ -41,7 +43,7 @@
 const reachableFlag = 4;
 
 const updateLength = 8;
-const wholeLength = 11;
+const wholeLength = 12;
 
 const encodeFlags = (u: LoadUpdate): number =>
   (u.isLeaving ? leavingFlag : 0) +
@@ -66,7 +68,13 @@
 /** Encodes a whole message. */
 export const encodeGossip = (message: GossipMessage): Buffer =>
   Buffer.from(
-    JSON.stringify([...encodeRow(message), message.vm, message.address, message.levels ?? null]),
+    JSON.stringify([
+      ...encodeRow(message),
+      message.vm,
+      message.address,
+      message.ageMs,
+      message.levels ?? null,
+    ]),
   );
 
 const isRecord = (value: unknown): value is Record<string, unknown> =>
@@ -124,10 +132,11 @@
   const update = decodeUpdate(row);
   if (!update) return undefined;
   if (row.length === updateLength) return { kind: 'update', update };
-  const [vm, address, levels] = row.slice(updateLength) as unknown[];
+  const [vm, address, ageMs, levels] = row.slice(updateLength) as unknown[];
   if (row.length !== wholeLength || typeof vm !== 'string' || typeof address !== 'string')
     return undefined;
   if (!/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/.test(address)) return undefined;
+  if (typeof ageMs !== 'number' || !Number.isFinite(ageMs)) return undefined;
   if (levels !== null && !areLevels(levels)) return undefined;
-  return { kind: 'whole', message: { ...update, vm, address, levels: levels ?? undefined } };
+  return { kind: 'whole', message: { ...update, vm, address, ageMs, levels: levels ?? undefined } };
 };
--- a/packages/router/src/peers-controller.ts
+++ b/packages/router/src/peers-controller.ts
@@ -53,6 +53,8 @@
   address: string;
   heardAt: number;
   last: LoadUpdate;
+  /** Whether its process ran before this one. */
+  readonly isOlder: boolean;
   isSilent: boolean;
 }
 
@@ -84,7 +86,8 @@
   readonly describe: () => Pick<LoadUpdate, 'loads' | 'admitted' | 'waiting'>;
   readonly describeLevels: (now: number) => QuotaLevels | undefined;
   readonly onLevels: (levels: QuotaLevels, now: number) => void;
-  readonly onHeard: (update: LoadUpdate, now: number) => void;
+  /** `isOlder` tells whether the peer ran before this VM. */
+  readonly onHeard: (update: LoadUpdate, isOlder: boolean, now: number) => void;
   readonly onGone: (incarnation: string) => void;
   readonly log: LogRouterEvent;
   readonly now: () => number;
@@ -102,6 +105,7 @@
  */
 export const makePeersController = (deps: PeersDeps): PeersController => {
   const { log, view } = deps;
+  const startedAt = deps.now();
   const own = `${deps.at.host}:${deps.at.port}`;
   const peers = new Map<string, Peer>();
   const byIncarnation = new Map<string, Peer>();
@@ -157,7 +161,13 @@
       isStoreReachable: view.isStoreReachable(),
     };
     const bytes = isWhole
-      ? encodeGossip({ ...update, vm: deps.vm, address: own, levels: deps.describeLevels(now) })
+      ? encodeGossip({
+          ...update,
+          vm: deps.vm,
+          address: own,
+          ageMs: Math.round(now - startedAt),
+          levels: deps.describeLevels(now),
+        })
       : encodeUpdate(update);
     targets().forEach((address) => {
       const [host = '', port] = address.split(':');
@@ -194,7 +204,7 @@
       forget(peer);
       return;
     }
-    deps.onHeard(update, now);
+    deps.onHeard(update, peer.isOlder, now);
     catchUp(now);
   };
 
@@ -216,6 +226,7 @@
       address: message.address,
       heardAt: deps.now(),
       last: message,
+      isOlder: message.ageMs > deps.now() - startedAt,
       isSilent: false,
     };
     log(2201, { peer: message.vm, incarnation: message.incarnation });
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -152,9 +152,9 @@
     }),
     describeLevels: quota.levels,
     onLevels: quota.adopt,
-    onHeard: (update, at) => {
+    onHeard: (update, isOlder, at) => {
       engineLedger.notePeer(update.incarnation, update.loads, at);
-      quota.notePeer(update.incarnation, update.admitted, at);
+      quota.notePeer(update.incarnation, update.admitted, isOlder, at);
       if (queue.size() > 0) queue.review(at);
     },
     onGone: (gone) => engineLedger.dropPeer(gone),
--- a/packages/routing/src/fleet-quota.test.ts
+++ b/packages/routing/src/fleet-quota.test.ts
@@ -38,7 +38,7 @@
 const tellAll = (fleet: readonly FleetQuota[], life: string, now: number): void =>
   fleet.forEach((from, a) =>
     fleet.forEach((to, b) => {
-      if (a !== b) to.notePeer(`${life}, VM ${a}`, { ...from.totals() }, now);
+      if (a !== b) to.notePeer(`${life}, VM ${a}`, { ...from.totals() }, false, now);
     }),
   );
 
@@ -79,6 +79,15 @@
   t.pass();
 });
 
+test('a VM that restarts does not count what its peers admitted long before', (t) => {
+  const fresh = makeFleetQuota({ windowMs, slack }, false, 100_000);
+  fresh.adopt({ w: [50_000, 20_000] }, 100_000);
+  fresh.notePeer('old', { w: 2_000_000 }, true, 100_010);
+  t.true(fresh.tryAdmit('w', limit, 6_000, 100_020).admitted);
+  fresh.notePeer('old', { w: 2_100_000 }, true, 100_030);
+  t.false(fresh.tryAdmit('w', limit, 6_000, 100_040).admitted);
+});
+
 test('small requests pass while large ones keep the bucket empty', (t) => {
   const quota = makeFleetQuota({ windowMs, slack }, true, 0);
   let refused = 0;
@@ -112,7 +121,7 @@
 
 test('a burst within the window of rate and burst passes at once', (t) => {
   const quota = makeFleetQuota({ windowMs, slack }, true, 0);
-  quota.notePeer('p', { w: limit.burst + slack }, 0);
+  quota.notePeer('p', { w: limit.burst + slack }, false, 0);
   quota.tryAdmit('w', limit, 1, 0);
   const later = windowMs + 500;
   const admitted = Array.from({ length: 20 }, () => quota.tryAdmit('w', limit, 6_000, later));
@@ -122,9 +131,9 @@
 
 test('totals told twice or late count once', (t) => {
   const quota = makeFleetQuota({ windowMs, slack }, true, 0);
-  quota.notePeer('p', { w: 100_000 }, 0);
-  quota.notePeer('p', { w: 100_000 }, 1);
-  quota.notePeer('p', { w: 40_000 }, 2);
+  quota.notePeer('p', { w: 100_000 }, false, 0);
+  quota.notePeer('p', { w: 100_000 }, false, 1);
+  quota.notePeer('p', { w: 40_000 }, false, 2);
   t.true(quota.tryAdmit('w', limit, 6_000, 3).admitted);
   t.false(quota.tryAdmit('w', limit, 6_000, 4).admitted);
 });
--- a/packages/routing/src/fleet-quota.ts
+++ b/packages/routing/src/fleet-quota.ts
@@ -59,8 +59,18 @@
 export interface FleetQuota {
   /** Charges a request, or tells when it would fit. */
   readonly tryAdmit: (workspace: string, limit: QuotaLimit, cost: number, now: number) => Admission;
-  /** Takes what a peer's incarnation says it has admitted in all. */
-  readonly notePeer: (incarnation: string, totals: AdmittedTotals, now: number) => void;
+  /**
+   * Takes what a peer's incarnation says it has admitted in all.
+   *
+   * @param isOlder - whether the peer ran before this VM; what it had admitted until it is
+   *   first heard is then no news, and stands in the levels that this VM takes over
+   */
+  readonly notePeer: (
+    incarnation: string,
+    totals: AdmittedTotals,
+    isOlder: boolean,
+    now: number,
+  ) => void;
   readonly totals: () => AdmittedTotals;
   /** Levels for a VM that has just started; undefined while this VM does not know them. */
   readonly levels: (now: number) => QuotaLevels | undefined;
@@ -161,8 +171,8 @@
       own[workspace] = (own[workspace] ?? 0) + cost;
       return { admitted: true, retryAfterMs: 0 };
     },
-    notePeer: (incarnation, totals, now) => {
-      const known = peers.get(incarnation) ?? {};
+    notePeer: (incarnation, totals, isOlder, now) => {
+      const known = peers.get(incarnation) ?? (isOlder ? { ...totals } : {});
       peers.set(incarnation, known);
       Object.entries(totals).forEach(([workspace, total]) => {
         const spent = total - (known[workspace] ?? 0);
