--- /dev/null
+++ b/packages/cli/src/explain-request.test.ts
@@ -0,0 +1,50 @@
+import test from 'ava';
+import { explainRequest } from './explain-request.js';
+
+const line = (second: number, vm: string, event: number, fields: Record<string, unknown>): string =>
+  JSON.stringify({
+    name: 'hemlocksill-router',
+    vm,
+    event,
+    msg: `event ${event}`,
+    time: `2026-12-04T00:00:0${second}.000Z`,
+    ...fields,
+  });
+
+const log = [
+  'a line of another program {',
+  line(4, 'vm-1', 2302, { id: 'r1', reason: 'no memory in time' }),
+  line(1, 'vm-1', 2103, { version: 3 }),
+  line(2, 'vm-1', 2103, { version: 4 }),
+  line(2, 'vm-2', 2103, { version: 9 }),
+  line(2, 'vm-1', 2105, { server: 'i-1', state: 'draining' }),
+  line(2, 'vm-1', 2105, { server: 'i-2', state: 'ready' }),
+  line(3, 'vm-1', 2306, { id: 'r1', server: 'i-1', reason: 'connect refused' }),
+  line(5, 'vm-1', 2103, { version: 5 }),
+  line(4, 'vm-1', 2301, { id: 'r2' }),
+];
+
+test('a trail stands in order, with what its VM believed at that time', (t) => {
+  const { code, text, json } = explainRequest(log, 'r1');
+  t.is(code, 0);
+  const { trail, beliefs, conclusion } = json as {
+    trail: { event: number }[];
+    beliefs: { event: number; fields: Record<string, unknown> }[];
+    conclusion: string;
+  };
+  t.deepEqual(
+    trail.map((one) => one.event),
+    [2306, 2302],
+  );
+  t.deepEqual(
+    beliefs.map(({ fields }) => fields),
+    [{ version: 4 }, { server: 'i-1', state: 'draining' }],
+  );
+  t.is(conclusion, 'event 2302: no memory in time; sends that failed before: i-1: connect refused');
+  t.true(text.includes('reason="connect refused"'));
+});
+
+test('a request that no line names is told, with an exit code', (t) => {
+  t.is(explainRequest(log, 'r9').code, 1);
+  t.true(explainRequest([], 'r9').text.includes('0 lines'));
+});
--- a/packages/cli/src/hemlocksill.ts
+++ b/packages/cli/src/hemlocksill.ts
@@ -17,6 +17,7 @@
   withdrawKey,
   type CommandContext,
 } from './commands.js';
+import { explainRequest } from './explain-request.js';
 import { exitCodes, type CommandResult } from './exit-codes.js';
 
 const defaultWaitMs = 10_000;
@@ -43,6 +44,7 @@
   hemlocksill -s trial.operator.ini promote --to production.operator.ini
   hemlocksill keys give forge
   hemlocksill report --html burn.html
+  hemlocksill explain 9c41d07be2a35f68 vm-1.log vm-2.log
 
 Exit codes: 0 done, 1 fault, 2 bad input, 3 superseded by another operator,
 4 store down and nothing changed, 5 outcome unknown, 6 accepted but not confirmed by every VM.`,
@@ -132,6 +134,14 @@
     finish(result);
   });
 
+program
+  .command('explain <request-id> [logs...]')
+  .description('print the trail of a request out of log files, or standard input without any')
+  .action((id: string, files: string[]) => {
+    const texts = files.length > 0 ? files.map(readFile) : [readFileSync(0, 'utf8')];
+    finish(explainRequest(texts.join('\n').split('\n'), id));
+  });
+
 const keys = program.command('keys').description('give, withdraw and list keys');
 keys
   .command('give <workspace>')
--- a/packages/router/src/handle-call.ts
+++ b/packages/router/src/handle-call.ts
@@ -149,7 +149,9 @@
 ): void => {
   const { log, random, isLeaving } = deps.hooks;
   const retryMs = (why.retryMs ?? 0) * (1 + 0.3 * random());
+  const read = deps.readFacts(req.rawHeaders);
   log(2308, {
+    id: 'facts' in read ? read.facts.id : undefined,
     status: why.status,
     reason: why.reason,
     version: deps.table()?.config.version ?? null,
