--- a/packages/router/src/run-deps.ts
+++ b/packages/router/src/run-deps.ts
@@ -18,6 +18,8 @@
   readonly plainLedger: EngineLedger;
   readonly queue: StreamQueue;
   readonly pace: StreamPace;
+  /** Predicts when a service has memory for some tokens, after all that waits at any VM. */
+  readonly predictFreeMs: (service: string, tokens: number, now: number) => number;
   readonly listReady: (service: string) => readonly BackendServer[];
   readonly view: () => PlacementView;
   /** Takes a repeated send out of this VM's share for a service. */
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -21,7 +21,7 @@
 const silentGaps = 4;
 
 /** Time beyond the expected end of a prefill after which another engine is asked. */
-const prefillSlackMs = 400;
+const prefillSlackMs = 250;
 
 /** Time that a reservation outlasts its prefill. */
 const reservationSlackMs = 400;
@@ -30,7 +30,7 @@
 const noEngineRetryMs = 500;
 
 /** Output that a reservation covers; more grows into the engine's headroom. */
-const reservedOutputTokens = 144;
+const reservedOutputTokens = 608;
 
 /** Tokens of memory that engines hand out at once. */
 const blockTokens = 16;
@@ -73,12 +73,8 @@
     else responder.refuse(503, retryMs, reason);
   };
 
-  const predictRetryMs = (): number => {
-    if (!engine) return noEngineRetryMs;
-    const waiting = deps.queue.waitingTokens(service.name) + need.promptTokens;
-    const engines = deps.listReady(service.name);
-    return deps.pace.predictFreeMs(engines, engine, deps.engineLedger, waiting, deps.now());
-  };
+  const predictRetryMs = (): number =>
+    deps.predictFreeMs(service.name, need.promptTokens, deps.now());
 
   const noteFault = (server: BackendServer, step: string, fault: CallFault): void => {
     deps.log(2306, { id, server: server.id, step, fault: fault.kind, reason: fault.reason });
@@ -380,6 +376,10 @@
   const resume = (server: BackendServer, fault: CallFault, unused?: PrefillResult): void => {
     noteFault(server, 'decode', fault);
     excluded.add(server.id);
+    if (fault.kind === 'rejected' && unused) {
+      // With its memory reserved, an engine rejects a run only when it can't fetch the prompt.
+      deps.health.note(unused.server.id, 'broken', deps.now());
+    }
     if (fault.kind !== 'unknown' && unused) {
       deps.backends.dropPrefill(unused);
       deps.metrics.wastedPromptTokens.inc(need.promptTokens);
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -121,12 +121,14 @@
     },
   });
 
-  const queue = makeStreamQueue((service, tokens, at) => {
+  const predictFreeMs = (service: string, tokens: number, at: number): number => {
     const engine = view.table()?.findService(service)?.engine;
     if (!engine) return 0;
     const waiting = tokens + queue.waitingTokens(service) + peers.waitingTokens(service);
     return pace.predictFreeMs(directory.listReady(service, at), engine, engineLedger, waiting, at);
-  });
+  };
+
+  const queue = makeStreamQueue(predictFreeMs);
 
   const describeWaiting = (): Record<string, number> => {
     const waiting: Record<string, number> = {};
@@ -188,6 +190,7 @@
     plainLedger,
     queue,
     pace,
+    predictFreeMs,
     listReady: (service) => directory.listReady(service, now()),
     view: placementView,
     takeRepeat: (service) => getRepeats(service).tryRepeat(peers.countVms(), now()),
--- a/packages/router/src/view-controller.ts
+++ b/packages/router/src/view-controller.ts
@@ -15,8 +15,9 @@
 /** Pause between two looks at whether this VM is to follow the store. */
 const idleMs = 50;
 
-/** Pause before a call to the store that failed is made again. */
-const retryMs = 150;
+/** Pause before a call to the store that failed is made again, doubled at each failure. */
+const firstRetryMs = 150;
+const longestRetryMs = 600;
 
 /** Entries as the store holds them, passed between VMs while the store is away. */
 export interface RawView {
@@ -171,12 +172,17 @@
     take: (answer: WatchAnswer & { kind: 'events' }) => void,
   ): Promise<void> => {
     let after: number | undefined;
+    let retryMs = firstRetryMs;
+    const pause = async (): Promise<void> => {
+      await sleep(retryMs);
+      retryMs = Math.min(longestRetryMs, retryMs * 2);
+    };
     while (!stopped) {
       if (after === undefined) {
         const listed = await list();
         noteStore(listed.isOk(), listed.isErr() ? listed.error : '');
         if (listed.isOk()) after = listed.value;
-        else await sleep(retryMs);
+        else await pause();
         continue;
       }
       if (!deps.isWatcher()) {
@@ -188,12 +194,13 @@
         noteStore(false, answer.error);
         // The history may be gone by the time that the store is back.
         after = undefined;
-        await sleep(retryMs);
+        await pause();
       } else if (answer.value.kind === 'compacted') {
         log(2107, { prefix, after });
         after = undefined;
       } else {
         noteStore(true, '');
+        retryMs = firstRetryMs;
         take(answer.value);
         after = Math.max(after, answer.value.revision);
       }
