--- a/packages/bench/src/readme.test.ts
+++ b/packages/bench/src/readme.test.ts
@@ -2,7 +2,7 @@
 import { fileURLToPath } from 'node:url';
 import test from 'ava';
 
-const packagesWithExample = ['config', 'rate', 'claims', 'placement'];
+const packagesWithExample = ['config', 'rate', 'claims', 'placement', 'routing'];
 
 const fileOf = (path: string): string => fileURLToPath(new URL(`../../${path}`, import.meta.url));
 
--- a/packages/router/src/call-context.ts
+++ b/packages/router/src/call-context.ts
@@ -40,7 +40,12 @@
   readonly end: () => void;
   readonly whole: (head: BackendHead, body: Buffer) => void;
   /** Says that the request has not run and when to come back. */
-  readonly refuse: (status: 429 | 503, retryAfterMs: number, reason: string) => void;
+  readonly refuse: (
+    status: 429 | 503,
+    retryAfterMs: number,
+    reason: string,
+    inputs?: Readonly<Record<string, unknown>>,
+  ) => void;
   /** Says that the outcome is not known, or breaks off an answer that has begun. */
   readonly fail: (status: 502 | 504, reason: string) => void;
   /** Calls back once when the caller leaves before the end. */
@@ -142,11 +147,11 @@
       writeHead(head, body.length);
       res.end(body);
     },
-    refuse: (status, retryAfterMs, reason) => {
+    refuse: (status, retryAfterMs, reason, inputs = {}) => {
       if (ended) return;
       const spread = retryAfterMs * (1 + retrySpread * hooks.random());
       const retryMs = Math.min(mostRetryMs, Math.max(leastRetryMs, spread));
-      record('refused', { status, reason, retryMs: Math.round(retryMs) });
+      record('refused', { status, reason, retryMs: Math.round(retryMs), ...inputs });
       sendOwnAnswer(res, status, reason, 'not-run', {
         'retry-after': (retryMs / 1_000).toFixed(2),
         ...(hooks.isLeaving() ? { connection: 'close' } : {}),
--- a/packages/router/src/handle-call.ts
+++ b/packages/router/src/handle-call.ts
@@ -25,6 +25,8 @@
   readonly retryMs?: number;
   readonly workspace?: string;
   readonly cost?: number;
+  /** Level of the workspace's bucket. */
+  readonly level?: number;
 }
 
 /** A request as far as the filters have read it. */
@@ -114,7 +116,12 @@
   const { workspace, facts } = state;
   if (!workspace) return ok(0);
   const cost = costOf(facts, workspace);
-  const { admitted, retryAfterMs } = deps.quota.tryAdmit(workspace.name, workspace, cost, now);
+  const { admitted, retryAfterMs, level } = deps.quota.tryAdmit(
+    workspace.name,
+    workspace,
+    cost,
+    now,
+  );
   if (admitted) return ok(cost);
   return err({
     status: 429,
@@ -122,6 +129,7 @@
     retryMs: retryAfterMs,
     workspace: workspace.name,
     cost,
+    level: Math.round(level),
   });
 };
 
@@ -157,6 +165,7 @@
     version: deps.table()?.config.version ?? null,
     workspace: why.workspace,
     cost: why.cost,
+    level: why.level,
     method: req.method,
     port: req.socket.remotePort,
   });
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -70,9 +70,17 @@
 
   const giveUp = (reason: string, retryMs: number): void => {
     if (responder.hasHead() || mayHaveRun) responder.fail(502, reason);
-    else responder.refuse(503, retryMs, reason);
+    else responder.refuse(503, retryMs, reason, describeInputs());
   };
 
+  /** What the decision to refuse was made from. */
+  const describeInputs = () => ({
+    promptTokens: need.promptTokens,
+    predictedMs: Math.round(predictRetryMs()),
+    engines: deps.listReady(service.name).length,
+    waitingHere: deps.queue.size(),
+  });
+
   const predictRetryMs = (): number =>
     deps.predictFreeMs(service.name, need.promptTokens, deps.now());
 
--- a/packages/routing/src/fleet-quota.ts
+++ b/packages/routing/src/fleet-quota.ts
@@ -50,6 +50,8 @@
   readonly admitted: boolean;
   /** Time until the request would fit; 0 where it is admitted. */
   readonly retryAfterMs: number;
+  /** Level of the bucket before the request. */
+  readonly level: number;
 }
 
 /** What a VM knows of each workspace: the bucket's level and what the window holds. */
@@ -159,17 +161,17 @@
 
   return {
     tryAdmit: (workspace, limit, cost, now) => {
-      if (limit.ratePerS <= 0) return { admitted: true, retryAfterMs: 0 };
+      if (limit.ratePerS <= 0) return { admitted: true, retryAfterMs: 0, level: 0 };
       const bucket = getBucket(workspace);
       const level = refill(bucket, limit, now);
       const needed = neededLevel(limit, cost);
       if (level < needed && !fitsWindow(bucket, limit, cost, now)) {
         const retryAfterMs = ((needed - level) / limit.ratePerS) * 1_000;
-        return { admitted: false, retryAfterMs };
+        return { admitted: false, retryAfterMs, level };
       }
       spend(bucket, cost, now);
       own[workspace] = (own[workspace] ?? 0) + cost;
-      return { admitted: true, retryAfterMs: 0 };
+      return { admitted: true, retryAfterMs: 0, level };
     },
     notePeer: (incarnation, totals, isOlder, now) => {
       const known = peers.get(incarnation) ?? (isOlder ? { ...totals } : {});
