--- a/packages/router/src/gossip-message.test.ts
+++ b/packages/router/src/gossip-message.test.ts
@@ -7,6 +7,7 @@
   incarnation: 'a1',
   sequence: 7,
   address: '10.0.0.1:80',
+  dataCentre: 'north-a',
   ageMs: 1_200,
   seen: { config: 3, servers: 9 },
   loads: { 'i-1': [3_000, 1, 200] },
@@ -20,8 +21,8 @@
 
 test('a whole message and an update come through as they were', (t) => {
   t.deepEqual(decodeGossip(encodeGossip(message)), { kind: 'whole', message });
-  const { vm, address, ageMs, levels, ...update } = message;
-  t.truthy([vm, address, ageMs, levels]);
+  const { vm, address, dataCentre, ageMs, levels, ...update } = message;
+  t.truthy([vm, address, dataCentre, ageMs, levels]);
   t.deepEqual(decodeGossip(encodeUpdate(update)), { kind: 'update', update });
   const unsure = { ...message, levels: undefined, isLeaving: true, role: 'reader' as const };
   t.deepEqual(decodeGossip(encodeGossip(unsure)), { kind: 'whole', message: unsure });
--- a/packages/router/src/gossip-message.ts
+++ b/packages/router/src/gossip-message.ts
@@ -27,6 +27,7 @@
   readonly vm: string;
   /** Address of the VM's peer interface, as IP:port. */
   readonly address: string;
+  readonly dataCentre: string;
   /** Time since the process started. */
   readonly ageMs: number;
   /** What the VM knows of rates, for one that has just started; undefined if it knows little. */
@@ -43,7 +44,7 @@
 const reachableFlag = 4;
 
 const updateLength = 8;
-const wholeLength = 12;
+const wholeLength = 13;
 
 const encodeFlags = (u: LoadUpdate): number =>
   (u.isLeaving ? leavingFlag : 0) +
@@ -72,6 +73,7 @@
       ...encodeRow(message),
       message.vm,
       message.address,
+      message.dataCentre,
       message.ageMs,
       message.levels ?? null,
     ]),
@@ -132,11 +134,15 @@
   const update = decodeUpdate(row);
   if (!update) return undefined;
   if (row.length === updateLength) return { kind: 'update', update };
-  const [vm, address, ageMs, levels] = row.slice(updateLength) as unknown[];
+  const [vm, address, dataCentre, ageMs, levels] = row.slice(updateLength) as unknown[];
   if (row.length !== wholeLength || typeof vm !== 'string' || typeof address !== 'string')
     return undefined;
   if (!/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/.test(address)) return undefined;
+  if (typeof dataCentre !== 'string') return undefined;
   if (typeof ageMs !== 'number' || !Number.isFinite(ageMs)) return undefined;
   if (levels !== null && !areLevels(levels)) return undefined;
-  return { kind: 'whole', message: { ...update, vm, address, ageMs, levels: levels ?? undefined } };
+  return {
+    kind: 'whole',
+    message: { ...update, vm, address, dataCentre, ageMs, levels: levels ?? undefined },
+  };
 };
--- a/packages/router/src/peers-controller.ts
+++ b/packages/router/src/peers-controller.ts
@@ -19,7 +19,16 @@
 const heartbeatMs = 500;
 
 /** Time between two whole messages for each VM of a larger fleet. */
-const heartbeatPerVmMs = 25;
+const heartbeatPerVmMs = 40;
+
+/**
+ * Fleet from which freed memory is told to the VMs of the own data centre only. They use the
+ * engines there first; the others see them as fuller than they are until the next message.
+ */
+const largeFleet = 24;
+
+/** Who is to hear of a change. */
+export type ChangeReach = 'fleet' | 'data-centre';
 
 /** Time for which changes are gathered into one message. */
 const gatherMs = 5;
@@ -51,6 +60,7 @@
   incarnation: string;
   sequence: number;
   address: string;
+  readonly dataCentre: string;
   heardAt: number;
   last: LoadUpdate;
   /** Whether its process ran before this one. */
@@ -63,7 +73,7 @@
   readonly start: () => void;
   readonly stop: () => Promise<void>;
   /** Tells the others soon that something changed. */
-  readonly noteChange: () => void;
+  readonly noteChange: (reach: ChangeReach) => void;
   readonly tick: (now: number) => void;
   /** Whether this VM follows the store itself. */
   readonly isWatcher: () => boolean;
@@ -77,6 +87,7 @@
 /** Ports of the controller. */
 export interface PeersDeps {
   readonly vm: string;
+  readonly dataCentre: string;
   readonly incarnation: string;
   readonly at: Endpoint;
   readonly seeds: readonly Endpoint[];
@@ -117,6 +128,8 @@
   let watching = true;
   /** Whether the next message must be whole. */
   let greet = true;
+  /** Who hears the next message, unless it is whole. */
+  let reach: ChangeReach = 'data-centre';
   let told: AdmittedTotals = {};
   let gather: NodeJS.Timeout | undefined;
   let stopped = false;
@@ -130,6 +143,11 @@
     return all;
   };
 
+  const nearTargets = (): string[] =>
+    [...peers.values()]
+      .filter((peer) => peer.dataCentre === deps.dataCentre)
+      .map((peer) => peer.address);
+
   const periodMs = (): number =>
     watching ? heartbeatMs : Math.max(heartbeatMs, (peers.size + 1) * heartbeatPerVmMs);
 
@@ -149,7 +167,8 @@
     greet = false;
     sequence += 1;
     const described = deps.describe();
-    const changed = selectChanged(described.admitted);
+    const isForAll = isWhole || reach === 'fleet' || peers.size < largeFleet;
+    const changed = isForAll ? selectChanged(described.admitted) : {};
     const update: LoadUpdate = {
       incarnation: deps.incarnation,
       sequence,
@@ -165,25 +184,29 @@
           ...update,
           vm: deps.vm,
           address: own,
+          dataCentre: deps.dataCentre,
           ageMs: Math.round(now - startedAt),
           levels: deps.describeLevels(now),
         })
       : encodeUpdate(update);
-    targets().forEach((address) => {
+    const near = reach === 'data-centre' && !isWhole && peers.size >= largeFleet;
+    reach = 'data-centre';
+    (near ? nearTargets() : targets()).forEach((address) => {
       const [host = '', port] = address.split(':');
       // A lost message is replaced by the next one.
       socket.send(bytes, Number(port), host, () => {});
     });
   };
 
-  const noteChange = (): void => {
+  const noteChange = (wanted: ChangeReach): void => {
+    if (wanted === 'fleet') reach = 'fleet';
     if (gather || stopped) return;
     gather = setTimeout(() => send(), gatherMs);
   };
 
   const greetAll = (): void => {
     greet = true;
-    noteChange();
+    noteChange('fleet');
   };
 
   const forget = (peer: Peer): void => {
@@ -224,6 +247,7 @@
       incarnation: message.incarnation,
       sequence: 0,
       address: message.address,
+      dataCentre: message.dataCentre,
       heardAt: deps.now(),
       last: message,
       isOlder: message.ageMs > deps.now() - startedAt,
@@ -383,7 +407,7 @@
       watchSilence(now);
       chooseRole(now);
       catchUp(now);
-      if (now - wholeAt >= periodMs()) noteChange();
+      if (now - wholeAt >= periodMs()) noteChange('fleet');
     },
     isWatcher: () => watching,
     countVms: () => peers.size + 1,
--- a/packages/router/src/run-deps.ts
+++ b/packages/router/src/run-deps.ts
@@ -24,8 +24,8 @@
   readonly view: () => PlacementView;
   /** Takes a repeated send out of this VM's share for a service. */
   readonly takeRepeat: (service: string) => boolean;
-  /** Tells that the work at engines has changed. */
-  readonly noteLoadChange: () => void;
+  /** Tells that work was placed at an engine, or that some ended. */
+  readonly noteLoadChange: (change: 'placed' | 'freed') => void;
   readonly log: LogRouterEvent;
   readonly metrics: RouterMetrics;
   /** Milliseconds on a clock that never goes back. */
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -6,7 +6,7 @@
   PrefillResult,
 } from '@hemlocksill/types/routing-ports.js';
 import { chooseDecode, choosePrefill, type EngineNeed } from '@hemlocksill/routing/place-work.js';
-import type { HeldMemory } from '@hemlocksill/routing/engine-ledger.js';
+import { assumedPrefillPace, type HeldMemory } from '@hemlocksill/routing/engine-ledger.js';
 import type { CallContext, Responder } from './call-context.js';
 import type { RunDeps } from './run-deps.js';
 import { makeEventSplitter } from './sse-events.js';
@@ -96,7 +96,7 @@
   const hold = (placement: Placement): HeldMemory => {
     const startedAt = deps.now();
     const held = deps.engineLedger.addDecode(placement.decode.id, need.promptTokens);
-    deps.noteLoadChange();
+    deps.noteLoadChange('placed');
     let isHeld = true;
     return {
       grow: held.grow,
@@ -105,7 +105,7 @@
         isHeld = false;
         held.release();
         deps.pace.noteStream(deps.now() - startedAt);
-        deps.noteLoadChange();
+        deps.noteLoadChange('freed');
       },
     };
   };
@@ -146,7 +146,7 @@
   };
 
   const latestStart = (): number => {
-    const prefillMs = need.promptTokens / 30;
+    const prefillMs = need.promptTokens / assumedPrefillPace;
     return ctx.arrivedAt + route.targetMs - prefillMs - deps.pace.firstEventMs();
   };
 
@@ -214,14 +214,14 @@
     const { promptTokens } = need;
     prefills += 1;
     deps.engineLedger.addPrefill(placement.prefill.id, promptTokens);
-    deps.noteLoadChange();
+    deps.noteLoadChange('placed');
     let open = true;
     const close = (): boolean => {
       if (!open) return false;
       open = false;
       clearTimeout(watch);
+      // The others let a prefill run out by themselves.
       deps.engineLedger.removePrefill(placement.prefill.id, promptTokens);
-      deps.noteLoadChange();
       return true;
     };
     const giveBack = (): void => {
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -31,7 +31,7 @@
 export const connectMs = 150;
 
 /** Period of the reviews of queues, peers and beliefs. */
-const tickMs = 20;
+const tickMs = 50;
 
 /** Bytes of headers that the parser takes; the configuration's own bound is checked after it. */
 const parserHeaderBytes = 64 * 1_024;
@@ -117,7 +117,7 @@
     isWatcher: () => peers.isWatcher(),
     onChange: () => {
       applyLimits();
-      peers.noteChange();
+      peers.noteChange('fleet');
     },
   });
 
@@ -141,6 +141,7 @@
 
   const peers = makePeersController({
     vm: settings.vm,
+    dataCentre: settings.dataCentre,
     incarnation,
     at: settings.peers,
     seeds: settings.seeds,
@@ -194,8 +195,8 @@
     listReady: (service) => directory.listReady(service, now()),
     view: placementView,
     takeRepeat: (service) => getRepeats(service).tryRepeat(peers.countVms(), now()),
-    noteLoadChange: () => {
-      peers.noteChange();
+    noteLoadChange: (change) => {
+      peers.noteChange(change === 'placed' ? 'fleet' : 'data-centre');
       if (queue.size() > 0) setImmediate(() => queue.review(now()));
     },
     log,
--- a/packages/router/src/view-controller.ts
+++ b/packages/router/src/view-controller.ts
@@ -13,7 +13,7 @@
 const watchWaitMs = 4_000;
 
 /** Pause between two looks at whether this VM is to follow the store. */
-const idleMs = 50;
+const idleMs = 200;
 
 /** Pause before a call to the store that failed is made again, doubled at each failure. */
 const firstRetryMs = 150;
--- a/packages/routing/src/engine-ledger.ts
+++ b/packages/routing/src/engine-ledger.ts
@@ -16,11 +16,14 @@
 }
 
 /** Time after which the work of a peer that is not heard no longer counts. */
-const peerSilentMs = 7_000;
+const peerSilentMs = 12_000;
 
 /** Time for which an engine that refused work counts as full. */
 const fullRestMs = 60;
 
+/** Prompt tokens that an engine reads in a millisecond until its pace is known. */
+export const assumedPrefillPace = 30;
+
 /** Output tokens a second of one stream until streams have been seen. */
 export const assumedGrowthPerS = 400;
 
@@ -111,7 +114,9 @@
         const grownS = (now - peer.heardAt) / 1_000;
         tokens += theirs[0] + theirs[1] * grownS * assumedGrowthPerS;
         requests += theirs[1];
-        prefillTokens += theirs[2];
+        // A peer does not tell when a prefill ends; it has been read at the usual pace since.
+        const readSince = (now - peer.heardAt) * assumedPrefillPace;
+        prefillTokens += Math.max(0, theirs[2] - readSince);
       });
       return { tokens, requests, prefillTokens };
     },
--- a/packages/routing/src/place-work.ts
+++ b/packages/routing/src/place-work.ts
@@ -1,5 +1,5 @@
 import type { BackendServer, EngineLimits } from '@hemlocksill/types/routing.js';
-import { assumedGrowthPerS, type EngineLedger } from './engine-ledger.js';
+import { assumedGrowthPerS, assumedPrefillPace, type EngineLedger } from './engine-ledger.js';
 import type { ServerHealth } from './server-health.js';
 
 /** Load share that a backend server in the VM's own data centre may have on top. */
@@ -8,9 +8,6 @@
 /** Weight of the share of failed calls against the share of load. */
 const failureWeight = 2;
 
-/** Prompt tokens that an engine reads in a millisecond until its pace is known. */
-export const assumedPrefillPace = 30;
-
 /** Extra milliseconds of a prefill whose memory must cross between data centres. */
 const otherDataCentreMs = 20;
 
--- a/packages/routing/src/placement.test.ts
+++ b/packages/routing/src/placement.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { assumedGrowthPerS, makeEngineLedger } from './engine-ledger.js';
+import { assumedGrowthPerS, assumedPrefillPace, makeEngineLedger } from './engine-ledger.js';
 import { engineLimits, makeServer } from './fixtures.js';
 import {
   chooseDecode,
@@ -49,6 +49,8 @@
   ledger.addDecode('a', 100);
   t.deepEqual(ledger.total('a', 0), { tokens: 1_100, requests: 2, prefillTokens: 500 });
   t.is(ledger.total('a', 1_000).tokens, 1_100 + assumedGrowthPerS);
+  t.is(ledger.total('a', 10).prefillTokens, 500 - 10 * assumedPrefillPace);
+  t.is(ledger.total('a', 1_000).prefillTokens, 0);
   t.is(ledger.total('a', 60_000).tokens, 100);
   ledger.notePeer('p', {}, 60_000);
   t.is(ledger.total('a', 60_000).tokens, 100);
