Pass answers without a length on without one; close what a stop leaves open

Traced: a backend server that crashes may end an answer without a length in order, and the router gave it a length; nobody can tell that it was short. Ruled out by a trace of its connections: a missed reset (all ended in order). And a stream whose head was sent before SIGTERM left its connection open, on which a request came 5.3 s after the signal and was cut at 7.6 s. A kept connection now also needs an orderly end of an answer without a length.

--- a/packages/router/src/call-context.ts
+++ b/packages/router/src/call-context.ts
@@ -124,7 +124,12 @@
     metrics.firstByteMs.observe({ kind: route.kind }, hooks.now() - ctx.arrivedAt);
     const headers = head.headers.flatMap(([name, value]) => [name, value]);
     const hasLength = head.headers.some(([name]) => name === 'content-length');
-    if (length !== undefined && !hasLength) headers.push('content-length', String(length));
+    if (!head.isFramed) {
+      // Nobody can tell whether an answer that only ended with its connection was whole, so
+      // it is passed on as it came.
+      res.useChunkedEncodingByDefault = false;
+      res.shouldKeepAlive = false;
+    } else if (length !== undefined && !hasLength) headers.push('content-length', String(length));
     if (hooks.isLeaving()) headers.push('connection', 'close');
     res.writeHead(head.status, headers);
   };
--- a/packages/router/src/handle-call.ts
+++ b/packages/router/src/handle-call.ts
@@ -15,6 +15,9 @@
 /** Time after which a VM without a configuration may be asked again. */
 const noConfigRetryMs = 500;
 
+/** Time after which a caller of a VM that stops may ask another one. */
+const leavingRetryMs = 50;
+
 /** Callers without a stated wait get this long, whatever the route says. */
 const assumedWaitMs = 60_000;
 
@@ -44,6 +47,8 @@
   readonly readFacts: ReadCallFacts;
   readonly quota: FleetQuota;
   readonly hooks: ResponderHooks;
+  /** False once the process is so near its end that a new request could be cut. */
+  readonly takesNew: () => boolean;
   readonly noteRequest: (service: string) => void;
   readonly runPlain: (ctx: CallContext, responder: Responder) => void;
   readonly runStream: (ctx: CallContext, responder: Responder) => void;
@@ -79,6 +84,8 @@
 };
 
 const readFilters = (deps: CallDeps, req: IncomingMessage): Result<FilterState, Rejection> => {
+  if (!deps.takesNew())
+    return err({ status: 503, reason: 'the VM is about to stop', retryMs: leavingRetryMs });
   const table = deps.table();
   if (!table) return err({ status: 503, reason: 'no configuration yet', retryMs: noConfigRetryMs });
   const limited = filterLimits(table, req);
@@ -225,6 +232,10 @@
   (deps: CallDeps) =>
   (req: IncomingMessage, res: ServerResponse): void => {
     const arrivedAt = deps.hooks.now();
+    res.on('finish', () => {
+      // A head that was sent before the stop did not announce the close.
+      if (deps.hooks.isLeaving()) req.socket.end();
+    });
     const state = readFilters(deps, req);
     if (state.isErr()) {
       req.resume();
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -41,7 +41,7 @@
 const assumedIdleTimeoutMs = 15_000;
 
 /** Time after the signal to stop for which new connections are taken; the balancer needs it. */
-const lameDuckMs = 3_500;
+const lameDuckMs = 3_000;
 
 /** Time left of the grace period when open requests are given up. */
 const graceReserveMs = 400;
@@ -106,6 +106,7 @@
   const pace = makeStreamPace();
   const repeats = new Map<string, RetryWindow>();
   let leaving = false;
+  let refusing = false;
   let wasReady = false;
 
   const view = makeViewController({
@@ -216,6 +217,7 @@
       readFacts: ports.readFacts,
       quota,
       hooks: { log, metrics, random: Math.random, now, isLeaving: () => leaving },
+      takesNew: () => !refusing,
       noteRequest: (service) => getRepeats(service).noteRequest(now()),
       runPlain: (ctx, responder) => runPlain(plainDeps, ctx, responder),
       runStream: (ctx, responder) => runStream(runDeps, ctx, responder),
@@ -281,6 +283,7 @@
       leaving = true;
       log(2003, { graceMs: settings.graceMs });
       await pause(Math.min(lameDuckMs, settings.graceMs / 2));
+      refusing = true;
       const closed = closeServer(callers);
       callers.closeIdleConnections();
       await Promise.race([closed, pause(Math.max(0, endBy - now()))]);
--- a/packages/types/src/routing-ports.ts
+++ b/packages/types/src/routing-ports.ts
@@ -15,6 +15,8 @@
 export interface BackendHead {
   readonly status: number;
   readonly headers: readonly (readonly [string, string])[];
+  /** Whether the answer says itself where it ends; one without a length ends with its connection. */
+  readonly isFramed: boolean;
 }
 
 /** Receives what a backend server answers; `fault` and `end` are final. */
