--- a/packages/cli/src/hemlocksill.ts
+++ b/packages/cli/src/hemlocksill.ts
@@ -135,7 +135,7 @@
   });
 
 program
-  .command('explain <request-id> [logs...]')
+  .command('explain <id> [logs...]')
   .description('print the trail of a request out of log files, or standard input without any')
   .action((id: string, files: string[]) => {
     const texts = files.length > 0 ? files.map(readFile) : [readFileSync(0, 'utf8')];
