Time without a rate holder is not held against those who waited through it

Cause: the upgrade test failed twice beside load with three requests refused 429 rate-exceeded. It kills a VM; when that VM holds the workspace's bucket nobody can be asked until its lease lapses. An urgent request waits 300 ms for its rate, or 1.5 s while no holder can be asked, but each new waiter, and the first answer of the new holder, measured all waiters by the shorter time: a waiter past it was refused as over its rate with a predicted wait of 0 ms. Ruled out: real use of the rate (10 callers in a closed loop use a fifth of it).

--- a/packages/entry/src/controllers/rate.ts
+++ b/packages/entry/src/controllers/rate.ts
@@ -4,6 +4,7 @@
 import type { PeerClient, PeerEndpoint } from '@hemlocksill/peer/peer-client.js';
 import { throwInvalidParams, type PeerMethod } from '@hemlocksill/peer/peer-server.js';
 import { acceptReturn, answerDraw, type DrawAnswer } from '@hemlocksill/rate/holder.js';
+import { selectLate, type RateWaiter } from '@hemlocksill/rate/select-late.js';
 import { shardOf } from '@hemlocksill/rate/shard-record.js';
 import {
   makeShortage,
@@ -39,8 +40,6 @@
 const noHolderWaitMs = 1_500;
 const longestPauseMs = 250;
 
-/** Share of its time that the predicted wait of a new waiter may take. */
-const admittedShare = 0.9;
 const noHolderRetryAfterMs = 2_000;
 
 /** Admission by the rates of workspaces. */
@@ -67,11 +66,7 @@
   readonly findWorkspace: (name: string) => Workspace | undefined;
 }
 
-interface Waiter {
-  readonly tokens: number;
-  readonly deadline: number;
-  /** Deadline while the holder cannot be asked. */
-  readonly holderDeadline: number;
+interface Waiter extends RateWaiter {
   readonly finish: (result: Result<Reservation, Refusal>) => void;
 }
 
@@ -234,25 +229,24 @@
   const refuseLate = (workspace: string, line: Line, newest?: Waiter): void => {
     const rate = findWorkspace(workspace)?.rate ?? 1;
     const now = readClock();
-    let tokens = 0;
-    const waits = new Map<Waiter, number>();
-    line.waiters.forEach((w) => {
-      const waitMs = predictShortageWait(line.shortage, tokens + w.tokens, rate, now);
-      waits.set(w, waitMs);
-      // A waiter that is refused does not delay those behind it.
-      if (now + waitMs <= w.deadline) tokens += w.tokens;
-    });
-    const isLate = (w: Waiter): boolean => {
-      const share = w === newest ? admittedShare : 1;
-      return (waits.get(w) ?? 0) > (w.deadline - now) * share;
-    };
-    refuseWhere(line, isLate, (w) =>
-      refuseRate('the workspace is over its rate', Math.ceil(waits.get(w) ?? 0)),
+    const late = selectLate(
+      line.waiters,
+      (tokens) => predictShortageWait(line.shortage, tokens, rate, now),
+      now,
+      newest,
+    );
+    refuseWhere(
+      line,
+      (w) => late.has(w),
+      (w) => refuseRate('the workspace is over its rate', Math.ceil(late.get(w) ?? 0)),
     );
   };
 
   /** Refuses those that have waited long enough for a holder. */
   const refuseWithoutHolder = (line: Line): number => {
+    line.waiters.forEach((w) => {
+      w.metAbsence = true;
+    });
     const late = readClock() + noHolderPauseMs;
     const message = 'the rate of the workspace cannot be checked now';
     refuseWhere(
@@ -356,7 +350,13 @@
       }
       return new Promise((resolve) => {
         const holderDeadline = Math.max(deadline, now + noHolderWaitMs);
-        const waiter: Waiter = { tokens, deadline, holderDeadline, finish: resolve };
+        const waiter: Waiter = {
+          tokens,
+          deadline,
+          holderDeadline,
+          metAbsence: false,
+          finish: resolve,
+        };
         // Urgent requests may wait less and so come first.
         const behind = line.waiters.findIndex((w) => w.deadline > deadline);
         line.waiters.splice(behind < 0 ? line.waiters.length : behind, 0, waiter);
