Tell loads where they concern and greet only the new VM; cheaper look-ups for 80 VMs

Now: chooseReach tells a load to the data centres of the engine and of the VM; a low bucket is told to all at once, which keeps the bound on a workspace's window (a test that floods four data centres passes with it and fails without); a greeting goes to the new VM; the newest revision is kept; rows of peers are indexed by engine; whole messages each 60 ms times the number of VMs in place of 40.

--- a/packages/router/src/handle-call.ts
+++ b/packages/router/src/handle-call.ts
@@ -50,6 +50,8 @@
   /** False once the process is so near its end that a new request could be cut. */
   readonly takesNew: () => boolean;
   readonly noteRequest: (service: string) => void;
+  /** Tells that a workspace with little left of its rate was charged. */
+  readonly noteScarceRate: () => void;
   readonly runPlain: (ctx: CallContext, responder: Responder) => void;
   readonly runStream: (ctx: CallContext, responder: Responder) => void;
 }
@@ -123,12 +125,13 @@
   const { workspace, facts } = state;
   if (!workspace) return ok(0);
   const cost = costOf(facts, workspace);
-  const { admitted, retryAfterMs, level } = deps.quota.tryAdmit(
+  const { admitted, retryAfterMs, level, isScarce } = deps.quota.tryAdmit(
     workspace.name,
     workspace,
     cost,
     now,
   );
+  if (admitted && isScarce) deps.noteScarceRate();
   if (admitted) return ok(cost);
   return err({
     status: 429,
--- a/packages/router/src/peers-controller.ts
+++ b/packages/router/src/peers-controller.ts
@@ -2,6 +2,12 @@
 import { err, ok, type Result } from 'neverthrow';
 import type { Endpoint } from '@hemlocksill/config/settings.js';
 import type { Store } from '@hemlocksill/types/ports.js';
+import {
+  chooseReach,
+  joinReach,
+  type ChangeReach,
+  type FleetChange,
+} from '@hemlocksill/routing/choose-reach.js';
 import { shouldWatch } from '@hemlocksill/routing/choose-watchers.js';
 import type { AdmittedTotals, QuotaLevels } from '@hemlocksill/routing/fleet-quota.js';
 import {
@@ -12,23 +18,18 @@
   type LoadUpdate,
 } from './gossip-message.js';
 import type { LogRouterEvent } from './events.js';
+import { pause } from './pause.js';
 import { fetchPeerView } from './peer-views.js';
-import type { ViewController } from './view-controller.js';
+import type { SeenRevisions, ViewController } from './view-controller.js';
 
 /** Time between two whole messages of a VM that follows the store, or of a small fleet. */
 const heartbeatMs = 500;
 
 /** Time between two whole messages for each VM of a larger fleet. */
-const heartbeatPerVmMs = 40;
+const heartbeatPerVmMs = 60;
 
-/**
- * Fleet from which freed memory is told to the VMs of the own data centre only. They use the
- * engines there first; the others see them as fuller than they are until the next message.
- */
-const largeFleet = 24;
-
-/** Who is to hear of a change. */
-export type ChangeReach = 'fleet' | 'data-centre';
+/** Period of the review of who is silent and who follows the store. */
+const reviewMs = 200;
 
 /** Time for which changes are gathered into one message. */
 const gatherMs = 5;
@@ -72,8 +73,8 @@
 export interface PeersController {
   readonly start: () => void;
   readonly stop: () => Promise<void>;
-  /** Tells the others soon that something changed. */
-  readonly noteChange: (reach: ChangeReach) => void;
+  /** Tells those whom it concerns soon that something changed. */
+  readonly noteChange: (change: FleetChange) => void;
   readonly tick: (now: number) => void;
   /** Whether this VM follows the store itself. */
   readonly isWatcher: () => boolean;
@@ -126,14 +127,18 @@
   let sequence = 0;
   let wholeAt = Number.NEGATIVE_INFINITY;
   let watching = true;
-  /** Whether the next message must be whole. */
+  /** Whether the next message must be whole, for all VMs. */
   let greet = true;
+  /** Addresses of VMs that do not know this one yet. */
+  const strangers = new Set<string>();
   /** Who hears the next message, unless it is whole. */
-  let reach: ChangeReach = 'data-centre';
+  let reach: ChangeReach = new Set();
+  /** Totals as all VMs were last told. */
   let told: AdmittedTotals = {};
   let gather: NodeJS.Timeout | undefined;
   let stopped = false;
   let lagSince: number | undefined;
+  let reviewAt = Number.NEGATIVE_INFINITY;
   let fetchedAt = 0;
 
   const targets = (): Set<string> => {
@@ -143,19 +148,22 @@
     return all;
   };
 
-  const nearTargets = (): string[] =>
+  const targetsIn = (dataCentres: ReadonlySet<string>): string[] =>
     [...peers.values()]
-      .filter((peer) => peer.dataCentre === deps.dataCentre)
+      .filter((peer) => dataCentres.has(peer.dataCentre))
       .map((peer) => peer.address);
 
   const periodMs = (): number =>
     watching ? heartbeatMs : Math.max(heartbeatMs, (peers.size + 1) * heartbeatPerVmMs);
 
-  /** Keeps the totals that changed since they were last sent. */
-  const selectChanged = (admitted: AdmittedTotals): AdmittedTotals => {
-    const changed = Object.entries(admitted).filter(([name, total]) => told[name] !== total);
-    told = { ...admitted };
-    return Object.fromEntries(changed);
+  /** Selects the totals that changed since all VMs were told. */
+  const selectChanged = (admitted: AdmittedTotals): AdmittedTotals =>
+    Object.fromEntries(Object.entries(admitted).filter(([name, total]) => told[name] !== total));
+
+  const post = (bytes: Buffer, address: string): void => {
+    const [host = '', port] = address.split(':');
+    // A lost message is replaced by the next one.
+    socket.send(bytes, Number(port), host, () => {});
   };
 
   const send = (isLeaving = false): void => {
@@ -167,46 +175,54 @@
     greet = false;
     sequence += 1;
     const described = deps.describe();
-    const isForAll = isWhole || reach === 'fleet' || peers.size < largeFleet;
-    const changed = isForAll ? selectChanged(described.admitted) : {};
     const update: LoadUpdate = {
       incarnation: deps.incarnation,
       sequence,
       seen: view.seen(),
       ...described,
-      admitted: isWhole ? described.admitted : changed,
+      admitted: selectChanged(described.admitted),
       isLeaving,
       role: watching ? 'watcher' : 'reader',
       isStoreReachable: view.isStoreReachable(),
     };
-    const bytes = isWhole
-      ? encodeGossip({
-          ...update,
-          vm: deps.vm,
-          address: own,
-          dataCentre: deps.dataCentre,
-          ageMs: Math.round(now - startedAt),
-          levels: deps.describeLevels(now),
-        })
-      : encodeUpdate(update);
-    const near = reach === 'data-centre' && !isWhole && peers.size >= largeFleet;
-    reach = 'data-centre';
-    (near ? nearTargets() : targets()).forEach((address) => {
-      const [host = '', port] = address.split(':');
-      // A lost message is replaced by the next one.
-      socket.send(bytes, Number(port), host, () => {});
-    });
+    const whole =
+      isWhole || strangers.size > 0
+        ? encodeGossip({
+            ...update,
+            admitted: described.admitted,
+            vm: deps.vm,
+            address: own,
+            dataCentre: deps.dataCentre,
+            ageMs: Math.round(now - startedAt),
+            levels: deps.describeLevels(now),
+          })
+        : undefined;
+    if (whole && isWhole) targets().forEach((address) => post(whole, address));
+    else {
+      if (whole) strangers.forEach((address) => post(whole, address));
+      const bytes = encodeUpdate(update);
+      (reach === 'fleet' ? targets() : targetsIn(reach)).forEach((address) => {
+        if (!strangers.has(address)) post(bytes, address);
+      });
+    }
+    if (isWhole || reach === 'fleet') told = { ...described.admitted };
+    reach = new Set();
+    strangers.clear();
   };
 
-  const noteChange = (wanted: ChangeReach): void => {
-    if (wanted === 'fleet') reach = 'fleet';
+  const sendSoon = (): void => {
     if (gather || stopped) return;
     gather = setTimeout(() => send(), gatherMs);
   };
 
+  const noteChange = (change: FleetChange): void => {
+    reach = joinReach(reach, chooseReach(change, deps.dataCentre, peers.size + 1));
+    sendSoon();
+  };
+
   const greetAll = (): void => {
     greet = true;
-    noteChange('fleet');
+    noteChange({ kind: 'whole' });
   };
 
   const forget = (peer: Peer): void => {
@@ -228,7 +244,7 @@
       return;
     }
     deps.onHeard(update, peer.isOlder, now);
-    catchUp(now);
+    if (isAhead(peer, view.seen())) catchUp(now);
   };
 
   const hearWhole = (message: GossipMessage): void => {
@@ -257,8 +273,10 @@
     peers.set(message.vm, peer);
     byIncarnation.set(message.incarnation, peer);
     take(peer, message);
-    // A VM that is new here does not know this one either.
-    greetAll();
+    // A VM that is new here does not know this one either. Telling all others too would make
+    // the messages of a fleet that starts grow with the cube of its size.
+    strangers.add(message.address);
+    sendSoon();
   };
 
   const fetchFrom = async (address: string): Promise<void> => {
@@ -274,10 +292,8 @@
     if (got.value.config || got.value.servers.length > 0) fetchedAt = 0;
   };
 
-  const isAhead = (peer: Peer): boolean => {
-    const seen = view.seen();
-    return peer.last.seen.config > seen.config || peer.last.seen.servers > seen.servers;
-  };
+  const isAhead = (peer: Peer, seen: SeenRevisions): boolean =>
+    peer.last.seen.config > seen.config || peer.last.seen.servers > seen.servers;
 
   const pickOne = <T>(list: readonly T[]): T | undefined =>
     list[Math.floor(Math.random() * list.length)];
@@ -285,7 +301,10 @@
   /** Fetches a view that is ahead, or any view while this VM has none and no store. */
   const catchUp = (now: number): void => {
     if (now - fetchedAt < fetchPauseMs) return;
-    const ahead = pickOne([...peers.values()].filter((peer) => !peer.isSilent && isAhead(peer)));
+    const seen = view.seen();
+    const ahead = pickOne(
+      [...peers.values()].filter((peer) => !peer.isSilent && isAhead(peer, seen)),
+    );
     if (ahead) {
       lagSince ??= now;
       // A VM that watches hears the same change itself at about the same time.
@@ -332,11 +351,6 @@
     greetAll();
   };
 
-  const pause = (ms: number): Promise<void> =>
-    new Promise((resolve) => {
-      setTimeout(resolve, ms);
-    });
-
   const key = deps.vmPrefix + deps.vm;
 
   /** Writes this VM's entry, over one of an earlier incarnation. */
@@ -404,10 +418,13 @@
     },
     noteChange,
     tick: (now) => {
-      watchSilence(now);
-      chooseRole(now);
-      catchUp(now);
-      if (now - wholeAt >= periodMs()) noteChange('fleet');
+      if (now >= reviewAt) {
+        reviewAt = now + reviewMs;
+        watchSilence(now);
+        chooseRole(now);
+        catchUp(now);
+      }
+      if (now - wholeAt >= periodMs()) noteChange({ kind: 'whole' });
     },
     isWatcher: () => watching,
     countVms: () => peers.size + 1,
--- a/packages/router/src/run-deps.ts
+++ b/packages/router/src/run-deps.ts
@@ -24,8 +24,8 @@
   readonly view: () => PlacementView;
   /** Takes a repeated send out of this VM's share for a service. */
   readonly takeRepeat: (service: string) => boolean;
-  /** Tells that work was placed at an engine, or that some ended. */
-  readonly noteLoadChange: (change: 'placed' | 'freed') => void;
+  /** Tells that work was placed at an engine, or has left it. */
+  readonly noteLoadChange: (server: BackendServer) => void;
   readonly log: LogRouterEvent;
   readonly metrics: RouterMetrics;
   /** Milliseconds on a clock that never goes back. */
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -96,7 +96,7 @@
   const hold = (placement: Placement): HeldMemory => {
     const startedAt = deps.now();
     const held = deps.engineLedger.addDecode(placement.decode.id, need.promptTokens);
-    deps.noteLoadChange('placed');
+    deps.noteLoadChange(placement.decode);
     let isHeld = true;
     return {
       grow: held.grow,
@@ -105,7 +105,7 @@
         isHeld = false;
         held.release();
         deps.pace.noteStream(deps.now() - startedAt);
-        deps.noteLoadChange('freed');
+        deps.noteLoadChange(placement.decode);
       },
     };
   };
@@ -214,7 +214,7 @@
     const { promptTokens } = need;
     prefills += 1;
     deps.engineLedger.addPrefill(placement.prefill.id, promptTokens);
-    deps.noteLoadChange('placed');
+    deps.noteLoadChange(placement.prefill);
     let open = true;
     const close = (): boolean => {
       if (!open) return false;
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -19,6 +19,7 @@
 import { makeStreamQueue } from '@hemlocksill/routing/stream-queue.js';
 import type { LogRouterEvent } from './events.js';
 import { makeCallHandler } from './handle-call.js';
+import { pause } from './pause.js';
 import { makePeersController } from './peers-controller.js';
 import { servePeerViews } from './peer-views.js';
 import type { RouterMetrics } from './router-metrics.js';
@@ -31,7 +32,7 @@
 export const connectMs = 150;
 
 /** Period of the reviews of queues, peers and beliefs. */
-const tickMs = 50;
+const tickMs = 100;
 
 /** Bytes of headers that the parser takes; the configuration's own bound is checked after it. */
 const parserHeaderBytes = 64 * 1_024;
@@ -78,11 +79,6 @@
     server.close(() => resolve());
   });
 
-const pause = (ms: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-
 /**
  * Starts a router process on its ports.
  *
@@ -118,7 +114,7 @@
     isWatcher: () => peers.isWatcher(),
     onChange: () => {
       applyLimits();
-      peers.noteChange('fleet');
+      peers.noteChange({ kind: 'view', isWatcher: peers.isWatcher() });
     },
   });
 
@@ -196,8 +192,8 @@
     listReady: (service) => directory.listReady(service, now()),
     view: placementView,
     takeRepeat: (service) => getRepeats(service).tryRepeat(peers.countVms(), now()),
-    noteLoadChange: (change) => {
-      peers.noteChange(change === 'placed' ? 'fleet' : 'data-centre');
+    noteLoadChange: (server) => {
+      peers.noteChange({ kind: 'load', dataCentre: server.dataCentre });
       if (queue.size() > 0) setImmediate(() => queue.review(now()));
     },
     log,
@@ -219,6 +215,7 @@
       hooks: { log, metrics, random: Math.random, now, isLeaving: () => leaving },
       takesNew: () => !refusing,
       noteRequest: (service) => getRepeats(service).noteRequest(now()),
+      noteScarceRate: () => peers.noteChange({ kind: 'scarce-rate' }),
       runPlain: (ctx, responder) => runPlain(plainDeps, ctx, responder),
       runStream: (ctx, responder) => runStream(runDeps, ctx, responder),
     }),
--- a/packages/router/src/view-controller.ts
+++ b/packages/router/src/view-controller.ts
@@ -5,6 +5,7 @@
 import { buildRouteTable, type RouteTable } from '@hemlocksill/routing/route-table.js';
 import type { ServerDirectory } from '@hemlocksill/routing/server-directory.js';
 import type { LogRouterEvent } from './events.js';
+import { pause } from './pause.js';
 
 /**
  * Longest wait of a watch. A connection that went silent is found within it, or sooner from
@@ -76,6 +77,8 @@
   const { store, format, directory, log } = deps;
   const rawServers = new Map<string, StoreEntry>();
   const removed = new Map<string, number>();
+  /** Newest revision among the backend servers, removals included. */
+  let newestServer = 0;
   let rawConfig: StoreEntry | undefined;
   let config: RoutingConfig | undefined;
   let table: RouteTable | undefined;
@@ -110,6 +113,7 @@
     if (!directory.applyEntry(listed)) return;
     rawServers.set(entry.key, entry);
     removed.delete(entry.key);
+    newestServer = Math.max(newestServer, entry.revision);
     const { server } = listed;
     if (server)
       log(2105, {
@@ -127,6 +131,7 @@
     if (!directory.applyRemoval(key, revision, deps.now())) return;
     rawServers.delete(key);
     removed.set(key, revision);
+    newestServer = Math.max(newestServer, revision);
     const oldest = removed.keys().next().value;
     if (removed.size > mostRemoved && oldest !== undefined) removed.delete(oldest);
     log(2105, { server: key, state: 'removed', revision, source });
@@ -145,6 +150,7 @@
       .forEach((entry) => {
         rawServers.delete(entry.key);
         removed.set(entry.key, revision);
+        newestServer = Math.max(newestServer, revision);
         log(2105, { server: entry.key, state: 'removed', revision, source: 'listing' });
       });
     hasServers = true;
@@ -160,11 +166,6 @@
     return ok(listing.value.revision);
   };
 
-  const sleep = (ms: number): Promise<void> =>
-    new Promise((resolve) => {
-      setTimeout(resolve, ms);
-    });
-
   /** Follows a prefix for ever: lists, then watches from the listing's revision. */
   const follow = async (
     prefix: string,
@@ -173,8 +174,8 @@
   ): Promise<void> => {
     let after: number | undefined;
     let retryMs = firstRetryMs;
-    const pause = async (): Promise<void> => {
-      await sleep(retryMs);
+    const backOff = async (): Promise<void> => {
+      await pause(retryMs);
       retryMs = Math.min(longestRetryMs, retryMs * 2);
     };
     while (!stopped) {
@@ -182,11 +183,11 @@
         const listed = await list();
         noteStore(listed.isOk(), listed.isErr() ? listed.error : '');
         if (listed.isOk()) after = listed.value;
-        else await pause();
+        else await backOff();
         continue;
       }
       if (!deps.isWatcher()) {
-        await sleep(idleMs);
+        await pause(idleMs);
         continue;
       }
       const answer = await store.watch(prefix, after, watchWaitMs);
@@ -194,7 +195,7 @@
         noteStore(false, answer.error);
         // The history may be gone by the time that the store is back.
         after = undefined;
-        await pause();
+        await backOff();
       } else if (answer.value.kind === 'compacted') {
         log(2107, { prefix, after });
         after = undefined;
@@ -229,7 +230,7 @@
     table: () => table,
     isComplete: () => table !== undefined && hasServers,
     isStoreReachable: () => reachable,
-    seen: () => ({ config: rawConfig?.revision ?? 0, servers: newestOf(rawServers, removed) }),
+    seen: () => ({ config: rawConfig?.revision ?? 0, servers: newestServer }),
     rawSince: (seen) => ({
       config: rawConfig && rawConfig.revision > seen.config ? rawConfig : undefined,
       servers: [...rawServers.values()].filter((entry) => entry.revision > seen.servers),
@@ -243,17 +244,3 @@
     },
   };
 };
-
-const newestOf = (
-  servers: ReadonlyMap<string, StoreEntry>,
-  removed: ReadonlyMap<string, number>,
-): number => {
-  let newest = 0;
-  servers.forEach((entry) => {
-    newest = Math.max(newest, entry.revision);
-  });
-  removed.forEach((revision) => {
-    newest = Math.max(newest, revision);
-  });
-  return newest;
-};
--- a/packages/routing/src/engine-ledger.ts
+++ b/packages/routing/src/engine-ledger.ts
@@ -10,9 +10,10 @@
 /** What a VM has at the engines, by backend server. */
 export type LoadRows = Readonly<Record<string, readonly [number, number, number]>>;
 
-interface PeerLoads {
-  rows: LoadRows;
-  heardAt: number;
+/** What a peer has at one engine, as it told last. */
+interface PeerRow {
+  readonly row: readonly [number, number, number];
+  readonly heardAt: number;
 }
 
 /** Time after which the work of a peer that is not heard no longer counts. */
@@ -63,7 +64,9 @@
  */
 export const makeEngineLedger = (): EngineLedger => {
   const own = new Map<string, [number, number, number]>();
-  const peers = new Map<string, PeerLoads>();
+  /** Engines at which each peer has work, and that work by engine and peer. */
+  const enginesOf = new Map<string, readonly string[]>();
+  const peerRows = new Map<string, Map<string, PeerRow>>();
   const fullUntil = new Map<string, number>();
   const add = (server: string, tokens: number, requests: number, prefill: number): void => {
     const row = own.get(server) ?? [0, 0, 0];
@@ -73,6 +76,15 @@
     if (row[0] === 0 && row[1] === 0 && row[2] === 0) own.delete(server);
     else own.set(server, row);
   };
+  const dropPeer = (incarnation: string): void => {
+    enginesOf.get(incarnation)?.forEach((server) => {
+      const atServer = peerRows.get(server);
+      atServer?.delete(incarnation);
+      if (atServer?.size === 0) peerRows.delete(server);
+    });
+    enginesOf.delete(incarnation);
+  };
+
   return {
     addDecode: (server, tokens) => {
       let held = tokens;
@@ -98,24 +110,27 @@
     },
     isFull: (server, now) => (fullUntil.get(server) ?? 0) > now,
     notePeer: (incarnation, rows, now) => {
-      peers.set(incarnation, { rows, heardAt: now });
-    },
-    dropPeer: (incarnation) => {
-      peers.delete(incarnation);
+      dropPeer(incarnation);
+      enginesOf.set(incarnation, Object.keys(rows));
+      Object.entries(rows).forEach(([server, row]) => {
+        const atServer = peerRows.get(server) ?? new Map<string, PeerRow>();
+        peerRows.set(server, atServer);
+        atServer.set(incarnation, { row, heardAt: now });
+      });
     },
+    dropPeer,
     total: (server, now) => {
       const row = own.get(server);
       let tokens = row?.[0] ?? 0;
       let requests = row?.[1] ?? 0;
       let prefillTokens = row?.[2] ?? 0;
-      peers.forEach((peer) => {
-        const theirs = peer.rows[server];
-        if (!theirs || now - peer.heardAt > peerSilentMs) return;
-        const grownS = (now - peer.heardAt) / 1_000;
+      peerRows.get(server)?.forEach(({ row: theirs, heardAt }) => {
+        if (now - heardAt > peerSilentMs) return;
+        const grownS = (now - heardAt) / 1_000;
         tokens += theirs[0] + theirs[1] * grownS * assumedGrowthPerS;
         requests += theirs[1];
         // A peer does not tell when a prefill ends; it has been read at the usual pace since.
-        const readSince = (now - peer.heardAt) * assumedPrefillPace;
+        const readSince = (now - heardAt) * assumedPrefillPace;
         prefillTokens += Math.max(0, theirs[2] - readSince);
       });
       return { tokens, requests, prefillTokens };
--- a/packages/routing/src/fleet-quota.test.ts
+++ b/packages/routing/src/fleet-quota.test.ts
@@ -151,3 +151,38 @@
   const quota = makeFleetQuota({ windowMs, slack: 0 }, false, 0);
   t.true(quota.tryAdmit('w', { ratePerS: 0, burst: 0 }, 1e9, 0).admitted);
 });
+
+/** Plays a flood over VMs of four data centres; those elsewhere hear rarely, or when it matters. */
+const playLargeFleet = (tellsScarce: boolean): Spent[] => {
+  const dataCentres = 4;
+  const vms = 40;
+  const farMs = 3_200;
+  const fleet = Array.from({ length: vms }, () => makeFleetQuota({ windowMs, slack }, true, 0));
+  const isUrgent = new Array<boolean>(vms).fill(false);
+  const spent: Spent[] = [];
+  const perS = 200;
+  for (let step = 0; step < perS * 16; step += 1) {
+    const now = (step * 1_000) / perS;
+    // A message takes two steps.
+    if (step % 2 === 0)
+      fleet.forEach((from, a) =>
+        fleet.forEach((to, b) => {
+          const isNear = a % dataCentres === b % dataCentres;
+          const isDue = Math.floor(now / farMs) > Math.floor((now - 10) / farMs);
+          if (a === b || !(isNear || isDue || isUrgent[a])) return;
+          to.notePeer(`VM ${a}`, { ...from.totals() }, false, now);
+        }),
+      );
+    if (step % 2 === 0) isUrgent.fill(false);
+    const at = step % vms;
+    const got = fleet[at]?.tryAdmit('w', limit, 3_300, now);
+    if (got?.admitted) spent.push({ at: now, cost: 3_300 });
+    if (got?.admitted && got.isScarce && tellsScarce) isUrgent[at] = true;
+  }
+  return spent;
+};
+
+test('a flood over four data centres stays within the bound when low buckets are told at once', (t) => {
+  t.true(mostInWindow(playLargeFleet(true)) <= allowed);
+  t.true(mostInWindow(playLargeFleet(false)) > allowed);
+});
--- a/packages/routing/src/fleet-quota.ts
+++ b/packages/routing/src/fleet-quota.ts
@@ -22,6 +22,12 @@
  */
 const windowSlackShare = 0.7;
 
+/**
+ * Share of a bucket below which each charge is told to all VMs at once. What the VMs of four
+ * data centres may each spend above it without being heard elsewhere is one bucket together.
+ */
+const scarceShare = 0.75;
+
 /** The rate of a workspace, in cost units. */
 export interface QuotaLimit {
   readonly ratePerS: number;
@@ -52,6 +58,8 @@
   readonly retryAfterMs: number;
   /** Level of the bucket before the request. */
   readonly level: number;
+  /** Whether the bucket is so low that the other VMs must hear of the charge at once. */
+  readonly isScarce: boolean;
 }
 
 /** What a VM knows of each workspace: the bucket's level and what the window holds. */
@@ -161,17 +169,18 @@
 
   return {
     tryAdmit: (workspace, limit, cost, now) => {
-      if (limit.ratePerS <= 0) return { admitted: true, retryAfterMs: 0, level: 0 };
+      if (limit.ratePerS <= 0) return { admitted: true, retryAfterMs: 0, level: 0, isScarce: false };
       const bucket = getBucket(workspace);
       const level = refill(bucket, limit, now);
       const needed = neededLevel(limit, cost);
       if (level < needed && !fitsWindow(bucket, limit, cost, now)) {
         const retryAfterMs = ((needed - level) / limit.ratePerS) * 1_000;
-        return { admitted: false, retryAfterMs, level };
+        return { admitted: false, retryAfterMs, level, isScarce: true };
       }
       spend(bucket, cost, now);
       own[workspace] = (own[workspace] ?? 0) + cost;
-      return { admitted: true, retryAfterMs: 0, level };
+      const isScarce = level - cost < capacityOf(limit) * scarceShare;
+      return { admitted: true, retryAfterMs: 0, level, isScarce };
     },
     notePeer: (incarnation, totals, isOlder, now) => {
       const known = peers.get(incarnation) ?? (isOlder ? { ...totals } : {});
