A store that turns all watchers away no longer delays the fleet; a leaner start

Now: four VMs follow the store; in fleets of nine or more a watch waits 1.2 s, and the loss of the store is told at once, so that others take over within two seconds; a test works the time out for every size from 6 to 390 and fails with three watchers or four seconds. The watchers put changes of backend servers into the message itself, so that readers need not fetch each. A VM follows the store only once it has heard who does (0.4 s).

--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -10,6 +10,9 @@
   name: 'lean',
   setup: ({ onResolve }) => {
     onResolve({ filter: /^undici$/ }, () => ({ path: here('lean/undici.mjs') }));
+    onResolve({ filter: /^(node:)?https?2?$/ }, ({ path }) =>
+      /http$/.test(path) ? undefined : { path: here('lean/absent.mjs') },
+    );
     onResolve({ filter: /locales\/index\.js$/ }, () => ({ path: here('lean/zod-locales.mjs') }));
   },
 };
--- a/packages/router/src/gossip-message.test.ts
+++ b/packages/router/src/gossip-message.test.ts
@@ -17,6 +17,11 @@
   role: 'watcher',
   isStoreReachable: true,
   levels: { forge: [10, 20] },
+  news: {
+    after: 7,
+    servers: [{ key: 's/1', value: 'v', revision: 9 }],
+    removed: [['s/2', 8]],
+  },
 };
 
 test('a whole message and an update come through as they were', (t) => {
@@ -24,7 +29,13 @@
   const { vm, address, dataCentre, ageMs, levels, ...update } = message;
   t.truthy([vm, address, dataCentre, ageMs, levels]);
   t.deepEqual(decodeGossip(encodeUpdate(update)), { kind: 'update', update });
-  const unsure = { ...message, levels: undefined, isLeaving: true, role: 'reader' as const };
+  const unsure = {
+    ...message,
+    levels: undefined,
+    news: undefined,
+    isLeaving: true,
+    role: 'reader' as const,
+  };
   t.deepEqual(decodeGossip(encodeGossip(unsure)), { kind: 'whole', message: unsure });
 });
 
--- a/packages/router/src/gossip-message.ts
+++ b/packages/router/src/gossip-message.ts
@@ -1,7 +1,16 @@
+import type { StoreEntry } from '@hemlocksill/types/ports.js';
 import type { LoadRows } from '@hemlocksill/routing/engine-ledger.js';
 import type { AdmittedTotals, QuotaLevels } from '@hemlocksill/routing/fleet-quota.js';
 import type { SeenRevisions } from './view-controller.js';
 
+/** Changes of backend servers beyond a revision, small enough to be told at once. */
+export interface ServerNews {
+  /** Whoever knows all changes up to this revision knows all after taking the news. */
+  readonly after: number;
+  readonly servers: readonly StoreEntry[];
+  readonly removed: readonly (readonly [string, number])[];
+}
+
 /** Whether a VM follows the store itself, or learns changes from those that do. */
 export type ViewRole = 'watcher' | 'reader';
 
@@ -20,6 +29,7 @@
   readonly isLeaving: boolean;
   readonly role: ViewRole;
   readonly isStoreReachable: boolean;
+  readonly news: ServerNews | undefined;
 }
 
 /** A VM's whole account of itself, sent regularly; updates between them are smaller. */
@@ -43,8 +53,8 @@
 const watcherFlag = 2;
 const reachableFlag = 4;
 
-const updateLength = 8;
-const wholeLength = 13;
+const updateLength = 9;
+const wholeLength = 14;
 
 const encodeFlags = (u: LoadUpdate): number =>
   (u.isLeaving ? leavingFlag : 0) +
@@ -60,6 +70,7 @@
   u.admitted,
   u.waiting,
   encodeFlags(u),
+  u.news ?? null,
 ];
 
 /** Encodes an update; fields go by position, since it is sent many times a second. */
@@ -97,13 +108,31 @@
     (pair) => Array.isArray(pair) && pair.length === 2 && pair.every((n) => Number.isFinite(n)),
   );
 
+const isEntry = (value: unknown): value is StoreEntry =>
+  isRecord(value) &&
+  typeof value.key === 'string' &&
+  typeof value.value === 'string' &&
+  Number.isFinite(value.revision);
+
+const isRemoval = (value: unknown): value is readonly [string, number] =>
+  Array.isArray(value) && typeof value[0] === 'string' && Number.isFinite(value[1]);
+
+const isNews = (value: unknown): value is ServerNews =>
+  isRecord(value) &&
+  Number.isFinite(value.after) &&
+  Array.isArray(value.servers) &&
+  value.servers.every(isEntry) &&
+  Array.isArray(value.removed) &&
+  value.removed.every(isRemoval);
+
 const hasFlag = (flags: number, flag: number): boolean => Math.floor(flags / flag) % 2 === 1;
 
 const decodeUpdate = (row: readonly unknown[]): LoadUpdate | undefined => {
-  const [incarnation, sequence, config, servers, loads, admitted, waiting, flags] = row;
+  const [incarnation, sequence, config, servers, loads, admitted, waiting, flags, news] = row;
   if (typeof incarnation !== 'string') return undefined;
   if (![sequence, config, servers, flags].every((n) => Number.isFinite(n))) return undefined;
   if (!areLoads(loads) || !areNumbers(admitted) || !areNumbers(waiting)) return undefined;
+  if (news !== null && !isNews(news)) return undefined;
   return {
     incarnation,
     sequence: Number(sequence),
@@ -114,6 +143,7 @@
     isLeaving: hasFlag(Number(flags), leavingFlag),
     role: hasFlag(Number(flags), watcherFlag) ? 'watcher' : 'reader',
     isStoreReachable: hasFlag(Number(flags), reachableFlag),
+    news: news ?? undefined,
   };
 };
 
--- a/packages/router/src/peer-views.ts
+++ b/packages/router/src/peer-views.ts
@@ -1,8 +1,9 @@
-import { serve, type ServerType } from '@hono/node-server';
-import { Hono } from 'hono';
+import type { Server } from 'node:http';
 import { JSONRPCServer } from 'json-rpc-2.0';
 import { err, ok, type Result } from 'neverthrow';
+import { Client } from 'undici';
 import type { Endpoint } from '@hemlocksill/config/settings.js';
+import { answerJson, answerText, serveAnswers } from './serve-answers.js';
 import type { RawView, SeenRevisions } from './view-controller.js';
 
 /** Time for a peer's answer. */
@@ -20,15 +21,14 @@
   at: Endpoint,
   rawSince: (seen: SeenRevisions) => RawView,
   onError: (error: Error) => void,
-): ServerType => {
+): Server => {
   const rpc = new JSONRPCServer();
   rpc.addMethod('getView', (seen) => rawSince(readSeen(seen)));
-  const app = new Hono();
-  app.post(rpcPath, async (c) => {
-    const answer = await rpc.receiveJSON(await c.req.text());
-    return answer ? c.json(answer) : c.body(null, 204);
+  const server = serveAnswers(at, async ({ method, path, body }) => {
+    if (method !== 'POST' || path !== rpcPath) return answerText(404, 'no such page');
+    const answer = await rpc.receiveJSON(body);
+    return answer ? answerJson(answer) : answerText(204, '');
   });
-  const server = serve({ fetch: app.fetch, hostname: at.host, port: at.port });
   server.on('error', onError);
   return server;
 };
@@ -48,16 +48,22 @@
   address: string,
   seen: SeenRevisions,
 ): Promise<Result<RawView, string>> => {
+  const client = new Client(`http://${address}`);
   try {
-    const res = await fetch(`http://${address}${rpcPath}`, {
+    const res = await client.request({
       method: 'POST',
+      path: rpcPath,
       headers: { 'content-type': 'application/json' },
       body: JSON.stringify({ jsonrpc: '2.0', id: 1, method: 'getView', params: seen }),
       signal: AbortSignal.timeout(callMs),
     });
-    const { result } = (await res.json()) as { result?: unknown };
+    const { result } = JSON.parse(await res.body.text()) as { result?: unknown };
     return isView(result) ? ok(result) : err('the answer is no view');
   } catch (error) {
     return err(error instanceof Error ? error.message : 'unknown fault');
+  } finally {
+    client.destroy().catch(() => {
+      // Destroying twice rejects; the connection is gone either way.
+    });
   }
 };
--- a/packages/router/src/peers-controller.ts
+++ b/packages/router/src/peers-controller.ts
@@ -16,6 +16,7 @@
   encodeUpdate,
   type GossipMessage,
   type LoadUpdate,
+  type ServerNews,
 } from './gossip-message.js';
 import type { LogRouterEvent } from './events.js';
 import { pause } from './pause.js';
@@ -28,6 +29,15 @@
 /** Time between two whole messages for each VM of a larger fleet. */
 const heartbeatPerVmMs = 60;
 
+/**
+ * Time after the start before which this VM does not follow the store: by then it has heard
+ * those that do.
+ */
+const settleMs = 400;
+
+/** Changes of backend servers that fit into one message. */
+const mostNews = 3;
+
 /** Period of the review of who is silent and who follows the store. */
 const reviewMs = 200;
 
@@ -133,8 +143,9 @@
   const strangers = new Set<string>();
   /** Who hears the next message, unless it is whole. */
   let reach: ChangeReach = new Set();
-  /** Totals as all VMs were last told. */
+  /** Totals and newest revision of a backend server, as all VMs were last told. */
   let told: AdmittedTotals = {};
+  let toldServers = 0;
   let gather: NodeJS.Timeout | undefined;
   let stopped = false;
   let lagSince: number | undefined;
@@ -166,6 +177,23 @@
     socket.send(bytes, Number(port), host, () => {});
   };
 
+  /** Changes that this VM has learnt since it told all others, where they are small. */
+  const selectNews = (): ServerNews | undefined => {
+    if (!watching || toldServers === 0 || view.seen().servers <= toldServers) return undefined;
+    const { servers, removed } = view.rawSince({
+      config: Number.MAX_SAFE_INTEGER,
+      servers: toldServers,
+    });
+    if (servers.length + removed.length > mostNews) return undefined;
+    return { after: toldServers, servers, removed };
+  };
+
+  /** Takes news of a peer where nothing before them is missing; else they are fetched. */
+  const takeNews = (news: ServerNews): void => {
+    if (view.seen().servers < news.after) return;
+    view.merge({ config: undefined, servers: news.servers, removed: news.removed });
+  };
+
   const send = (isLeaving = false): void => {
     gather = undefined;
     if (stopped) return;
@@ -184,6 +212,7 @@
       isLeaving,
       role: watching ? 'watcher' : 'reader',
       isStoreReachable: view.isStoreReachable(),
+      news: selectNews(),
     };
     const whole =
       isWhole || strangers.size > 0
@@ -205,7 +234,10 @@
         if (!strangers.has(address)) post(bytes, address);
       });
     }
-    if (isWhole || reach === 'fleet') told = { ...described.admitted };
+    if (isWhole || reach === 'fleet') {
+      told = { ...described.admitted };
+      toldServers = update.seen.servers;
+    }
     reach = new Set();
     strangers.clear();
   };
@@ -244,6 +276,7 @@
       return;
     }
     deps.onHeard(update, peer.isOlder, now);
+    if (update.news) takeNews(update.news);
     if (isAhead(peer, view.seen())) catchUp(now);
   };
 
@@ -426,7 +459,7 @@
       }
       if (now - wholeAt >= periodMs()) noteChange({ kind: 'whole' });
     },
-    isWatcher: () => watching,
+    isWatcher: () => watching && deps.now() - startedAt > settleMs,
     countVms: () => peers.size + 1,
     heardShare: () => {
       const heard = [...peers.values()].filter((peer) => !peer.isSilent).length;
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -1,7 +1,5 @@
 import { createServer, type Server } from 'node:http';
 import { randomBytes } from 'node:crypto';
-import { serve, type ServerType } from '@hono/node-server';
-import { Hono } from 'hono';
 import type { RouterSettings } from '@hemlocksill/config/router-settings.js';
 import type { Store } from '@hemlocksill/types/ports.js';
 import type {
@@ -9,6 +7,7 @@
   ReadCallFacts,
   StoreFormat,
 } from '@hemlocksill/types/routing-ports.js';
+import { chooseWatchWait } from '@hemlocksill/routing/choose-watchers.js';
 import { makeEngineLedger } from '@hemlocksill/routing/engine-ledger.js';
 import { makeFleetQuota } from '@hemlocksill/routing/fleet-quota.js';
 import type { PlacementView } from '@hemlocksill/routing/place-work.js';
@@ -22,6 +21,7 @@
 import { pause } from './pause.js';
 import { makePeersController } from './peers-controller.js';
 import { servePeerViews } from './peer-views.js';
+import { answerText, serveAnswers } from './serve-answers.js';
 import type { RouterMetrics } from './router-metrics.js';
 import type { RunDeps } from './run-deps.js';
 import { runPlain } from './run-plain.js';
@@ -68,13 +68,7 @@
   readonly shutDown: () => Promise<void>;
 }
 
-const serveText = (at: { host: string; port: number }, routes: (app: Hono) => void): ServerType => {
-  const app = new Hono();
-  routes(app);
-  return serve({ fetch: app.fetch, hostname: at.host, port: at.port });
-};
-
-const closeServer = (server: Server | ServerType): Promise<void> =>
+const closeServer = (server: Server): Promise<void> =>
   new Promise((resolve) => {
     server.close(() => resolve());
   });
@@ -112,6 +106,7 @@
     log,
     now,
     isWatcher: () => peers.isWatcher(),
+    watchWaitMs: () => chooseWatchWait(peers.countVms()),
     onChange: () => {
       applyLimits();
       peers.noteChange({ kind: 'view', isWatcher: peers.isWatcher() });
@@ -232,18 +227,20 @@
 
   const isReady = (): boolean => !leaving && view.isComplete();
 
-  const ready = serveText(settings.ready, (app) =>
-    app.get(ports.readyPath, (c) => (isReady() ? c.text('ready') : c.text('not ready', 503))),
-  );
+  const answerNone = answerText(404, 'no such page');
 
-  const metricsServer = serveText(settings.metrics, (app) =>
-    app.get('/metrics', async (c) => {
-      metrics.waiting.set(queue.size());
-      metrics.configVersion.set(view.table()?.config.version ?? 0);
-      metrics.storeReachable.set(view.isStoreReachable() ? 1 : 0);
-      return c.text(await metrics.render());
-    }),
-  );
+  const ready = serveAnswers(settings.ready, ({ path }) => {
+    if (path !== ports.readyPath) return Promise.resolve(answerNone);
+    return Promise.resolve(isReady() ? answerText(200, 'ready') : answerText(503, 'not ready'));
+  });
+
+  const metricsServer = serveAnswers(settings.metrics, async ({ path }) => {
+    if (path !== '/metrics') return answerNone;
+    metrics.waiting.set(queue.size());
+    metrics.configVersion.set(view.table()?.config.version ?? 0);
+    metrics.storeReachable.set(view.isStoreReachable() ? 1 : 0);
+    return answerText(200, await metrics.render());
+  });
 
   const peerServer = servePeerViews(settings.peers, view.rawSince, (error) =>
     log(2005, { reason: error.message }),
--- a/packages/router/src/view-controller.test.ts
+++ b/packages/router/src/view-controller.test.ts
@@ -47,6 +47,7 @@
     log: (id) => events.push(id),
     now: () => performance.now(),
     isWatcher: () => true,
+    watchWaitMs: () => 4_000,
     onChange: () => {},
   });
   t.teardown(view.stop);
--- a/packages/router/src/view-controller.ts
+++ b/packages/router/src/view-controller.ts
@@ -7,12 +7,6 @@
 import type { LogRouterEvent } from './events.js';
 import { pause } from './pause.js';
 
-/**
- * Longest wait of a watch. A connection that went silent is found within it, or sooner from
- * the revisions that the peers tell.
- */
-const watchWaitMs = 4_000;
-
 /** Pause between two looks at whether this VM is to follow the store. */
 const idleMs = 200;
 
@@ -57,6 +51,8 @@
   readonly now: () => number;
   /** Whether this VM follows the store itself. */
   readonly isWatcher: () => boolean;
+  /** Longest wait of a watch, in milliseconds. */
+  readonly watchWaitMs: () => number;
   readonly onChange: () => void;
 }
 
@@ -91,6 +87,8 @@
     if (reachable === ok_) return;
     reachable = ok_;
     log(ok_ ? 2102 : 2101, { reason });
+    // The others rely on this VM's account of the store.
+    deps.onChange();
   };
 
   const takeConfig = (entry: StoreEntry, source: string): void => {
@@ -190,7 +188,7 @@
         await pause(idleMs);
         continue;
       }
-      const answer = await store.watch(prefix, after, watchWaitMs);
+      const answer = await store.watch(prefix, after, deps.watchWaitMs());
       if (answer.isErr()) {
         noteStore(false, answer.error);
         // The history may be gone by the time that the store is back.
--- a/packages/routing/src/choose-watchers.ts
+++ b/packages/routing/src/choose-watchers.ts
@@ -1,5 +1,29 @@
-/** VMs that follow the store; the others learn changes from them within milliseconds. */
-const watcherCount = 3;
+/**
+ * VMs that follow the store; the others learn changes from them within milliseconds. A store
+ * that turns away a third of eight VMs leaves one of four.
+ */
+const watcherCount = 4;
+
+/** Longest wait of a watch in a small fleet, where some watcher is always left. */
+const watchWaitMs = 4_000;
+
+/** Fleet in which the store may turn all watchers away while it serves others. */
+const largeFleet = 9;
+
+/**
+ * Longest wait of a watch in a large fleet: a connection that went silent is found within it,
+ * in time for other VMs to take over and learn a change within its bound of two seconds.
+ */
+const largeFleetWatchWaitMs = 1_200;
+
+/**
+ * Chooses how long a watch may wait.
+ *
+ * @example
+ * chooseWatchWait(8); // 4000
+ */
+export const chooseWatchWait = (vms: number): number =>
+  vms < largeFleet ? watchWaitMs : largeFleetWatchWaitMs;
 
 /** A VM as it is heard. */
 export interface HeardVm {
--- a/packages/routing/src/fleet-quota.ts
+++ b/packages/routing/src/fleet-quota.ts
@@ -169,7 +169,8 @@
 
   return {
     tryAdmit: (workspace, limit, cost, now) => {
-      if (limit.ratePerS <= 0) return { admitted: true, retryAfterMs: 0, level: 0, isScarce: false };
+      if (limit.ratePerS <= 0)
+        return { admitted: true, retryAfterMs: 0, level: 0, isScarce: false };
       const bucket = getBucket(workspace);
       const level = refill(bucket, limit, now);
       const needed = neededLevel(limit, cost);
--- a/packages/routing/src/limits.test.ts
+++ b/packages/routing/src/limits.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import fc from 'fast-check';
-import { shouldWatch } from './choose-watchers.js';
+import { chooseWatchWait, shouldWatch } from './choose-watchers.js';
 import { makeRetryWindow } from './retry-window.js';
 import { makeServerHealth } from './server-health.js';
 import { makeSpendWindow } from './spend-window.js';
@@ -91,7 +91,7 @@
   ...part,
 });
 
-test('three of many VMs follow the store', (t) => {
+test('four of many VMs follow the store', (t) => {
   const names = ['a', 'b', 'c', 'd', 'e', 'f'];
   const watching = names.filter((own) =>
     shouldWatch(
@@ -99,7 +99,24 @@
       names.filter((name) => name !== own).map((name) => vm(name)),
     ),
   );
-  t.deepEqual(watching, ['a', 'b', 'c']);
+  t.deepEqual(watching, ['a', 'b', 'c', 'd']);
+});
+
+/** Time from a cut of all watchers until another VM has the change, at the worst moment. */
+const takeOverMs = (vms: number): number => {
+  const silentAfterMs = 400;
+  const reviewMs = 200;
+  const storeAnswerMs = 10;
+  return chooseWatchWait(vms) + silentAfterMs + reviewMs + storeAnswerMs;
+};
+
+test('a third of the VMs turned away leaves a watcher, or others take over within two seconds', (t) => {
+  const share = 0.35;
+  for (let vms = 6; vms <= 390; vms += 1) {
+    const turnedAway = Math.ceil(vms * share);
+    const isWatcherLeft = turnedAway < 4;
+    t.true(isWatcherLeft || takeOverMs(vms) < 2_000, `${vms} VMs`);
+  }
 });
 
 test('a VM that hears no watcher with a store follows it itself', (t) => {
@@ -107,5 +124,6 @@
   t.true(shouldWatch(own, []));
   t.true(shouldWatch(own, [vm('a', { isFresh: false }), vm('b', { isWatcher: false })]));
   t.true(shouldWatch(own, [vm('a', { isStoreReachable: false })]));
-  t.false(shouldWatch(own, [vm('a'), vm('b'), vm('c')]));
+  t.true(shouldWatch(own, [vm('a'), vm('b'), vm('c')]));
+  t.false(shouldWatch(own, [vm('a'), vm('b'), vm('c'), vm('d')]));
 });
