--- a/packages/router/src/peers-controller.ts
+++ b/packages/router/src/peers-controller.ts
@@ -1,25 +1,20 @@
 import { createSocket } from 'node:dgram';
-import { err, ok, type Result } from 'neverthrow';
 import type { Endpoint } from '@hemlocksill/config/settings.js';
 import type { Store } from '@hemlocksill/types/ports.js';
-import {
-  chooseReach,
-  joinReach,
-  type ChangeReach,
-  type FleetChange,
-} from '@hemlocksill/routing/choose-reach.js';
+import type { FleetChange } from '@hemlocksill/routing/choose-reach.js';
 import { shouldWatch } from '@hemlocksill/routing/choose-watchers.js';
-import type { AdmittedTotals, QuotaLevels } from '@hemlocksill/routing/fleet-quota.js';
+import type { QuotaLevels } from '@hemlocksill/routing/fleet-quota.js';
+import { enterFleet } from './enter-fleet.js';
 import {
   decodeGossip,
-  encodeGossip,
-  encodeUpdate,
   type GossipMessage,
   type LoadUpdate,
   type ServerNews,
+  type ViewRole,
 } from './gossip-message.js';
 import type { LogRouterEvent } from './events.js';
 import { pause } from './pause.js';
+import { makePeerOutbox } from './peer-outbox.js';
 import { fetchPeerView } from './peer-views.js';
 import type { SeenRevisions, ViewController } from './view-controller.js';
 
@@ -35,15 +30,9 @@
  */
 const settleMs = 400;
 
-/** Changes of backend servers that fit into one message. */
-const mostNews = 3;
-
 /** Period of the review of who is silent and who follows the store. */
 const reviewMs = 200;
 
-/** Time for which changes are gathered into one message. */
-const gatherMs = 5;
-
 /** Heartbeats that may be missed before a peer counts as silent. */
 const missedHeartbeats = 3;
 
@@ -59,13 +48,6 @@
 /** Pause between two tries to fetch a view. */
 const fetchPauseMs = 400;
 
-/** Time for which a VM's entry in the store lasts, the longest that the store grants. */
-const entryTtlMs = 600_000;
-
-const entryRetryMs = 1_000;
-
-const addressPattern = /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/;
-
 interface Peer {
   readonly vm: string;
   incarnation: string;
@@ -134,19 +116,7 @@
   /** Addresses that may hold a VM that was not heard yet. */
   const candidates = new Set<string>();
   const socket = createSocket('udp4');
-  let sequence = 0;
-  let wholeAt = Number.NEGATIVE_INFINITY;
   let watching = true;
-  /** Whether the next message must be whole, for all VMs. */
-  let greet = true;
-  /** Addresses of VMs that do not know this one yet. */
-  const strangers = new Set<string>();
-  /** Who hears the next message, unless it is whole. */
-  let reach: ChangeReach = new Set();
-  /** Totals and newest revision of a backend server, as all VMs were last told. */
-  let told: AdmittedTotals = {};
-  let toldServers = 0;
-  let gather: NodeJS.Timeout | undefined;
   let stopped = false;
   let lagSince: number | undefined;
   let reviewAt = Number.NEGATIVE_INFINITY;
@@ -164,29 +134,31 @@
       .filter((peer) => dataCentres.has(peer.dataCentre))
       .map((peer) => peer.address);
 
-  const periodMs = (): number =>
-    watching ? heartbeatMs : Math.max(heartbeatMs, (peers.size + 1) * heartbeatPerVmMs);
-
-  /** Selects the totals that changed since all VMs were told. */
-  const selectChanged = (admitted: AdmittedTotals): AdmittedTotals =>
-    Object.fromEntries(Object.entries(admitted).filter(([name, total]) => told[name] !== total));
+  const periodMs = (role: ViewRole): number =>
+    role === 'watcher' ? heartbeatMs : Math.max(heartbeatMs, (peers.size + 1) * heartbeatPerVmMs);
 
-  const post = (bytes: Buffer, address: string): void => {
-    const [host = '', port] = address.split(':');
-    // A lost message is replaced by the next one.
-    socket.send(bytes, Number(port), host, () => {});
-  };
+  const ownRole = (): ViewRole => (watching ? 'watcher' : 'reader');
 
-  /** Changes that this VM has learnt since it told all others, where they are small. */
-  const selectNews = (): ServerNews | undefined => {
-    if (!watching || toldServers === 0 || view.seen().servers <= toldServers) return undefined;
-    const { servers, removed } = view.rawSince({
-      config: Number.MAX_SAFE_INTEGER,
-      servers: toldServers,
-    });
-    if (servers.length + removed.length > mostNews) return undefined;
-    return { after: toldServers, servers, removed };
-  };
+  const outbox = makePeerOutbox({
+    vm: deps.vm,
+    dataCentre: deps.dataCentre,
+    incarnation: deps.incarnation,
+    address: own,
+    view,
+    role: ownRole,
+    periodMs: () => periodMs(ownRole()),
+    countVms: () => peers.size + 1,
+    targets,
+    targetsIn,
+    post: (bytes, address) => {
+      const [host = '', port] = address.split(':');
+      // A lost message is replaced by the next one.
+      socket.send(bytes, Number(port), host, () => {});
+    },
+    describe: deps.describe,
+    describeLevels: deps.describeLevels,
+    now: deps.now,
+  });
 
   /** Takes news of a peer where nothing before them is missing; else they are fetched. */
   const takeNews = (news: ServerNews): void => {
@@ -194,69 +166,6 @@
     view.merge({ config: undefined, servers: news.servers, removed: news.removed });
   };
 
-  const send = (isLeaving = false): void => {
-    gather = undefined;
-    if (stopped) return;
-    const now = deps.now();
-    const isWhole = isLeaving || now - wholeAt >= periodMs() || greet;
-    if (isWhole) wholeAt = now;
-    greet = false;
-    sequence += 1;
-    const described = deps.describe();
-    const update: LoadUpdate = {
-      incarnation: deps.incarnation,
-      sequence,
-      seen: view.seen(),
-      ...described,
-      admitted: selectChanged(described.admitted),
-      isLeaving,
-      role: watching ? 'watcher' : 'reader',
-      isStoreReachable: view.isStoreReachable(),
-      news: selectNews(),
-    };
-    const whole =
-      isWhole || strangers.size > 0
-        ? encodeGossip({
-            ...update,
-            admitted: described.admitted,
-            vm: deps.vm,
-            address: own,
-            dataCentre: deps.dataCentre,
-            ageMs: Math.round(now - startedAt),
-            levels: deps.describeLevels(now),
-          })
-        : undefined;
-    if (whole && isWhole) targets().forEach((address) => post(whole, address));
-    else {
-      if (whole) strangers.forEach((address) => post(whole, address));
-      const bytes = encodeUpdate(update);
-      (reach === 'fleet' ? targets() : targetsIn(reach)).forEach((address) => {
-        if (!strangers.has(address)) post(bytes, address);
-      });
-    }
-    if (isWhole || reach === 'fleet') {
-      told = { ...described.admitted };
-      toldServers = update.seen.servers;
-    }
-    reach = new Set();
-    strangers.clear();
-  };
-
-  const sendSoon = (): void => {
-    if (gather || stopped) return;
-    gather = setTimeout(() => send(), gatherMs);
-  };
-
-  const noteChange = (change: FleetChange): void => {
-    reach = joinReach(reach, chooseReach(change, deps.dataCentre, peers.size + 1));
-    sendSoon();
-  };
-
-  const greetAll = (): void => {
-    greet = true;
-    noteChange({ kind: 'whole' });
-  };
-
   const forget = (peer: Peer): void => {
     peers.delete(peer.vm);
     byIncarnation.delete(peer.incarnation);
@@ -308,8 +217,7 @@
     take(peer, message);
     // A VM that is new here does not know this one either. Telling all others too would make
     // the messages of a fleet that starts grow with the cube of its size.
-    strangers.add(message.address);
-    sendSoon();
+    outbox.greet(message.address);
   };
 
   const fetchFrom = async (address: string): Promise<void> => {
@@ -350,10 +258,7 @@
     if (pick !== undefined) void fetchFrom(pick);
   };
 
-  const silentMs = (peer: Peer): number => {
-    const slow = Math.max(heartbeatMs, (peers.size + 1) * heartbeatPerVmMs);
-    return (peer.last.role === 'watcher' ? heartbeatMs : slow) * missedHeartbeats;
-  };
+  const silentMs = (peer: Peer): number => periodMs(peer.last.role) * missedHeartbeats;
 
   const watchSilence = (now: number): void =>
     peers.forEach((peer) => {
@@ -381,47 +286,7 @@
       role: next ? 'watcher' : 'reader',
       heard: others.filter((vm) => vm.isFresh).length,
     });
-    greetAll();
-  };
-
-  const key = deps.vmPrefix + deps.vm;
-
-  /** Writes this VM's entry, over one of an earlier incarnation. */
-  const writeEntry = async (): Promise<Result<unknown, string>> => {
-    const present = await deps.store.get(key);
-    if (present.isErr()) return err(present.error);
-    if (present.value?.value === own) return ok(undefined);
-    const lease = await deps.store.grantLease(entryTtlMs);
-    if (lease.isErr()) return err(lease.error);
-    const written = await deps.store.cas({
-      key,
-      expected: present.value?.revision ?? 0,
-      value: own,
-      leaseId: lease.value,
-    });
-    return written.andThen((answer) =>
-      answer.kind === 'written' ? ok(undefined) : err('conflict'),
-    );
-  };
-
-  /**
-   * Enters this VM in the store, then learns the others: of two that start together, the one
-   * that lists later finds the other, and its message makes it known.
-   */
-  const enter = async (): Promise<void> => {
-    while (!stopped) {
-      const entered = await writeEntry();
-      if (entered.isErr()) log(2109, { reason: entered.error });
-      const listed = await deps.store.list(deps.vmPrefix);
-      if (listed.isOk()) {
-        listed.value.entries.forEach((entry) => {
-          if (addressPattern.test(entry.value)) candidates.add(entry.value);
-        });
-        greetAll();
-      }
-      if (entered.isOk() && listed.isOk()) return;
-      await pause(entryRetryMs);
-    }
+    outbox.greetAll();
   };
 
   return {
@@ -438,18 +303,28 @@
       });
       socket.on('error', (error) => log(2203, { reason: error.message }));
       socket.bind(deps.at.port, deps.at.host, () => {
-        greetAll();
-        void enter();
+        outbox.greetAll();
+        void enterFleet({
+          store: deps.store,
+          key: deps.vmPrefix + deps.vm,
+          vmPrefix: deps.vmPrefix,
+          address: own,
+          isStopped: () => stopped,
+          onListed: (addresses) => {
+            addresses.forEach((address) => candidates.add(address));
+            outbox.greetAll();
+          },
+          log,
+        });
       });
     },
     stop: async () => {
-      if (gather) clearTimeout(gather);
-      send(true);
       stopped = true;
+      outbox.sendLast();
       await pause(1);
       socket.close();
     },
-    noteChange,
+    noteChange: outbox.noteChange,
     tick: (now) => {
       if (now >= reviewAt) {
         reviewAt = now + reviewMs;
@@ -457,7 +332,7 @@
         chooseRole(now);
         catchUp(now);
       }
-      if (now - wholeAt >= periodMs()) noteChange({ kind: 'whole' });
+      outbox.tick(now);
     },
     isWatcher: () => watching && deps.now() - startedAt > settleMs,
     countVms: () => peers.size + 1,
--- a/packages/routing/src/choose-reach.test.ts
+++ b/packages/routing/src/choose-reach.test.ts
@@ -11,10 +11,9 @@
   t.deepEqual(chooseReach({ kind: 'load', dataCentre: 'a' }, 'a', 90), new Set(['a']));
 });
 
-test('all VMs of a large fleet hear of a low bucket, of a watched change and of whole messages', (t) => {
+test('all VMs of a large fleet hear of a low bucket and of a watched change', (t) => {
   t.is(chooseReach({ kind: 'scarce-rate' }, 'a', 90), 'fleet');
   t.is(chooseReach({ kind: 'view', isWatcher: true }, 'a', 90), 'fleet');
-  t.is(chooseReach({ kind: 'whole' }, 'a', 90), 'fleet');
   t.deepEqual(chooseReach({ kind: 'view', isWatcher: false }, 'a', 90), new Set(['a']));
 });
 
--- a/packages/routing/src/choose-reach.ts
+++ b/packages/routing/src/choose-reach.ts
@@ -11,9 +11,7 @@
   /** A workspace whose bucket is low was charged. */
   | { readonly kind: 'scarce-rate' }
   /** Configuration or list of backend servers moved on. */
-  | { readonly kind: 'view'; readonly isWatcher: boolean }
-  /** A whole message is due. */
-  | { readonly kind: 'whole' };
+  | { readonly kind: 'view'; readonly isWatcher: boolean };
 
 /** Who is to hear of a change: all VMs, or those of some data centres. */
 export type ChangeReach = 'fleet' | ReadonlySet<string>;
