A randomized fault soak of router processes

packages/soak plays seeded faults (kills, pauses, stops, restarts of VMs; a store that is silent, refuses or forgets; links to the store and to backend servers that delay, fall silent, lose answers or reset; full and leaving servers; withdrawn keys; configuration storms), in series and overlapping, and checks nine promises on what callers and backend servers saw.

--- /dev/null
+++ b/packages/soak/src/soak-main.ts
@@ -0,0 +1,38 @@
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { Command } from 'commander';
+import { runSoak } from './run-soak.js';
+
+const program = new Command('soak')
+  .description('plays seeded faults against router processes and checks what is promised')
+  .option('--seed <n>', 'first seed', Number, 1)
+  .option('--seeds <n>', 'number of seeds', Number, 1)
+  .option('--seconds <n>', 'time in which faults begin', Number, 10)
+  .option('--vms <n>', 'router processes', Number, 4)
+  .option('--out <folder>', 'where faults and logs of a failed seed go', 'out/soak')
+  .parse();
+
+const { seed, seeds, seconds, vms, out } = program.opts<{
+  seed: number;
+  seeds: number;
+  seconds: number;
+  vms: number;
+  out: string;
+}>();
+
+let failed = 0;
+for (let n = seed; n < seed + seeds; n += 1) {
+  const result = await runSoak({ seed: n, faultMs: seconds * 1_000, vms });
+  const { violations, faults, lines } = result;
+  console.log(
+    `seed ${n}: ${faults.length} faults, ${result.served} of ${result.calls} served, ${violations.length} violations`,
+  );
+  violations.slice(0, 10).forEach((v) => console.log(`  ${v.promise}: ${v.detail}`));
+  if (violations.length > 0) {
+    failed += 1;
+    mkdirSync(out, { recursive: true });
+    writeFileSync(`${out}/${n}.json`, JSON.stringify({ faults, violations }, null, 1));
+    writeFileSync(`${out}/${n}.log`, lines.join('\n'));
+  }
+}
+console.log(`${seeds} seeds, ${failed} with violations`);
+process.exit(failed === 0 ? 0 : 1);
