Requests rejected with 400, 401, 404, 413 and 431 are logged again

Cause: the event of a rejection had a field `level` for the level of a workspace's bucket. The logger's own level stands under that name: with 429 it was replaced by a number, and without a bucket it was undefined, so that the line was dropped. Now the field is bucketLevel, and the type of an event's fields forbids the logger's own names.

--- a/packages/router/src/events.ts
+++ b/packages/router/src/events.ts
@@ -42,11 +42,16 @@
 /** Number of an event. */
 export type RouterEventId = keyof typeof routerEvents;
 
-/** Writes a numbered event; fields must hold no key, prompt or answer. */
-export type LogRouterEvent = (
-  id: RouterEventId,
-  fields?: Readonly<Record<string, unknown>>,
-) => void;
+/** Fields that the logger sets; one of ours with such a name would replace it or hide the line. */
+type OwnField = 'name' | 'hostname' | 'pid' | 'level' | 'time' | 'msg' | 'v';
+
+/** Fields of an event; they must hold no key, prompt or answer. */
+export type EventFields = Readonly<Record<string, unknown>> & {
+  readonly [name in OwnField]?: never;
+};
+
+/** Writes a numbered event. */
+export type LogRouterEvent = (id: RouterEventId, fields?: EventFields) => void;
 
 /**
  * Makes a writer of numbered events on a logger, within a budget of lines.
--- a/packages/router/src/handle-call.ts
+++ b/packages/router/src/handle-call.ts
@@ -29,7 +29,7 @@
   readonly workspace?: string;
   readonly cost?: number;
   /** Level of the workspace's bucket. */
-  readonly level?: number;
+  readonly bucketLevel?: number;
 }
 
 /** A request as far as the filters have read it. */
@@ -139,7 +139,7 @@
     retryMs: retryAfterMs,
     workspace: workspace.name,
     cost,
-    level: Math.round(level),
+    bucketLevel: Math.round(level),
   });
 };
 
@@ -175,7 +175,7 @@
     version: deps.table()?.config.version ?? null,
     workspace: why.workspace,
     cost: why.cost,
-    level: why.level,
+    bucketLevel: why.bucketLevel,
     method: req.method,
     port: req.socket.remotePort,
   });
