--- a/packages/router/src/events.ts
+++ b/packages/router/src/events.ts
@@ -46,9 +46,8 @@
 type OwnField = 'name' | 'hostname' | 'pid' | 'level' | 'time' | 'msg' | 'v';
 
 /** Fields of an event; they must hold no key, prompt or answer. */
-export type EventFields = Readonly<Record<string, unknown>> & {
-  readonly [name in OwnField]?: never;
-};
+export type EventFields = Readonly<Record<string, unknown>> &
+  Readonly<Partial<Record<OwnField, never>>>;
 
 /** Writes a numbered event. */
 export type LogRouterEvent = (id: RouterEventId, fields?: EventFields) => void;
