--- a/packages/soak/src/drive-callers.ts
+++ b/packages/soak/src/drive-callers.ts
@@ -17,6 +17,9 @@
 /** Share of the callers that leave in mid-answer. */
 const leaveShare = 0.08;
 
+/** Share of the requests before which a caller moves to another VM. */
+const moveShare = 0.05;
+
 /** Longest that a caller asked to return waits. */
 const longestReturnMs = 500;
 
@@ -29,9 +32,7 @@
 
 /** What callers need. */
 export interface CallerDeps {
-  readonly vms: number;
-  readonly router: (vm: number) => RouterProcess;
-  readonly isReady: (vm: number) => boolean;
+  readonly vms: readonly { readonly process: RouterProcess; readonly isDown: boolean }[];
   readonly key: () => string;
   readonly random: SeededRandom;
   readonly now: () => number;
@@ -91,11 +92,11 @@
   let stopped = false;
   const run = async (caller: number): Promise<void> => {
     let agent = new Agent({ keepAlive: true, maxSockets: 1 });
-    let vm = caller % deps.vms;
+    let vm = deps.vms[caller % deps.vms.length];
     for (let n = 0; !stopped; n += 1) {
       const kind = random.pick(['stream', 'confirm', 'read'] as const);
-      if (!deps.isReady(vm) || random.next() < 0.05) vm = random.between(0, deps.vms - 1);
-      const router = deps.router(vm);
+      if (!vm || vm.isDown || random.next() < moveShare) vm = random.pick(deps.vms);
+      const router = vm.process;
       const record: CallRecord = {
         id: `c${caller}-${n}`,
         vm: router.vm,
--- a/packages/soak/src/explain.test.ts
+++ b/packages/soak/src/explain.test.ts
@@ -38,7 +38,7 @@
 
 /** Waits until the end of a request is logged, then explains it from the lines of all VMs. */
 const explain = async (fleet: Fleet, id: string): Promise<string> => {
-  const lines = (): string[] => fleet.routers.flatMap((router) => router.lines());
+  const { lines } = fleet.platform;
   // Lines are gathered before they are written.
   await waitUntil(() => /conclusion: request/.test(explainRequest(lines(), id).text), 3_000);
   return explainRequest(lines(), id).text;
