--- a/packages/soak/src/soak.test.ts
+++ b/packages/soak/src/soak.test.ts
@@ -1,5 +1,8 @@
+import { createServer, connect, type AddressInfo } from 'node:net';
+import { setTimeout as pause } from 'node:timers/promises';
 import test from 'ava';
 import { runSoak } from './run-soak.js';
+import { startTcpProxy } from './tcp-proxy.js';
 
 interface Case {
   readonly seed: number;
@@ -23,3 +26,32 @@
     t.true(result.served > result.calls / 2);
   });
 });
+
+test('a proxy that stops delaying lets no bytes overtake others', async (t) => {
+  let received = '';
+  const server = createServer((socket) => {
+    socket.on('data', (bytes) => {
+      received += bytes.toString();
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const proxy = await startTcpProxy((server.address() as AddressInfo).port);
+  t.teardown(() => {
+    proxy.close();
+    server.close();
+  });
+  const caller = connect(proxy.port, '127.0.0.1');
+  caller.setNoDelay(true);
+  const sent: string[] = [];
+  for (let n = 0; n < 60; n += 1) {
+    proxy.setMode(n % 7 < 3 ? 'delay' : 'pass');
+    sent.push(`${n} `);
+    caller.write(`${n} `);
+    await pause(n % 5);
+  }
+  await pause(400);
+  caller.destroy();
+  t.is(received, sent.join(''));
+});
--- a/packages/soak/src/tcp-proxy.ts
+++ b/packages/soak/src/tcp-proxy.ts
@@ -22,15 +22,32 @@
 /** Time by which a delaying proxy holds bytes back. */
 const delayMs = 150;
 
+/** Runs actions in the order in which they came, each not before its time. */
+const makeOrderedTimer = (): ((action: () => void, dueAt: number) => void) => {
+  const waiting: { readonly action: () => void; readonly dueAt: number }[] = [];
+  let timer: NodeJS.Timeout | undefined;
+  const run = (): void => {
+    timer = undefined;
+    for (let [next] = waiting; next; [next] = waiting) {
+      const leftMs = next.dueAt - performance.now();
+      if (leftMs > 0) {
+        timer = setTimeout(run, Math.ceil(leftMs));
+        return;
+      }
+      waiting.shift();
+      next.action();
+    }
+  };
+  return (action, dueAt) => {
+    waiting.push({ action, dueAt });
+    if (!timer) run();
+  };
+};
+
 const forward = (from: Socket, to: Socket, passes: () => boolean, isLate: () => boolean): void => {
-  /** Time at which the last bytes go on; later ones must not overtake them. */
-  let dueAt = 0;
+  const runAt = makeOrderedTimer();
   const goOn = (action: () => void): void => {
-    if (!passes()) return;
-    const now = performance.now();
-    dueAt = Math.max(dueAt, isLate() ? now + delayMs : now);
-    if (dueAt > now) setTimeout(action, dueAt - now);
-    else action();
+    if (passes()) runAt(action, performance.now() + (isLate() ? delayMs : 0));
   };
   from.on('data', (bytes: Buffer) => goOn(() => to.write(bytes)));
   from.on('end', () => goOn(() => to.end()));
