A stream does not go to an engine that began to leave while its prompt was read

Ruled out: a late view (the VM knew it: the choice was old, not the list). Now both engines are looked at again after the reservation and after the prefill; a stream whose engine leaves is placed again, within the budget of repeats, or refused as not run.

--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -29,6 +29,9 @@
 /** Time after which a request refused for want of an engine may come back. */
 const noEngineRetryMs = 500;
 
+/** Pause before a stream whose placement came to nothing is placed again. */
+const againMs = 20;
+
 /** Output that a reservation covers; more grows into the engine's headroom. */
 const reservedOutputTokens = 608;
 
@@ -166,6 +169,16 @@
     else enqueue(latestStart(), 0);
   };
 
+  /** Whether a server that was chosen some time ago may still get work. */
+  const mayGetWork = (server: BackendServer): boolean =>
+    deps
+      .listReady(service.name)
+      .some(({ id: one, born }) => one === server.id && born === server.born);
+
+  /** Waits for another placement; nothing has run yet. */
+  const placeAgain = (): void =>
+    enqueue(Math.max(latestStart(), deps.now() + 1), deps.now() + againMs);
+
   /** Reserves the decode engine's memory, so that no prompt is read in vain. */
   const reserve = (placement: Placement, tries: number): void => {
     const held = hold(placement);
@@ -180,11 +193,14 @@
       Math.ceil(ttlMs),
       (outcome) => {
         if (outcome.kind === 'reserved') {
-          if (responder.isOpen()) prefill(placement, outcome.reservation, held);
-          else {
-            held.release();
-            deps.backends.dropReservation(placement.decode, outcome.reservation);
+          const isStale = !mayGetWork(placement.decode) || !mayGetWork(placement.prefill);
+          if (responder.isOpen() && !isStale) {
+            prefill(placement, outcome.reservation, held);
+            return;
           }
+          held.release();
+          deps.backends.dropReservation(placement.decode, outcome.reservation);
+          if (responder.isOpen()) placeAgain();
           return;
         }
         held.release();
@@ -193,7 +209,7 @@
         else noteFault(placement.decode, 'reserve', { kind: 'not-sent', reason: outcome.reason });
         const next = tries < mostReservations ? choose() : undefined;
         if (next) reserve(next, tries + 1);
-        else enqueue(Math.max(latestStart(), deps.now() + 1), deps.now() + 20);
+        else placeAgain();
       },
     );
   };
@@ -228,9 +244,19 @@
       held.release();
       if (reservation !== undefined) deps.backends.dropReservation(placement.decode, reservation);
     };
+    /** Has the prompt read for another decode engine, which is a repeated send. */
+    const readAgain = (): void => {
+      giveBack();
+      if (deps.takeRepeat(service.name)) placeAgain();
+      else giveUp('the engine is leaving', noEngineRetryMs);
+    };
     const onFault = (fault: CallFault): void => {
       noteFault(placement.prefill, 'prefill', fault);
       excluded.add(placement.prefill.id);
+      if (!mayGetWork(placement.decode)) {
+        readAgain();
+        return;
+      }
       const again =
         prefills < mostPrefills &&
         (fault.kind === 'not-sent' || deps.takeRepeat(service.name)) &&
@@ -259,6 +285,13 @@
         return;
       }
       deps.health.note(placement.prefill.id, 'answered', deps.now());
+      if (!mayGetWork(placement.decode)) {
+        // The engine has begun to leave while the prompt was read.
+        deps.backends.dropPrefill(outcome.result);
+        deps.metrics.wastedPromptTokens.inc(promptTokens);
+        readAgain();
+        return;
+      }
       decode(placement.decode, outcome.result, reservation, held);
     });
     cancel = () => {
