--- a/packages/soak/src/soak.test.ts
+++ b/packages/soak/src/soak.test.ts
@@ -15,6 +15,7 @@
   { seed: 1, faultMs: 5_000, cause: undefined },
   { seed: 13, faultMs: 8_000, cause: 'the proxy let bytes overtake those that it had delayed' },
   { seed: 34, faultMs: 8_000, cause: 'an answer that came after its caller had left counted' },
+  { seed: 212, faultMs: 8_000, cause: 'two VMs found their ports taken when they came back' },
 ];
 
 cases.forEach(({ seed, faultMs, cause }) => {
