--- a/packages/router/src/gossip-message.test.ts
+++ b/packages/router/src/gossip-message.test.ts
@@ -4,6 +4,7 @@
   decodeMessage,
   encodeFullMessage,
   encodeUpdate,
+  isRawView,
   type FullMessage,
 } from './gossip-message.js';
 
@@ -65,3 +66,13 @@
   );
   t.pass();
 });
+
+test('a fetched view is accepted only if all of its entries are well formed', (t) => {
+  const entry = { key: 's/1', value: 'v', revision: 3 };
+  t.true(isRawView({ servers: [entry], removed: [['s/2', 4]] }));
+  t.true(isRawView({ config: entry, servers: [], removed: [] }));
+  t.false(isRawView({ servers: [null], removed: [] }));
+  t.false(isRawView({ servers: [], removed: [7] }));
+  t.false(isRawView({ config: 'x', servers: [], removed: [] }));
+  t.false(isRawView(null));
+});
--- a/packages/router/src/gossip-message.ts
+++ b/packages/router/src/gossip-message.ts
@@ -1,7 +1,8 @@
+import { isIPv4 } from 'node:net';
 import type { StoreEntry } from '@hemlocksill/types/ports.js';
 import type { LoadRows } from '@hemlocksill/routing/engine-ledger.js';
 import type { AdmittedTotals, QuotaLevels } from '@hemlocksill/routing/fleet-quota.js';
-import type { SeenRevisions } from './view-controller.js';
+import type { RawView, SeenRevisions } from './view-controller.js';
 
 /** Changes of backend servers after a revision, few enough to be sent in a message. */
 export interface ServerChanges {
@@ -108,6 +109,13 @@
     (pair) => Array.isArray(pair) && pair.length === 2 && pair.every((n) => Number.isFinite(n)),
   );
 
+/** Whether a value is an IPv4 address and a port to which a message can be sent. */
+export const isAddress = (value: unknown): value is string => {
+  if (typeof value !== 'string' || !/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/.test(value)) return false;
+  const [host = '', port] = value.split(':');
+  return isIPv4(host) && Number(port) > 0 && Number(port) < 65_536;
+};
+
 const isEntry = (value: unknown): value is StoreEntry =>
   isRecord(value) &&
   typeof value.key === 'string' &&
@@ -117,14 +125,25 @@
 const isRemoval = (value: unknown): value is readonly [string, number] =>
   Array.isArray(value) && typeof value[0] === 'string' && Number.isFinite(value[1]);
 
-const isServerChanges = (value: unknown): value is ServerChanges =>
+/** Whether a value is a list of entries with the removals of others. */
+export const isEntryList = (value: unknown): value is Pick<ServerChanges, 'servers' | 'removed'> =>
   isRecord(value) &&
-  Number.isFinite(value.after) &&
   Array.isArray(value.servers) &&
   value.servers.every(isEntry) &&
   Array.isArray(value.removed) &&
   value.removed.every(isRemoval);
 
+/** Whether a value is a peer's view, with or without a configuration. */
+export const isRawView = (value: unknown): value is RawView =>
+  isEntryList(value) &&
+  (!('config' in value) ||
+    value.config === undefined ||
+    value.config === null ||
+    isEntry(value.config));
+
+const isServerChanges = (value: unknown): value is ServerChanges =>
+  isRecord(value) && Number.isFinite(value.after) && isEntryList(value);
+
 const hasFlag = (flags: number, flag: number): boolean => Math.floor(flags / flag) % 2 === 1;
 
 const decodeUpdate = (row: readonly unknown[]): LoadUpdate | undefined => {
@@ -166,9 +185,8 @@
   if (!update) return undefined;
   if (row.length === updateFieldCount) return { kind: 'update', update };
   const [vm, address, dataCentre, ageMs, quotaLevels] = row.slice(updateFieldCount) as unknown[];
-  if (row.length !== fullFieldCount || typeof vm !== 'string' || typeof address !== 'string')
+  if (row.length !== fullFieldCount || typeof vm !== 'string' || !isAddress(address))
     return undefined;
-  if (!/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/.test(address)) return undefined;
   if (typeof dataCentre !== 'string') return undefined;
   if (typeof ageMs !== 'number' || !Number.isFinite(ageMs)) return undefined;
   if (quotaLevels !== null && !isQuotaLevels(quotaLevels)) return undefined;
--- a/packages/router/src/peer-views.ts
+++ b/packages/router/src/peer-views.ts
@@ -3,6 +3,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import { Client } from 'undici';
 import type { Endpoint } from '@hemlocksill/config/settings.js';
+import { isRawView } from './gossip-message.js';
 import { jsonResponse, textResponse, serveSimpleHttp } from './simple-http-server.js';
 import type { RawView, SeenRevisions } from './view-controller.js';
 
@@ -33,11 +34,6 @@
   return server;
 };
 
-const isView = (value: unknown): value is RawView => {
-  const view = value as Partial<RawView> | undefined;
-  return Array.isArray(view?.servers) && Array.isArray(view.removed);
-};
-
 /**
  * Fetches the changes after the given revisions from a peer.
  *
@@ -58,7 +54,7 @@
       signal: AbortSignal.timeout(callTimeoutMs),
     });
     const { result } = JSON.parse(await res.body.text()) as { result?: unknown };
-    return isView(result) ? ok(result) : err('the response is not a valid view');
+    return isRawView(result) ? ok(result) : err('the response is not a valid view');
   } catch (error) {
     return err(error instanceof Error ? error.message : 'unknown error');
   } finally {
--- a/packages/router/src/peers-controller.ts
+++ b/packages/router/src/peers-controller.ts
@@ -3,6 +3,7 @@
 import type { Store } from '@hemlocksill/types/ports.js';
 import type { FleetChange } from '@hemlocksill/routing/choose-recipients.js';
 import { shouldWatch } from '@hemlocksill/routing/choose-watchers.js';
+import { getStoreEra } from '@hemlocksill/types/store-revision.js';
 import type { QuotaLevels } from '@hemlocksill/routing/fleet-quota.js';
 import { registerVm } from './register-vm.js';
 import {
@@ -30,6 +31,9 @@
  */
 const startupGraceMs = 400;
 
+/** Time over which the VMs of a fleet spread their registration after a restore of the store. */
+const registrationDelayMs = 2_000;
+
 /** Interval between checks of unresponsive peers, of this VM's role and of missing changes. */
 const checkPeriodMs = 200;
 
@@ -126,6 +130,8 @@
   let behindSince: number | undefined;
   let nextCheckAt = Number.NEGATIVE_INFINITY;
   let lastFetchAt = 0;
+  /** Latest era of the store in which this VM was registered. */
+  let registeredEra: number | undefined;
 
   const getAddresses = (): Set<string> => {
     const addresses = new Set(candidateAddresses);
@@ -306,6 +312,35 @@
     outbox.sendFullToAll();
   };
 
+  const register = (): void => {
+    void registerVm({
+      store: deps.store,
+      key: deps.vmPrefix + deps.vm,
+      vmPrefix: deps.vmPrefix,
+      address: localAddress,
+      isStopped: () => isStopped,
+      onListed: (addresses) => {
+        addresses.forEach((address) => candidateAddresses.add(address));
+        outbox.sendFullToAll();
+      },
+      log,
+    });
+  };
+
+  /** Registers this VM again after a restore, in which its entry may have been lost. */
+  const checkStoreEra = (): void => {
+    const seen = view.getSeenRevisions();
+    const newestRevision = Math.max(seen.config, seen.servers);
+    if (newestRevision === 0) return;
+    const era = getStoreEra(newestRevision);
+    registeredEra ??= era;
+    if (era <= registeredEra) return;
+    registeredEra = era;
+    log(2111, { era });
+    // The VMs of a large fleet don't all call the store at the same moment.
+    setTimeout(register, Math.random() * registrationDelayMs).unref();
+  };
+
   return {
     start: () => {
       deps.seeds.forEach((seed) => candidateAddresses.add(`${seed.host}:${seed.port}`));
@@ -321,18 +356,7 @@
       socket.on('error', (error) => log(2203, { reason: error.message }));
       socket.bind(deps.endpoint.port, deps.endpoint.host, () => {
         outbox.sendFullToAll();
-        void registerVm({
-          store: deps.store,
-          key: deps.vmPrefix + deps.vm,
-          vmPrefix: deps.vmPrefix,
-          address: localAddress,
-          isStopped: () => isStopped,
-          onListed: (addresses) => {
-            addresses.forEach((address) => candidateAddresses.add(address));
-            outbox.sendFullToAll();
-          },
-          log,
-        });
+        register();
       });
     },
     stop: async () => {
@@ -347,6 +371,7 @@
         nextCheckAt = now + checkPeriodMs;
         checkPeerTimeouts(now);
         updateRole(now);
+        checkStoreEra();
         fetchMissingView(now);
       }
       outbox.tick(now);
--- a/packages/router/src/register-vm.ts
+++ b/packages/router/src/register-vm.ts
@@ -1,6 +1,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import type { Store } from '@hemlocksill/types/ports.js';
 import type { LogRouterEvent } from './events.js';
+import { isAddress } from './gossip-message.js';
 import { sleep } from './sleep.js';
 
 /** Lease duration of a VM's entry in the store, the maximum that the store grants. */
@@ -8,8 +9,6 @@
 
 const registrationRetryDelayMs = 1_000;
 
-const addressPattern = /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/;
-
 /** Dependencies of the registration. */
 export interface RegistrationDeps {
   readonly store: Store;
@@ -54,11 +53,7 @@
     if (registered.isErr()) deps.log(2109, { reason: registered.error });
     const listed = await deps.store.list(deps.vmPrefix);
     if (listed.isOk())
-      deps.onListed(
-        listed.value.entries
-          .map(({ value }) => value)
-          .filter((address) => addressPattern.test(address)),
-      );
+      deps.onListed(listed.value.entries.map(({ value }) => value).filter(isAddress));
     if (registered.isOk() && listed.isOk()) return;
     await sleep(registrationRetryDelayMs);
   }
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -190,8 +190,9 @@
     else placeOrQueue(getLatestPlacementTime(), 0);
   };
 
-  /** Whether a server chosen earlier is still ready and the same instance. */
+  /** Whether a server chosen earlier is still ready, the same instance and not paused. */
   const isStillReady = (server: BackendServer): boolean =>
+    !deps.health.isPaused(server.id, deps.now()) &&
     deps
       .listReady(service.name)
       .some(
@@ -394,10 +395,10 @@
             deps.health.record(server.id, 'answered', deps.now());
           }
           const events = splitter.push(chunk);
-          if (events) {
-            allocation.grow(engine?.tokensPerEvent ?? 1);
-            forwardEvents(events);
-          }
+          if (!events) return;
+          allocation.grow(engine?.tokensPerEvent ?? 1);
+          forwardEvents(events);
+          // Bytes without a complete event don't count: a stalled stream may still send some.
           restartIdleTimer();
         },
         end: () => {
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -4,6 +4,7 @@
 import type { Store } from '@hemlocksill/types/ports.js';
 import type {
   BackendClient,
+  OnServerNotice,
   ReadCallMetadata,
   StoreFormat,
 } from '@hemlocksill/types/routing-ports.js';
@@ -60,7 +61,7 @@
 export interface RouterPorts {
   readonly store: Store;
   readonly format: StoreFormat;
-  readonly backends: BackendClient;
+  readonly makeBackends: (onNotice: OnServerNotice) => BackendClient;
   readonly readMetadata: ReadCallMetadata;
   /** Path of the load balancer's readiness check. */
   readonly readyPath: string;
@@ -189,8 +190,17 @@
     now: now(),
   });
 
+  const onNotice: OnServerNotice = (server, notice) => {
+    if (notice.kind === 'leaving') {
+      if (directory.recordLeaving(server)) log(2112, { server: server.id });
+      return;
+    }
+    health.recordPause(server.id, notice.durationMs, now());
+    log(2113, { server: server.id, durationMs: notice.durationMs });
+  };
+
   const runDeps: RunDeps = {
-    backends: ports.backends,
+    backends: ports.makeBackends(onNotice),
     health,
     engineLedger,
     plainLedger,
--- a/packages/router/src/view-controller.ts
+++ b/packages/router/src/view-controller.ts
@@ -110,6 +110,10 @@
 
   const applyServer = (entry: StoreEntry, source: string): void => {
     const listed = format.decodeServer(entry);
+    if (directory.isLeftOver(listed)) {
+      applyRemoval(entry.key, entry.revision, source);
+      return;
+    }
     if (!directory.applyEntry(listed)) return;
     rawServers.set(entry.key, entry);
     removed.delete(entry.key);
@@ -142,6 +146,7 @@
     const listing = await store.list(format.serverPrefix);
     if (listing.isErr()) return err(listing.error);
     const { entries, revision } = listing.value;
+    directory.recordListing(revision);
     entries.forEach((entry) => applyServer(entry, 'listing'));
     const keys = new Set(entries.map((entry) => entry.key));
     directory.applyListing(revision, entries.map(format.decodeServer), deps.now());
--- a/packages/routing/src/place-work.ts
+++ b/packages/routing/src/place-work.ts
@@ -41,7 +41,7 @@
   Math.ceil((requests * assumedOutputTokensPerS * headroomMs) / 1_000);
 
 const isAvailable = (server: BackendServer, view: PlacementView): boolean =>
-  !view.health.isCoolingDown(server.id, view.now);
+  !view.health.isCoolingDown(server.id, view.now) && !view.health.isPaused(server.id, view.now);
 
 /**
  * Chooses the decode engine with the most free memory.
@@ -123,12 +123,12 @@
 ): BackendServer | undefined => {
   let best: BackendServer | undefined;
   let bestScore = Number.POSITIVE_INFINITY;
-  const available = servers.filter(
-    (server) => !excluded.has(server.id) && isAvailable(server, view),
+  const allowed = servers.filter(
+    (server) => !excluded.has(server.id) && !view.health.isPaused(server.id, view.now),
   );
+  const available = allowed.filter((server) => isAvailable(server, view));
   // If all backend servers are cooling down, one of them is tried rather than the request refused.
-  const candidates =
-    available.length > 0 ? available : servers.filter((server) => !excluded.has(server.id));
+  const candidates = available.length > 0 ? available : allowed;
   candidates.forEach((server) => {
     const usedShare =
       view.ledger.getTotal(server.id, view.now).requests / Math.max(1, server.slots);
--- a/packages/routing/src/placement.test.ts
+++ b/packages/routing/src/placement.test.ts
@@ -183,3 +183,13 @@
   const predictedMs = timing.predictMemoryWaitMs(engines, engineLimits, ledger, 2_000, 0);
   t.true(Math.abs(predictedMs - 600) < 5);
 });
+
+test('a server that asked for a pause is not chosen, though all others are cooling down', (t) => {
+  const view = { ...makeView(), now: 1_000 };
+  const servers = [makeServer({ id: 'a' }), makeServer({ id: 'b' })];
+  view.health.record('b', 'unreachable', 1_000);
+  view.health.recordPause('a', 2_000, 1_000);
+  t.is(choosePlainServer(servers, view, noExclusions)?.id, 'b');
+  t.is(choosePlainServer(servers, view, new Set(['b'])), undefined);
+  t.is(choosePlainServer(servers, { ...view, now: 3_001 }, new Set(['b']))?.id, 'a');
+});
--- a/packages/routing/src/server-directory.test.ts
+++ b/packages/routing/src/server-directory.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import type { ListedServer } from '@hemlocksill/types/routing-ports.js';
+import { makeStoreRevision } from '@hemlocksill/types/store-revision.js';
 import { makeServer } from './fixtures.js';
 import { makeServerDirectory } from './server-directory.js';
 
@@ -84,3 +85,36 @@
   );
   t.pass();
 });
+
+test('an instance that announced its leaving or drained before a restore is not used again', (t) => {
+  const directory = makeServerDirectory();
+  directory.applyEntry(makeListed('a', 2, { state: 'draining' }));
+  directory.applyEntry(makeListed('a', makeStoreRevision(1, 1)));
+  directory.applyEntry(makeListed('b', 3));
+  t.true(directory.recordLeaving(makeServer({ id: 'b' })));
+  t.false(directory.recordLeaving(makeServer({ id: 'b' })));
+  t.deepEqual(listReadyIds(directory), []);
+  directory.applyEntry(makeListed('b', 4, { startedAt: 2 }));
+  t.deepEqual(listReadyIds(directory), ['b']);
+});
+
+test('after a restore, an entry that the copy lacks stays usable until servers have written again', (t) => {
+  const directory = makeServerDirectory();
+  directory.applyListing(90, [makeListed('a', 10), makeListed('b', 80)], 0);
+  const restoredAt = makeStoreRevision(1, 20);
+  directory.recordListing(restoredAt);
+  directory.applyListing(restoredAt, [makeListed('a', makeStoreRevision(1, 10))], 1_000);
+  t.deepEqual(listReadyIds(directory, 1_000), ['a', 'b']);
+  t.deepEqual(listReadyIds(directory, 3_000), ['a']);
+});
+
+test('after a restore, an entry of a removed instance names no server until it is written again', (t) => {
+  const directory = makeServerDirectory();
+  directory.applyListing(10, [makeListed('a', 10)], 0);
+  directory.applyRemoval('a', 40, 100);
+  const restoredAt = makeStoreRevision(1, 20);
+  directory.recordListing(restoredAt);
+  t.true(directory.isLeftOver(makeListed('a', makeStoreRevision(1, 10))));
+  t.false(directory.isLeftOver(makeListed('a', makeStoreRevision(1, 10), { startedAt: 2 })));
+  t.false(directory.isLeftOver(makeListed('a', makeStoreRevision(1, 21))));
+});
--- a/packages/routing/src/server-directory.ts
+++ b/packages/routing/src/server-directory.ts
@@ -1,7 +1,10 @@
 import type { BackendServer } from '@hemlocksill/types/routing.js';
 import type { ListedServer } from '@hemlocksill/types/routing-ports.js';
+import { getStoreEra } from '@hemlocksill/types/store-revision.js';
 
-/** Time after an outage of the store within which backend servers renew their expired entries. */
+/**
+ * Time after an outage or a restore of the store within which backend servers renew their entries.
+ */
 const expiryGraceMs = 1_500;
 
 interface Entry {
@@ -10,10 +13,25 @@
   server: BackendServer | undefined;
   /** Set if the entry disappeared in or soon after an outage; it is usable until this time. */
   removedAt: number | undefined;
+  /** Start time of the instance that was removed last, if there was one. */
+  goneStartedAt?: number;
 }
 
+/** Identifies one incarnation of a backend server. */
+const getInstanceKey = (server: BackendServer): string => `${server.id} ${server.startedAt}`;
+
 /** The backend servers that the platform lists; an older revision never replaces a newer one. */
 export interface ServerDirectory {
+  /**
+   * Records the revision of a listing, before its entries are applied. The first listing of an era
+   * shows what the store was restored with.
+   */
+  readonly recordListing: (revision: number) => void;
+  /**
+   * Whether an entry is left over in a restored store although its instance was removed before;
+   * the instance has not written it since.
+   */
+  readonly isLeftOver: (listed: ListedServer) => boolean;
   /** Applies a listing; entries that are missing from it are removed unless they are newer. */
   readonly applyListing: (revision: number, listed: readonly ListedServer[], now: number) => void;
   /** Applies an entry; returns false if it is not newer than the known one. */
@@ -22,9 +40,10 @@
   readonly applyRemoval: (key: string, revision: number, now: number) => boolean;
   /** Records whether the store is reachable; removals soon after an outage take effect late. */
   readonly recordStoreState: (isReachable: boolean, now: number) => void;
+  /** Records that an instance announced that it is leaving; returns whether that is new. */
+  readonly recordLeaving: (server: BackendServer) => boolean;
   /** Backend servers of a service that accept new requests. */
   readonly listReady: (service: string, now: number) => readonly BackendServer[];
-  readonly find: (id: string) => BackendServer | undefined;
   readonly list: () => readonly ListedServer[];
   readonly getRevision: () => number;
 }
@@ -46,6 +65,10 @@
   let isStoreReachable = true;
   /** Until this time, entries that expired in an outage may be renewed. */
   let expiryGraceUntil = 0;
+  /** Instances that announced that they are leaving, or were draining before a restore. */
+  const leavingInstances = new Set<string>();
+  /** Revision of the first listing of the latest era. */
+  let firstListingOfEra = 0;
   let readyByService = new Map<string, BackendServer[]>();
   let needsRebuild = true;
 
@@ -57,7 +80,7 @@
       // An entry in its grace period must be checked again when the period ends.
       if (entry.removedAt !== undefined) needsRebuild = true;
       const { server } = entry;
-      if (server?.state !== 'ready') return;
+      if (server?.state !== 'ready' || leavingInstances.has(getInstanceKey(server))) return;
       const readyServers = readyByService.get(server.service);
       if (readyServers) readyServers.push(server);
       else readyByService.set(server.service, [server]);
@@ -66,22 +89,49 @@
 
   const remove = (entry: Entry, revision: number, now: number): void => {
     needsRebuild = true;
+    // An entry that a restored store lacks may only have been written after the copy.
+    const isLostInRestore = getStoreEra(revision) > getStoreEra(entry.revision);
     entry.revision = revision;
-    if (!isStoreReachable || now < expiryGraceUntil)
+    if (entry.server) entry.goneStartedAt = entry.server.startedAt;
+    if (isLostInRestore) entry.removedAt = now + expiryGraceMs;
+    else if (!isStoreReachable || now < expiryGraceUntil)
       entry.removedAt = Math.max(now, expiryGraceUntil);
-    else entry.server = undefined;
+    else {
+      if (entry.server) leavingInstances.delete(getInstanceKey(entry.server));
+      entry.server = undefined;
+    }
   };
 
   const applyEntry = (listed: ListedServer): boolean => {
     latestRevision = Math.max(latestRevision, listed.revision);
     const current = entries.get(listed.key);
     if (current && current.revision >= listed.revision) return false;
+    const { server } = listed;
+    if (current?.server && current.server.startedAt !== server?.startedAt)
+      leavingInstances.delete(getInstanceKey(current.server));
+    // A restored store may hold the state from before an instance began to drain.
+    const isRestored = current && getStoreEra(listed.revision) > getStoreEra(current.revision);
+    if (isRestored && current.server?.state === 'draining')
+      leavingInstances.add(getInstanceKey(current.server));
     entries.set(listed.key, { ...listed, removedAt: undefined });
     needsRebuild = true;
     return true;
   };
 
   return {
+    recordListing: (revision) => {
+      if (getStoreEra(revision) > getStoreEra(firstListingOfEra)) firstListingOfEra = revision;
+    },
+    isLeftOver: ({ key, revision, server }) => {
+      const current = entries.get(key);
+      return (
+        current?.goneStartedAt !== undefined &&
+        current.removedAt === undefined &&
+        current.goneStartedAt === server?.startedAt &&
+        getStoreEra(revision) > getStoreEra(current.revision) &&
+        revision <= firstListingOfEra
+      );
+    },
     applyListing: (revision, listed, now) => {
       latestRevision = Math.max(latestRevision, revision);
       const keys = new Set(listed.map((entry) => entry.key));
@@ -107,11 +157,17 @@
       if (!isStoreReachable && isReachable) expiryGraceUntil = now + expiryGraceMs;
       isStoreReachable = isReachable;
     },
+    recordLeaving: (server) => {
+      const instance = getInstanceKey(server);
+      if (leavingInstances.has(instance)) return false;
+      leavingInstances.add(instance);
+      needsRebuild = true;
+      return true;
+    },
     listReady: (service, now) => {
       if (needsRebuild) rebuild(now);
       return readyByService.get(service) ?? [];
     },
-    find: (id) => entries.get(id)?.server,
     list: () =>
       [...entries.values()].map(({ key, revision, server, removedAt }) => ({
         key,
--- a/packages/routing/src/server-health.ts
+++ b/packages/routing/src/server-health.ts
@@ -8,6 +8,9 @@
 /** Consecutive failures after which a backend server gets a cooldown. */
 const failuresBeforeCooldown = 2;
 
+/** Longest pause that a backend server may ask for. */
+const maxPauseMs = 60_000;
+
 /** Weight of the latest outcome in the moving average of failures. */
 const outcomeWeight = 0.15;
 
@@ -16,6 +19,8 @@
   cooldownUntil: number;
   cooldownMs: number;
   failureShare: number;
+  /** Until this time the server wants no request from this VM. */
+  pausedUntil: number;
 }
 
 /** The outcome of a call to a backend server. */
@@ -32,11 +37,14 @@
 /** Tracks the health of backend servers from the outcomes of calls to them. */
 export interface ServerHealth {
   readonly record: (id: string, outcome: CallOutcome, now: number) => void;
+  /** Records that a backend server wants no request for a time. */
+  readonly recordPause: (id: string, durationMs: number, now: number) => void;
+  /** Whether a backend server asked for a pause that has not ended; it must get no request. */
+  readonly isPaused: (id: string, now: number) => boolean;
   /** Whether a backend server should get no requests because of recent failures. */
   readonly isCoolingDown: (id: string, now: number) => boolean;
   /** Moving average of the share of calls to a backend server that failed. */
   readonly getFailureShare: (id: string) => number;
-  readonly remove: (id: string) => void;
 }
 
 /**
@@ -58,6 +66,7 @@
       cooldownUntil: 0,
       cooldownMs: initialCooldownMs,
       failureShare: 0,
+      pausedUntil: 0,
     };
     healthById.set(id, health);
     return health;
@@ -86,10 +95,13 @@
       if (outcome === 'unreachable' || health.consecutiveFailures >= failuresBeforeCooldown)
         startCooldown(health, now);
     },
+    recordPause: (id, durationMs, now) => {
+      const health = getOrCreate(id);
+      const pausedUntil = now + Math.min(maxPauseMs, durationMs);
+      health.pausedUntil = Math.max(health.pausedUntil, pausedUntil);
+    },
+    isPaused: (id, now) => (healthById.get(id)?.pausedUntil ?? 0) > now,
     isCoolingDown: (id, now) => (healthById.get(id)?.cooldownUntil ?? 0) > now,
     getFailureShare: (id) => healthById.get(id)?.failureShare ?? 0,
-    remove: (id) => {
-      healthById.delete(id);
-    },
   };
 };
--- a/packages/types/src/routing-ports.ts
+++ b/packages/types/src/routing-ports.ts
@@ -70,6 +70,16 @@
   readonly queued: number;
 }
 
+/** What a backend server states about itself in a response to any call. */
+export type ServerNotice =
+  /** It is about to leave and takes no new requests. */
+  | { readonly kind: 'leaving' }
+  /** It wants no request from this VM for a time. */
+  | { readonly kind: 'pause'; readonly durationMs: number };
+
+/** Receives the notices of backend servers. */
+export type OnServerNotice = (server: BackendServer, notice: ServerNotice) => void;
+
 /** Client for calls to backend servers. */
 export interface BackendClient {
   readonly send: (
