Engines change their stage to follow the demand; refused streams return after a stream's duration

And: the average duration of streams counted placements that were given up, so predictions were too low and refused callers came back into the same burst.

Change: one VM, under a lock in the store with a fencing token, orders engines to the other stage when demand (memory of running streams against prompts read) asks for it; the change is announced to all VMs first. Rates of engines are learned from what they do, with the old figures as a start.

--- a/packages/config/src/router-settings.ts
+++ b/packages/config/src/router-settings.ts
@@ -31,6 +31,11 @@
   readonly quotaWindowMs: number;
   /** Maximum time until a new configuration is in force, in milliseconds. */
   readonly configApplyMs: number;
+  /**
+   * Time for which a VM that has taken over the control of engines waits before its first order,
+   * in milliseconds.
+   */
+  readonly leaseMs: number;
   readonly logLevel: 'debug' | 'info' | 'warn' | 'error';
 }
 
@@ -60,6 +65,7 @@
   'quota-slack': decimal.default(0),
   'quota-window-s': decimal.default(8),
   'config-apply-ms': wholeNumber(1, 600_000).default(2_000),
+  'lease-ms': wholeNumber(1, 600_000).default(3_000),
   'log-level': z.enum(['debug', 'info', 'warn', 'error']).default('info'),
 });
 
@@ -89,5 +95,6 @@
     quotaSlack: values['quota-slack'],
     quotaWindowMs: values['quota-window-s'] * millisecondsPerSecond,
     configApplyMs: values['config-apply-ms'],
+    leaseMs: values['lease-ms'],
     logLevel: values['log-level'],
   }));
--- a/packages/router/src/call-context.ts
+++ b/packages/router/src/call-context.ts
@@ -12,7 +12,7 @@
 /**
  * Random share added to Retry-After, so that refused callers do not return all at the same time.
  */
-const retryAfterJitter = 0.3;
+export const retryAfterJitter = 0.3;
 
 /** A request in progress, after the filters. */
 export interface CallContext {
--- /dev/null
+++ b/packages/router/src/changing-engines.ts
@@ -0,0 +1,43 @@
+/** Time without a message after which a peer's announcement no longer counts. */
+const announcementTimeoutMs = 12_000;
+
+interface Announcement {
+  readonly engines: readonly string[];
+  readonly receivedAt: number;
+}
+
+/** Engines of which other VMs announced that they change their stage. */
+export interface ChangingEngines {
+  readonly recordPeer: (incarnation: string, engines: readonly string[], now: number) => void;
+  readonly removePeer: (incarnation: string) => void;
+  readonly list: (now: number) => ReadonlySet<string>;
+}
+
+const noEngines: ReadonlySet<string> = new Set();
+
+/**
+ * Creates a record without announcements.
+ *
+ * @example
+ * makeChangingEngines().list(now).size; // 0
+ */
+export const makeChangingEngines = (): ChangingEngines => {
+  const announcements = new Map<string, Announcement>();
+  return {
+    recordPeer: (incarnation, engines, now) => {
+      if (engines.length > 0) announcements.set(incarnation, { engines, receivedAt: now });
+      else announcements.delete(incarnation);
+    },
+    removePeer: (incarnation) => {
+      announcements.delete(incarnation);
+    },
+    list: (now) => {
+      if (announcements.size === 0) return noEngines;
+      return new Set(
+        [...announcements.values()]
+          .filter(({ receivedAt }) => now - receivedAt < announcementTimeoutMs)
+          .flatMap(({ engines }) => engines),
+      );
+    },
+  };
+};
--- a/packages/router/src/events.ts
+++ b/packages/router/src/events.ts
@@ -39,6 +39,11 @@
   2306: { level: 'warn', text: 'send to a backend server failed' },
   2307: { level: 'info', text: 'stream resumed' },
   2308: { level: 'warn', text: 'request rejected before routing' },
+  2501: { level: 'info', text: 'control of engine stages taken' },
+  2502: { level: 'warn', text: 'control of engine stages lost' },
+  2503: { level: 'info', text: 'engine ordered to change its stage' },
+  2504: { level: 'info', text: 'change of an engine stage ended' },
+  2505: { level: 'info', text: 'change of an engine stage planned' },
   2401: { level: 'warn', text: 'log lines dropped' },
 } as const satisfies Record<number, { level: RouterEventLevel; text: string }>;
 
--- a/packages/router/src/gossip-message.test.ts
+++ b/packages/router/src/gossip-message.test.ts
@@ -28,6 +28,7 @@
     servers: [{ key: 's/1', value: 'v', revision: 9 }],
     removed: [['s/2', 8]],
   },
+  changing: ['i-7'],
 };
 
 test('a full message and an update survive encoding and decoding unchanged', (t) => {
--- a/packages/router/src/gossip-message.ts
+++ b/packages/router/src/gossip-message.ts
@@ -31,6 +31,8 @@
   readonly role: StoreRole;
   readonly isStoreReachable: boolean;
   readonly serverChanges: ServerChanges | undefined;
+  /** Engines that must get no new work because the VM changes their stage. */
+  readonly changing: readonly string[];
 }
 
 /** Complete state of a VM, sent periodically; the updates in between are smaller. */
@@ -54,8 +56,8 @@
 const watcherFlag = 2;
 const reachableFlag = 4;
 
-const updateFieldCount = 9;
-const fullFieldCount = 14;
+const updateFieldCount = 10;
+const fullFieldCount = 15;
 
 const encodeFlags = (update: LoadUpdate): number =>
   (update.isShuttingDown ? shuttingDownFlag : 0) +
@@ -72,6 +74,7 @@
   update.waiting,
   encodeFlags(update),
   update.serverChanges ?? null,
+  update.changing,
 ];
 
 /** Encodes an update; fields are positional because updates are sent many times a second. */
@@ -97,6 +100,9 @@
 const isNumberRecord = (value: unknown): value is Record<string, number> =>
   isRecord(value) && Object.values(value).every((n) => Number.isFinite(n));
 
+const isTextList = (value: unknown): value is readonly string[] =>
+  Array.isArray(value) && value.every((item) => typeof item === 'string');
+
 const isLoadRows = (value: unknown): value is LoadRows =>
   isRecord(value) &&
   Object.values(value).every(
@@ -147,12 +153,23 @@
 const hasFlag = (flags: number, flag: number): boolean => Math.floor(flags / flag) % 2 === 1;
 
 const decodeUpdate = (row: readonly unknown[]): LoadUpdate | undefined => {
-  const [incarnation, sequence, config, servers, loads, admitted, waiting, flags, serverChanges] =
-    row;
+  const [
+    incarnation,
+    sequence,
+    config,
+    servers,
+    loads,
+    admitted,
+    waiting,
+    flags,
+    serverChanges,
+    changing,
+  ] = row;
   if (typeof incarnation !== 'string') return undefined;
   if (![sequence, config, servers, flags].every((n) => Number.isFinite(n))) return undefined;
   if (!isLoadRows(loads) || !isNumberRecord(admitted) || !isNumberRecord(waiting)) return undefined;
   if (serverChanges !== null && !isServerChanges(serverChanges)) return undefined;
+  if (!isTextList(changing)) return undefined;
   return {
     incarnation,
     sequence: Number(sequence),
@@ -164,6 +181,7 @@
     role: hasFlag(Number(flags), watcherFlag) ? 'watcher' : 'reader',
     isStoreReachable: hasFlag(Number(flags), reachableFlag),
     serverChanges: serverChanges ?? undefined,
+    changing,
   };
 };
 
--- a/packages/router/src/peer-outbox.test.ts
+++ b/packages/router/src/peer-outbox.test.ts
@@ -41,7 +41,7 @@
       const decoded = decodeMessage(bytes);
       if (decoded) sentMessages.push({ address, decoded });
     },
-    getLocalLoad: () => ({ loads: {}, admitted: { ...admitted }, waiting: {} }),
+    getLocalLoad: () => ({ loads: {}, admitted: { ...admitted }, waiting: {}, changing: [] }),
     getQuotaLevels: () => undefined,
     now: () => performance.now(),
   });
--- a/packages/router/src/peers-controller.ts
+++ b/packages/router/src/peers-controller.ts
@@ -2,7 +2,7 @@
 import type { Endpoint } from '@hemlocksill/config/settings.js';
 import type { Store } from '@hemlocksill/types/ports.js';
 import type { FleetChange } from '@hemlocksill/routing/choose-recipients.js';
-import { shouldWatch } from '@hemlocksill/routing/choose-watchers.js';
+import { isFirstVm, shouldWatch } from '@hemlocksill/routing/choose-watchers.js';
 import { getStoreEra } from '@hemlocksill/types/store-revision.js';
 import type { QuotaLevels } from '@hemlocksill/routing/fleet-quota.js';
 import { registerVm } from './register-vm.js';
@@ -40,6 +40,9 @@
 /** Missed heartbeats after which a peer counts as unresponsive. */
 const maxMissedHeartbeats = 3;
 
+/** Age after which a peer's waiting streams no longer count; they wait about as long. */
+const maxWaitingAgeMs = 1_000;
+
 /** Time without a message after which a watcher is not relied on for changes. */
 const watcherTimeoutMs = 1_100;
 
@@ -78,11 +81,14 @@
   readonly tick: (now: number) => void;
   /** Whether this VM watches the store itself. */
   readonly isWatcher: () => boolean;
+  /** Whether this VM comes first among those that reach the store. */
+  readonly isFirst: () => boolean;
   /** Number of VMs in the fleet as known here, including this one. */
   readonly countVms: () => number;
   /** Share of these VMs that are responsive, including this one. */
   readonly getReachableShare: () => number;
-  readonly countWaitingTokens: (service: string) => number;
+  /** Tokens that streams at other VMs wait for, of those that can still be on time. */
+  readonly countWaitingTokens: (service: string, now: number) => number;
 }
 
 /** Dependencies of the controller. */
@@ -95,7 +101,7 @@
   readonly vmPrefix: string;
   readonly store: Store;
   readonly view: ViewController;
-  readonly getLocalLoad: () => Pick<LoadUpdate, 'loads' | 'admitted' | 'waiting'>;
+  readonly getLocalLoad: () => Pick<LoadUpdate, 'loads' | 'admitted' | 'waiting' | 'changing'>;
   readonly getQuotaLevels: (now: number) => QuotaLevels | undefined;
   readonly onQuotaLevels: (levels: QuotaLevels, now: number) => void;
   /** `isOlder` says whether the peer started before this VM. */
@@ -126,6 +132,7 @@
   const candidateAddresses = new Set<string>();
   const socket = createSocket('udp4');
   let isWatching = true;
+  let isFirst = false;
   let isStopped = false;
   let behindSince: number | undefined;
   let nextCheckAt = Number.NEGATIVE_INFINITY;
@@ -298,11 +305,9 @@
         now - peer.lastReceivedAt <
         (peer.lastUpdate.role === 'watcher' ? watcherTimeoutMs : getPeerTimeoutMs(peer)),
     }));
-    const { incarnation } = deps;
-    const isWatcherNow = shouldWatch(
-      { incarnation, isStoreReachable: view.isStoreReachable() },
-      otherVms,
-    );
+    const self = { incarnation: deps.incarnation, isStoreReachable: view.isStoreReachable() };
+    isFirst = isFirstVm(self, otherVms);
+    const isWatcherNow = shouldWatch(self, otherVms);
     if (isWatcherNow === isWatching) return;
     isWatching = isWatcherNow;
     log(2204, {
@@ -377,15 +382,19 @@
       outbox.tick(now);
     },
     isWatcher: () => isWatching && deps.now() - startedAt > startupGraceMs,
+    isFirst: () => isFirst,
     countVms: () => peers.size + 1,
     getReachableShare: () => {
       const reachable = [...peers.values()].filter((peer) => !peer.isUnresponsive).length;
       return (reachable + 1) / (peers.size + 1);
     },
-    countWaitingTokens: (service) =>
-      [...peers.values()].reduce(
-        (sum, peer) => (peer.isUnresponsive ? sum : sum + (peer.lastUpdate.waiting[service] ?? 0)),
-        0,
-      ),
+    countWaitingTokens: (service, now) => {
+      let tokens = 0;
+      peers.forEach((peer) => {
+        if (now - peer.lastReceivedAt > maxWaitingAgeMs) return;
+        tokens += peer.lastUpdate.waiting[service] ?? 0;
+      });
+      return tokens;
+    },
   };
 };
--- a/packages/router/src/run-deps.ts
+++ b/packages/router/src/run-deps.ts
@@ -1,6 +1,7 @@
 import type { BackendServer } from '@hemlocksill/types/routing.js';
 import type { BackendClient } from '@hemlocksill/types/routing-ports.js';
 import type { EngineLedger } from '@hemlocksill/routing/engine-ledger.js';
+import type { EngineRates } from '@hemlocksill/routing/engine-rates.js';
 import type { PlacementView } from '@hemlocksill/routing/place-work.js';
 import type { ServerHealth } from '@hemlocksill/routing/server-health.js';
 import type { StreamQueue } from '@hemlocksill/routing/stream-queue.js';
@@ -18,6 +19,7 @@
   readonly plainLedger: EngineLedger;
   readonly queue: StreamQueue;
   readonly timing: StreamTiming;
+  readonly rates: EngineRates;
   /**
    * Predicts in how many milliseconds a service has memory for `tokens`, behind all streams queued
    * at any VM.
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -10,11 +10,8 @@
   choosePrefill,
   type MemoryRequirement,
 } from '@hemlocksill/routing/place-work.js';
-import {
-  assumedPrefillTokensPerMs,
-  type MemoryAllocation,
-} from '@hemlocksill/routing/engine-ledger.js';
-import type { CallContext, Responder } from './call-context.js';
+import type { MemoryAllocation } from '@hemlocksill/routing/engine-ledger.js';
+import { retryAfterJitter, type CallContext, type Responder } from './call-context.js';
 import type { RunDeps } from './run-deps.js';
 import { makeEventSplitter } from './sse-events.js';
 
@@ -39,6 +36,9 @@
 /** Retry-After of a request that is refused because no engine can take it. */
 const noEngineRetryAfterMs = 500;
 
+/** Part of a caller's remaining time that it waits at most before it comes back. */
+const maxRetryShare = 1 / 3;
+
 /** Delay before another placement is tried after a failed one. */
 const placementRetryDelayMs = 20;
 
@@ -113,13 +113,24 @@
     const allocation = deps.engineLedger.addDecode(placement.decode.id, requirement.promptTokens);
     deps.notifyLoadChange(placement.decode);
     let isAllocated = true;
+    let outputTokens = 0;
     return {
-      grow: allocation.grow,
+      grow: (tokens) => {
+        outputTokens += tokens;
+        allocation.grow(tokens);
+      },
       release: () => {
         if (!isAllocated) return;
         isAllocated = false;
         allocation.release();
-        deps.timing.recordStreamDuration(deps.now() - startedAt);
+        // A placement that was given up says nothing about the time that streams take.
+        if (outputTokens === 0) {
+          deps.notifyLoadChange(placement.decode);
+          return;
+        }
+        const durationMs = deps.now() - startedAt;
+        deps.timing.recordStreamDuration(durationMs);
+        deps.rates.recordOutput(outputTokens, durationMs);
         deps.notifyLoadChange(placement.decode);
       },
     };
@@ -144,7 +155,7 @@
   /**
    * Places the stream now, or queues it until memory is free; the queue refuses it at `waitUntil`.
    */
-  const placeOrQueue = (waitUntil: number, notBefore: number): void => {
+  const placeOrQueue = (onTimeUntil: number, waitUntil: number, notBefore: number): void => {
     const stream = {
       id,
       service: service.name,
@@ -152,6 +163,7 @@
       priority: ctx.workspace?.priority ?? route.priority,
       neededTokens: requirement.promptTokens,
       arrivedAt: ctx.arrivedAt,
+      onTimeUntil,
       waitUntil,
       tryPlace: (now: number) => {
         if (!responder.isOpen()) return true;
@@ -161,18 +173,32 @@
         reserveDecodeMemory(placement, 1);
         return true;
       },
-      refuse: (retryAfterMs: number, reason: string) => failOrRefuse(reason, retryAfterMs),
+      refuse: (retryAfterMs: number, reason: string) =>
+        failOrRefuse(reason, getRetryDelayMs(retryAfterMs)),
     };
-    if (stream.tryPlace(deps.now())) return;
     deps.queue.push(stream);
+    deps.queue.process(deps.now());
     deps.metrics.waitingStreams.set(deps.queue.size());
   };
 
-  const getLatestPlacementTime = (): number => {
-    const prefillMs = requirement.promptTokens / assumedPrefillTokensPerMs;
-    return ctx.arrivedAt + route.targetLatencyMs - prefillMs - deps.timing.getFirstEventDelayMs();
+  /**
+   * Time after which a refused caller should come back. While memory is exhausted, the streams that
+   * hold it have ended after the duration of a stream; earlier, the caller would be refused again.
+   */
+  const getRetryDelayMs = (predictedWaitMs: number): number =>
+    Math.min(
+      Math.max(predictedWaitMs, deps.timing.getStreamMs()),
+      (getRemainingMs() * maxRetryShare) / (1 + retryAfterJitter),
+    );
+
+  /** Time by which the stream must be placed so that its first event is sent at `firstEventAt`. */
+  const getPlacementTime = (firstEventAt: number): number => {
+    const prefillMs = requirement.promptTokens / deps.rates.getPrefillTokensPerMs();
+    return firstEventAt - prefillMs - deps.timing.getFirstEventDelayMs();
   };
 
+  const getLatestOnTime = (): number => getPlacementTime(ctx.arrivedAt + route.targetLatencyMs);
+
   const start = (): void => {
     const engines = deps.listReady(service.name);
     if (!engine || engines.length === 0) {
@@ -185,9 +211,9 @@
     }
     const now = deps.now();
     const predictedWaitMs = predictWaitMs();
-    if (now + predictedWaitMs > getLatestPlacementTime())
-      failOrRefuse('no memory in time', predictedWaitMs);
-    else placeOrQueue(getLatestPlacementTime(), 0);
+    if (now + predictedWaitMs > getLatestOnTime())
+      failOrRefuse('no memory in time', getRetryDelayMs(predictedWaitMs));
+    else placeOrQueue(getLatestOnTime(), getLatestOnTime(), 0);
   };
 
   /** Whether a server chosen earlier is still ready, the same instance and not paused. */
@@ -202,7 +228,8 @@
   /** Queues the stream for another placement; it has not run yet. */
   const retryPlacement = (): void =>
     placeOrQueue(
-      Math.max(getLatestPlacementTime(), deps.now() + 1),
+      getLatestOnTime(),
+      Math.max(getLatestOnTime(), deps.now() + 1),
       deps.now() + placementRetryDelayMs,
     );
 
@@ -259,6 +286,8 @@
     });
     const { promptTokens } = requirement;
     prefillAttempts += 1;
+    deps.timing.recordPrompt(promptTokens);
+    const prefillSentAt = deps.now();
     deps.engineLedger.addPrefill(placement.prefill.id, promptTokens);
     deps.notifyLoadChange(placement.prefill);
     let isRunning = true;
@@ -320,6 +349,7 @@
           return;
         }
         deps.health.record(placement.prefill.id, 'answered', deps.now());
+        deps.rates.recordPrefill(promptTokens, deps.now() - prefillSentAt);
         if (!isStillReady(placement.decode)) {
           // The decode engine began to drain during the prefill.
           deps.backends.releasePrefill(outcome.result);
@@ -485,7 +515,8 @@
     }
     deps.metrics.retries.inc({ reason: fault.kind });
     deps.log(2307, { id, after: lastEventId, from: server.id, fault: fault.kind });
-    placeOrQueue(deps.now() + route.targetLatencyMs, 0);
+    const resumeUntil = deps.now() + route.targetLatencyMs;
+    placeOrQueue(resumeUntil, resumeUntil, 0);
   };
 
   const timeout = setTimeout(
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -1,6 +1,7 @@
 import { createServer, type Server } from 'node:http';
 import { randomBytes } from 'node:crypto';
 import type { RouterSettings } from '@hemlocksill/config/router-settings.js';
+import type { BackendServer } from '@hemlocksill/types/routing.js';
 import type { Store } from '@hemlocksill/types/ports.js';
 import type {
   BackendClient,
@@ -10,6 +11,7 @@
 } from '@hemlocksill/types/routing-ports.js';
 import { chooseWatchWaitMs } from '@hemlocksill/routing/choose-watchers.js';
 import { makeEngineLedger } from '@hemlocksill/routing/engine-ledger.js';
+import { makeEngineRates } from '@hemlocksill/routing/engine-rates.js';
 import { makeFleetQuota } from '@hemlocksill/routing/fleet-quota.js';
 import type { PlacementView } from '@hemlocksill/routing/place-work.js';
 import { makeRetryBudget, type RetryBudget } from '@hemlocksill/routing/retry-budget.js';
@@ -27,6 +29,8 @@
 import type { RunDeps } from './run-deps.js';
 import { runPlain } from './run-plain.js';
 import { runStream } from './run-stream.js';
+import { makeChangingEngines } from './changing-engines.js';
+import { makeEngineStages } from './engine-stages.js';
 import { makeViewController } from './view-controller.js';
 
 /** Connect timeout for backend servers; the one-way latency is about a millisecond. */
@@ -93,14 +97,16 @@
   const incarnation = randomBytes(6).toString('hex');
   const directory = makeServerDirectory();
   const health = makeServerHealth();
-  const engineLedger = makeEngineLedger();
-  const plainLedger = makeEngineLedger();
+  const rates = makeEngineRates();
+  const engineLedger = makeEngineLedger(rates);
+  const plainLedger = makeEngineLedger(rates);
   const quota = makeFleetQuota(
     { windowMs: settings.quotaWindowMs, slack: settings.quotaSlack },
     settings.isFirstStart,
     now(),
   );
   const streamTiming = makeStreamTiming();
+  const changingEngines = makeChangingEngines();
   const retryBudgets = new Map<string, RetryBudget>();
   let isShuttingDown = false;
   let isRefusing = false;
@@ -124,9 +130,9 @@
     const engine = view.getTable()?.findService(service)?.engine;
     if (!engine) return 0;
     const totalWaitingTokens =
-      tokens + queue.countWaitingTokens(service) + peers.countWaitingTokens(service);
+      tokens + queue.countWaitingTokens(service) + peers.countWaitingTokens(service, nowMs);
     return streamTiming.predictMemoryWaitMs(
-      directory.listReady(service, nowMs),
+      listReady(service),
       engine,
       engineLedger,
       totalWaitingTokens,
@@ -134,12 +140,15 @@
     );
   };
 
-  const queue = makeStreamQueue(predictMemoryWaitMs);
+  const queue = makeStreamQueue({
+    predictMemoryWaitMs,
+    hasOnTimeElsewhere: (service, nowMs) => peers.countWaitingTokens(service, nowMs) > 0,
+  });
 
   const sumWaitingTokens = (): Record<string, number> => {
     const tokensByService: Record<string, number> = {};
     view.getTable()?.config.services.forEach(({ name, engine }) => {
-      const tokens = engine ? queue.countWaitingTokens(name) : 0;
+      const tokens = engine ? queue.countOnTimeTokens(name, now()) : 0;
       if (tokens > 0) tokensByService[name] = tokens;
     });
     return tokensByService;
@@ -158,15 +167,20 @@
       loads: engineLedger.getLocalRows(),
       admitted: quota.getTotals(),
       waiting: sumWaitingTokens(),
+      changing: stages.listChanging(),
     }),
     getQuotaLevels: quota.getLevels,
     onQuotaLevels: quota.adoptLevels,
     onUpdate: (update, isOlder, nowMs) => {
       engineLedger.recordPeerLoad(update.incarnation, update.loads, nowMs);
       quota.recordPeerTotals(update.incarnation, update.admitted, isOlder, nowMs);
+      changingEngines.recordPeer(update.incarnation, update.changing, nowMs);
       if (queue.size() > 0) queue.process(nowMs);
     },
-    onPeerRemoved: (removedIncarnation) => engineLedger.removePeer(removedIncarnation),
+    onPeerRemoved: (removedIncarnation) => {
+      engineLedger.removePeer(removedIncarnation);
+      changingEngines.removePeer(removedIncarnation);
+    },
     log,
     now,
   });
@@ -186,6 +200,7 @@
   const getPlacementView = (): PlacementView => ({
     ledger: engineLedger,
     health,
+    rates,
     dataCentre: settings.dataCentre,
     now: now(),
   });
@@ -199,15 +214,45 @@
     log(2113, { server: server.id, durationMs: notice.durationMs });
   };
 
+  const backends = ports.makeBackends(onNotice);
+
+  const stages = makeEngineStages({
+    backends,
+    store,
+    lockKey: format.stageLockKey,
+    holder: `${settings.vm} ${incarnation}`,
+    leaseMs: settings.leaseMs,
+    isResponsible: () => peers.isFirst(),
+    listServices: () => view.getTable()?.config.services ?? [],
+    listReady: (service) => directory.listReady(service, now()),
+    listAnnounced: () => changingEngines.list(now()),
+    announce: () => peers.notifyChange({ kind: 'stage' }),
+    ledger: engineLedger,
+    timing: streamTiming,
+    rates,
+    log,
+    now,
+  });
+
+  /** Ready servers of a service, without engines whose stage is being changed. */
+  const listReady = (service: string): readonly BackendServer[] => {
+    const ready = directory.listReady(service, now());
+    const changing = changingEngines.list(now());
+    const ownChanging = stages.listChanging();
+    if (changing.size === 0 && ownChanging.length === 0) return ready;
+    return ready.filter((server) => !changing.has(server.id) && !ownChanging.includes(server.id));
+  };
+
   const runDeps: RunDeps = {
-    backends: ports.makeBackends(onNotice),
+    backends,
     health,
     engineLedger,
     plainLedger,
     queue,
     timing: streamTiming,
+    rates,
     predictMemoryWaitMs,
-    listReady: (service) => directory.listReady(service, now()),
+    listReady,
     getPlacementView,
     tryTakeRetry: (service) => getRetryBudget(service).tryTakeRetry(peers.countVms(), now()),
     notifyLoadChange: (server) => {
@@ -281,6 +326,7 @@
     const nowMs = now();
     detectClockJump(nowMs);
     peers.tick(nowMs);
+    stages.tick(nowMs);
     quota.setReachableShare(peers.getReachableShare());
     if (queue.size() > 0) queue.process(nowMs);
     if (isReady() && !hasLoggedReady) {
--- a/packages/router/src/view-controller.test.ts
+++ b/packages/router/src/view-controller.test.ts
@@ -38,6 +38,7 @@
       serverPrefix: 's/',
       configKey: 'config',
       vmPrefix: 'vms/',
+      stageLockKey: 'lock',
       decodeServer: ({ key, revision, value }) => ({
         key,
         revision,
--- a/packages/routing/src/choose-recipients.ts
+++ b/packages/routing/src/choose-recipients.ts
@@ -10,6 +10,8 @@
   | { readonly kind: 'load'; readonly dataCentre: string }
   /** A workspace whose rate-limit bucket is low was charged. */
   | { readonly kind: 'low-rate' }
+  /** An engine starts or ends a change of its stage. */
+  | { readonly kind: 'stage' }
   /** The configuration or the list of backend servers changed. */
   | { readonly kind: 'view'; readonly isWatcher: boolean };
 
--- a/packages/routing/src/choose-watchers.ts
+++ b/packages/routing/src/choose-watchers.ts
@@ -38,6 +38,22 @@
   readonly isFresh: boolean;
 }
 
+/**
+ * Whether this VM comes first among those that reach the store, which makes it responsible for
+ * tasks that one VM does for the fleet. Two VMs may think so for a while; such tasks need a lock.
+ *
+ * @example
+ * isFirstVm({ incarnation: 'a', isStoreReachable: true }, []); // true
+ */
+export const isFirstVm = (
+  self: { readonly incarnation: string; readonly isStoreReachable: boolean },
+  peers: readonly PeerVm[],
+): boolean =>
+  self.isStoreReachable &&
+  peers.every(
+    (peer) => !peer.isFresh || !peer.isStoreReachable || peer.incarnation > self.incarnation,
+  );
+
 /**
  * Decides whether this VM watches the store itself.
  *
--- a/packages/routing/src/engine-ledger.ts
+++ b/packages/routing/src/engine-ledger.ts
@@ -1,3 +1,5 @@
+import type { EngineRates } from './engine-rates.js';
+
 /** Load of one engine. */
 export interface EngineLoad {
   /** Memory tokens that running and reserved requests use at present. */
@@ -23,12 +25,6 @@
 /** Time for which an engine counts as full after it rejected a request. */
 const fullCooldownMs = 60;
 
-/** Prompt tokens that an engine is assumed to process per millisecond. */
-export const assumedPrefillTokensPerMs = 30;
-
-/** Output tokens that one stream is assumed to generate per second. */
-export const assumedOutputTokensPerS = 400;
-
 /** Memory counted for one request at an engine. */
 export interface MemoryAllocation {
   /** Adds the output tokens that the request has generated. */
@@ -53,19 +49,19 @@
 }
 
 /**
- * Creates an empty ledger.
+ * Creates an empty ledger; `rates` extrapolate the load of peers.
  *
  * Load pattern: all VMs place long prompts at the same moment. The engines' load reports are
  * hundreds of milliseconds old; if placement relied on them, it would send all of these prompts to
  * the same engine.
  *
  * @example
- * const ledger = makeEngineLedger();
+ * const ledger = makeEngineLedger(makeEngineRates());
  * const allocation = ledger.addDecode('i-1', 3_300);
  * ledger.getTotal('i-1', now).tokens; // 3300
  * allocation.release();
  */
-export const makeEngineLedger = (): EngineLedger => {
+export const makeEngineLedger = (rates: EngineRates): EngineLedger => {
   const localRows = new Map<string, [number, number, number]>();
   /** Ids of the engines at which each peer has load. */
   const enginesByPeer = new Map<string, readonly string[]>();
@@ -130,16 +126,18 @@
     removePeer,
     getTotal: (server, now) => {
       const row = localRows.get(server);
+      const outputTokensPerS = rates.getOutputTokensPerS();
+      const prefillTokensPerMs = rates.getPrefillTokensPerMs();
       let tokens = row?.[0] ?? 0;
       let requests = row?.[1] ?? 0;
       let prefillTokens = row?.[2] ?? 0;
       peerRowsByEngine.get(server)?.forEach(({ row: peerRow, receivedAt }) => {
         if (now - receivedAt > peerTimeoutMs) return;
         const elapsedS = (now - receivedAt) / 1_000;
-        tokens += peerRow[0] + peerRow[1] * elapsedS * assumedOutputTokensPerS;
+        tokens += peerRow[0] + peerRow[1] * elapsedS * outputTokensPerS;
         requests += peerRow[1];
-        // Peers do not announce the end of a prefill; assume the usual throughput since then.
-        const processedTokens = (now - receivedAt) * assumedPrefillTokensPerMs;
+        // Peers do not announce the end of a prefill; assume the measured throughput since then.
+        const processedTokens = (now - receivedAt) * prefillTokensPerMs;
         prefillTokens += Math.max(0, peerRow[2] - processedTokens);
       });
       return { tokens, requests, prefillTokens };
--- a/packages/routing/src/fixtures.ts
+++ b/packages/routing/src/fixtures.ts
@@ -67,4 +67,5 @@
   tokensPerEvent: 18,
   prefillTtlMs: 500,
   maxReservationMs: 2_000,
+  stageChangeMs: 6_000,
 };
--- a/packages/routing/src/place-work.ts
+++ b/packages/routing/src/place-work.ts
@@ -1,9 +1,6 @@
 import type { BackendServer, EngineLimits } from '@hemlocksill/types/routing.js';
-import {
-  assumedOutputTokensPerS,
-  assumedPrefillTokensPerMs,
-  type EngineLedger,
-} from './engine-ledger.js';
+import type { EngineLedger } from './engine-ledger.js';
+import type { EngineRates } from './engine-rates.js';
 import type { ServerHealth } from './server-health.js';
 
 /** Score penalty of a backend server in another data centre, as a share of load. */
@@ -19,6 +16,7 @@
 export interface PlacementView {
   readonly ledger: EngineLedger;
   readonly health: ServerHealth;
+  readonly rates: EngineRates;
   readonly dataCentre: string;
   readonly now: number;
 }
@@ -37,8 +35,8 @@
 }
 
 /** Returns the memory tokens that must stay free for the growth of an engine's streams. */
-export const getHeadroomTokens = (requests: number): number =>
-  Math.ceil((requests * assumedOutputTokensPerS * headroomMs) / 1_000);
+export const getHeadroomTokens = (requests: number, rates: EngineRates): number =>
+  Math.ceil((requests * rates.getOutputTokensPerS() * headroomMs) / 1_000);
 
 const isAvailable = (server: BackendServer, view: PlacementView): boolean =>
   !view.health.isCoolingDown(server.id, view.now) && !view.health.isPaused(server.id, view.now);
@@ -68,7 +66,7 @@
     const load = view.ledger.getTotal(server.id, view.now);
     if (load.requests >= limits.slots) return;
     const neededTokens =
-      load.tokens + requirement.promptTokens + getHeadroomTokens(load.requests + 1);
+      load.tokens + requirement.promptTokens + getHeadroomTokens(load.requests + 1, view.rates);
     if (neededTokens > limits.memoryTokens) return;
     const usedShare = load.tokens / limits.memoryTokens;
     const penalty = server.dataCentre === view.dataCentre ? 0 : otherDataCentrePenalty;
@@ -99,7 +97,7 @@
   servers.forEach((server) => {
     if (server.stage !== 'prefill' || excluded.has(server.id) || !isAvailable(server, view)) return;
     const load = view.ledger.getTotal(server.id, view.now);
-    const processingMs = (load.prefillTokens + promptTokens) / assumedPrefillTokensPerMs;
+    const processingMs = (load.prefillTokens + promptTokens) / view.rates.getPrefillTokensPerMs();
     const transferMs = server.dataCentre === decodeDataCentre ? 0 : crossDataCentreTransferMs;
     const expectedMs = processingMs + transferMs + 100 * view.health.getFailureShare(server.id);
     if (expectedMs < bestMs) {
--- a/packages/routing/src/placement.test.ts
+++ b/packages/routing/src/placement.test.ts
@@ -1,9 +1,6 @@
 import test from 'ava';
-import {
-  assumedOutputTokensPerS,
-  assumedPrefillTokensPerMs,
-  makeEngineLedger,
-} from './engine-ledger.js';
+import { makeEngineLedger } from './engine-ledger.js';
+import { makeEngineRates } from './engine-rates.js';
 import { engineLimits, makeServer } from './fixtures.js';
 import {
   chooseDecode,
@@ -16,9 +13,12 @@
 import { makeStreamTiming } from './stream-timing.js';
 import { makeStreamQueue, type WaitingStream } from './stream-queue.js';
 
+const rates = makeEngineRates();
+
 const makeView = (): PlacementView => ({
-  ledger: makeEngineLedger(),
+  ledger: makeEngineLedger(rates),
   health: makeServerHealth(),
+  rates,
   dataCentre: 'north-a',
   now: 0,
 });
@@ -47,7 +47,7 @@
 test('no engine is chosen without memory for the prompt and the growth of its streams', (t) => {
   const view = makeView();
   const engines = [makeEngine('a', 'decode')];
-  const availableTokens = engineLimits.memoryTokens - getHeadroomTokens(2);
+  const availableTokens = engineLimits.memoryTokens - getHeadroomTokens(2, rates);
   view.ledger.addDecode('a', 4_000);
   t.is(
     chooseDecode(
@@ -76,8 +76,8 @@
   ledger.recordPeerLoad('p', { a: [1_000, 1, 500] }, 0);
   ledger.addDecode('a', 100);
   t.deepEqual(ledger.getTotal('a', 0), { tokens: 1_100, requests: 2, prefillTokens: 500 });
-  t.is(ledger.getTotal('a', 1_000).tokens, 1_100 + assumedOutputTokensPerS);
-  t.is(ledger.getTotal('a', 10).prefillTokens, 500 - 10 * assumedPrefillTokensPerMs);
+  t.is(ledger.getTotal('a', 1_000).tokens, 1_100 + rates.getOutputTokensPerS());
+  t.is(ledger.getTotal('a', 10).prefillTokens, 500 - 10 * rates.getPrefillTokensPerMs());
   t.is(ledger.getTotal('a', 1_000).prefillTokens, 0);
   t.is(ledger.getTotal('a', 60_000).tokens, 100);
   ledger.recordPeerLoad('p', {}, 60_000);
@@ -112,6 +112,8 @@
   t.is(choosePlainServer([makeServer({ id: 'a' })], view, new Set(['a'])), undefined);
 });
 
+const queueInputs = { predictMemoryWaitMs: () => 500, hasOnTimeElsewhere: () => false };
+
 interface StreamLog {
   readonly placed: string[];
   readonly refused: string[];
@@ -128,6 +130,7 @@
   priority: 1,
   neededTokens: 1_000,
   arrivedAt: 0,
+  onTimeUntil: 600,
   waitUntil: 700,
   tryPlace: () => {
     log.placed.push(id);
@@ -141,7 +144,7 @@
 
 test('streams are placed by priority, then by arrival', (t) => {
   const log: StreamLog = { placed: [], refused: [] };
-  const queue = makeStreamQueue(() => 500);
+  const queue = makeStreamQueue(queueInputs);
   queue.push(makeWaitingStream(log, 'late', { arrivedAt: 5 }));
   queue.push(makeWaitingStream(log, 'early', { arrivedAt: 1 }));
   queue.push(makeWaitingStream(log, 'urgent', { arrivedAt: 9, priority: 0 }));
@@ -151,7 +154,7 @@
 
 test('a stream is refused when its wait time expires', (t) => {
   const log: StreamLog = { placed: [], refused: [] };
-  const queue = makeStreamQueue(() => 500);
+  const queue = makeStreamQueue(queueInputs);
   queue.push(makeWaitingStream(log, 'a', { tryPlace: () => false }));
   queue.process(699);
   t.deepEqual(log.refused, []);
@@ -162,7 +165,7 @@
 
 test('after four streams that do not fit, no later stream is placed', (t) => {
   const log: StreamLog = { placed: [], refused: [] };
-  const queue = makeStreamQueue(() => 500);
+  const queue = makeStreamQueue(queueInputs);
   const blocked = { tryPlace: () => false };
   ['a', 'b', 'c', 'd'].forEach((id) => queue.push(makeWaitingStream(log, id, blocked)));
   queue.push(makeWaitingStream(log, 'e', { arrivedAt: 1 }));
@@ -173,6 +176,30 @@
   t.deepEqual(log.placed, ['e']);
 });
 
+test('late streams get memory only if no stream waits that can still be on time, oldest first', (t) => {
+  const log: StreamLog = { placed: [], refused: [] };
+  const queue = makeStreamQueue(queueInputs);
+  let isFull = true;
+  const tryPlace = () => !isFull;
+  queue.push(makeWaitingStream(log, 'late', { arrivedAt: 4, onTimeUntil: 10, waitUntil: 3_000 }));
+  queue.push(makeWaitingStream(log, 'returned', { arrivedAt: -900, onTimeUntil: -200 }));
+  queue.push(makeWaitingStream(log, 'onTime', { arrivedAt: 20, tryPlace }));
+  queue.process(30);
+  t.deepEqual(log.placed, []);
+  isFull = false;
+  queue.process(40);
+  t.deepEqual(log.placed, ['returned', 'late']);
+});
+
+test('late streams leave the memory to streams that wait at other VMs and can still be on time', (t) => {
+  const log: StreamLog = { placed: [], refused: [] };
+  const queue = makeStreamQueue({ ...queueInputs, hasOnTimeElsewhere: () => true });
+  queue.push(makeWaitingStream(log, 'late', { onTimeUntil: 10 }));
+  queue.push(makeWaitingStream(log, 'onTime', { arrivedAt: 20 }));
+  queue.process(30);
+  t.deepEqual(log.placed, ['onTime']);
+});
+
 test('the time until memory is free is predicted from the rate at which streams end', (t) => {
   const timing = makeStreamTiming();
   const { ledger } = makeView();
--- a/packages/routing/src/stream-timing.ts
+++ b/packages/routing/src/stream-timing.ts
@@ -7,6 +7,7 @@
 /** Initial values of the averages, in milliseconds. */
 const assumedStreamMs = 2_500;
 const assumedFirstEventDelayMs = 100;
+const assumedPromptTokens = 3_000;
 
 /** Prediction for a service without running streams, whose end would free memory. */
 const idleEnginesRetryDelayMs = 1_000;
@@ -15,8 +16,14 @@
 export interface StreamTiming {
   /** Records the time from placement to the end of a stream. */
   readonly recordStreamDuration: (ms: number) => void;
+  /** Records the prompt of a stream that was placed. */
+  readonly recordPrompt: (tokens: number) => void;
+  /** Average number of prompt tokens of a stream. */
+  readonly getPromptTokens: () => number;
   /** Records the time from the end of the prefill to the first event. */
   readonly recordFirstEventDelay: (ms: number) => void;
+  /** Average time from placement to the end of a stream. */
+  readonly getStreamMs: () => number;
   /** Average time from the end of the prefill to the first event. */
   readonly getFirstEventDelayMs: () => number;
   /** Predicts the time until the engines have `waitingTokens` free, in milliseconds. */
@@ -40,14 +47,20 @@
  */
 export const makeStreamTiming = (): StreamTiming => {
   let averageStreamMs = assumedStreamMs;
+  let promptTokens = assumedPromptTokens;
   let firstEventDelayMs = assumedFirstEventDelayMs;
   return {
     recordStreamDuration: (ms) => {
       averageStreamMs += (ms - averageStreamMs) * sampleWeight;
     },
+    recordPrompt: (tokens) => {
+      promptTokens += (tokens - promptTokens) * sampleWeight;
+    },
+    getPromptTokens: () => promptTokens,
     recordFirstEventDelay: (ms) => {
       firstEventDelayMs += (ms - firstEventDelayMs) * sampleWeight;
     },
+    getStreamMs: () => averageStreamMs,
     getFirstEventDelayMs: () => firstEventDelayMs,
     predictMemoryWaitMs: (engines, limits, ledger, waitingTokens, now) => {
       let usedTokens = 0;
--- a/packages/types/src/routing-ports.ts
+++ b/packages/types/src/routing-ports.ts
@@ -1,6 +1,6 @@
 import type { Result } from 'neverthrow';
 import type { StoreEntry } from './ports.js';
-import type { BackendServer, CallMetadata, RoutingConfig } from './routing.js';
+import type { BackendServer, CallMetadata, EngineStage, RoutingConfig } from './routing.js';
 
 /** Why a call to a backend server failed, classified by whether the request may have run. */
 export type CallFault =
@@ -62,14 +62,29 @@
 /** Cancels a call and closes its connection. */
 export type CancelCall = () => void;
 
-/** The load that an engine reports about itself; it lags behind the actual load. */
+/** What an engine reports about itself; the report lags behind its actual state. */
 export interface EngineReport {
-  readonly usedTokens: number;
-  readonly totalTokens: number;
-  readonly running: number;
-  readonly queued: number;
+  readonly stage: EngineStage;
+  /** Whether the engine is carrying out an order. */
+  readonly isBusy: boolean;
+  /** Number of orders that this instance has accepted. */
+  readonly acceptedOrders: number;
 }
 
+/** An order to change the stage of an engine. */
+export interface StageOrder {
+  readonly stage: EngineStage;
+  /** Name of the process that gives the order. */
+  readonly holder: string;
+  /** Fencing token; engines that check it reject an order with a lower one than seen before. */
+  readonly fence: number;
+  /** The order is void if the engine has accepted another one since. */
+  readonly expectedOrders: number;
+}
+
+/** The response to an order; `unknown` means that it may have been accepted. */
+export type OrderOutcome = 'accepted' | 'holds' | 'conflict' | 'fenced' | 'rejected' | 'unknown';
+
 /** What a backend server states about itself in a response to any call. */
 export type ServerNotice =
   /** It is about to leave and takes no new requests. */
@@ -102,6 +117,16 @@
     onDone: (outcome: ReserveOutcome) => void,
   ) => void;
   readonly releaseReservation: (server: BackendServer, reservation: string) => void;
+  /** Asks an engine for its report; undefined if it can't be had. */
+  readonly report: (
+    server: BackendServer,
+    onDone: (report: EngineReport | undefined) => void,
+  ) => void;
+  readonly order: (
+    server: BackendServer,
+    order: StageOrder,
+    onDone: (outcome: OrderOutcome) => void,
+  ) => void;
   /** Closes the idle connections to a backend server that was removed. */
   readonly closeConnections: (server: BackendServer) => void;
 }
@@ -134,6 +159,8 @@
   /** Prefix of the keys of backend servers. */
   readonly serverPrefix: string;
   readonly configKey: string;
+  /** Key of the lock that the VM which changes the stages of engines holds. */
+  readonly stageLockKey: string;
   /** Prefix of the keys under which VMs register themselves. */
   readonly vmPrefix: string;
   readonly decodeServer: (entry: StoreEntry) => ListedServer;
--- a/packages/types/src/routing.ts
+++ b/packages/types/src/routing.ts
@@ -43,6 +43,8 @@
   readonly prefillTtlMs: number;
   /** Maximum time for which memory may be reserved before a request; 0 if it can't be reserved. */
   readonly maxReservationMs: number;
+  /** Time that an engine needs to change its stage, after its running work has ended. */
+  readonly stageChangeMs: number;
 }
 
 /** A service, run by a group of interchangeable backend servers. */
