--- a/packages/router/src/stage-controller.ts
+++ b/packages/router/src/stage-controller.ts
@@ -173,8 +173,11 @@
     const changing = new Set([...changes.keys(), ...deps.listAnnounced()]);
     const count = servers.filter((server) => changing.has(server.id)).length;
     if (count >= Math.max(1, Math.floor(servers.length * maxChangingShare))) return;
-    const usable = servers.filter((server) => (blockedUntil.get(server.id) ?? 0) <= now);
-    const plan: StageChange | undefined = planStageChange(usable, changing, demand);
+    blockedUntil.forEach((until, id) => {
+      if (until <= now) blockedUntil.delete(id);
+    });
+    const blocked = new Set(blockedUntil.keys());
+    const plan: StageChange | undefined = planStageChange(servers, changing, blocked, demand);
     if (!plan) return;
     if (deps.lock.getFence() === undefined) return;
     changes.set(plan.server.id, {
--- a/packages/routing/src/balance-stages.ts
+++ b/packages/routing/src/balance-stages.ts
@@ -122,25 +122,29 @@
  * engines are full and the prefill engines mostly idle. One engine is moved at a time.
  *
  * @param servers - ready engines of the service, including those that change their stage now
- * @param changing - ids of engines that are changing to the decode stage
+ * @param changing - ids of engines that are changing their stage
+ * @param blocked - ids of engines that did not follow earlier orders
  * @example
- * planStageChange(servers, new Set(), { decodeEngines: 1.7, prefillEngines: 0.7 });
+ * planStageChange(servers, new Set(), new Set(), { decodeEngines: 1.7, prefillEngines: 0.7 });
  */
 export const planStageChange = (
   servers: readonly BackendServer[],
   changing: ReadonlySet<string>,
+  blocked: ReadonlySet<string>,
   demand: StageDemand,
 ): StageChange | undefined => {
   const settled = servers.filter((server) => !changing.has(server.id));
   const prefill = settled.filter((server) => server.stage === 'prefill');
   const decode = settled.filter((server) => server.stage === 'decode');
   const target = Math.max(1, computePrefillTarget(servers.length, demand));
+  const choose = (engines: readonly BackendServer[]): BackendServer | undefined =>
+    chooseFromLargestGroup(engines.filter((server) => !blocked.has(server.id)));
   if (prefill.length - target >= surplusMargin && prefill.length > 1) {
-    const server = chooseFromLargestGroup(prefill);
+    const server = choose(prefill);
     return server && { server, stage: 'decode' };
   }
   if (prefill.length < target * minPrefillShare && decode.length > 1) {
-    const server = chooseFromLargestGroup(decode);
+    const server = choose(decode);
     return server && { server, stage: 'prefill' };
   }
   return undefined;
--- a/packages/routing/src/place-work.ts
+++ b/packages/routing/src/place-work.ts
@@ -25,7 +25,7 @@
  * Time for which running streams must be able to grow until one of them ends. At a full engine
  * several streams end per second, each of which frees more memory than the others need.
  */
-const headroomMs = 1_000;
+const headroomMs = 1_500;
 
 /** Engine memory that a request needs. */
 export interface MemoryRequirement {
