Hundreds of VMs: few of them try an absent store, readers don't repeat what watchers tell

Cause: without a usable watcher every VM became one. At 195 VMs an outage of the store made all of them announce it to all (38,000 datagrams at once), and send whole messages twice a second each (75,000 a second), while each called the store. And each VM passed each change of a backend server on to its data centre (6,240 datagrams a change) though the four watchers had told all.

Change: with time more VMs try the store, at most 16 while others try and fail; a reader passes a change on to three VMs; a reader assumes that it reaches the store again when others do for 5 s; the wait of a watch follows the time limit for a configuration in the settings, which nothing read before.

--- a/packages/router/src/peer-outbox.ts
+++ b/packages/router/src/peer-outbox.ts
@@ -17,6 +17,9 @@
 /** Time for which changes are collected into one message. */
 const batchDelayMs = 5;
 
+/** Number of VMs to which a reader passes on a change of its view. */
+const relayCount = 3;
+
 /** Changes of backend servers that one message may carry; peers fetch larger sets. */
 const maxServerChanges = 3;
 
@@ -125,11 +128,18 @@
       quotaLevels: deps.getQuotaLevels(now),
     });
 
+  const selectAddresses = (): string[] => {
+    if (recipients === 'fleet') return [...deps.getAddresses()];
+    if (recipients !== 'few') return [...deps.getAddressesIn(recipients)];
+    const all = [...deps.getAddresses()];
+    return Array.from({ length: Math.min(relayCount, all.length) }, () =>
+      all.splice(Math.floor(Math.random() * all.length), 1),
+    ).flat();
+  };
+
   const sendUpdate = (update: LoadUpdate): void => {
     const bytes = encodeUpdate({ ...update, admitted: selectChangedTotals(update.admitted) });
-    const addresses =
-      recipients === 'fleet' ? deps.getAddresses() : deps.getAddressesIn(recipients);
-    [...addresses].forEach((address) => {
+    selectAddresses().forEach((address) => {
       if (!newAddresses.has(address)) deps.sendDatagram(bytes, address);
     });
   };
--- a/packages/router/src/peers-controller.ts
+++ b/packages/router/src/peers-controller.ts
@@ -46,6 +46,9 @@
 /** Time without a message after which a watcher is not relied on for changes. */
 const watcherTimeoutMs = 1_100;
 
+/** Time for which others must reach the store before a reader assumes that it does, too. */
+const assumeReachableMs = 5_000;
+
 /** Time without a message after which a peer is removed; no more messages are sent to it. */
 const peerExpiryMs = 60_000;
 
@@ -133,6 +136,10 @@
   const socket = createSocket('udp4');
   let isWatching = true;
   let isFirst = false;
+  /** Time at which a watcher that reaches the store was heard last. */
+  let usableWatcherAt = startedAt;
+  /** Time since which such a watcher was heard without a break. */
+  let usableWatcherSince: number | undefined;
   let isStopped = false;
   let behindSince: number | undefined;
   let nextCheckAt = Number.NEGATIVE_INFINITY;
@@ -307,7 +314,14 @@
     }));
     const self = { incarnation: deps.incarnation, isStoreReachable: view.isStoreReachable() };
     isFirst = isFirstVm(self, otherVms);
-    const isWatcherNow = shouldWatch(self, otherVms);
+    if (otherVms.some((vm) => vm.isFresh && vm.isStoreReachable && vm.isWatcher)) {
+      usableWatcherAt = now;
+      usableWatcherSince ??= now;
+    } else usableWatcherSince = undefined;
+    // A VM that doesn't try the store can't notice that it reaches it again.
+    if (!isWatching && now - (usableWatcherSince ?? now) > assumeReachableMs)
+      view.assumeStoreReachable();
+    const isWatcherNow = shouldWatch(self, otherVms, now - usableWatcherAt);
     if (isWatcherNow === isWatching) return;
     isWatching = isWatcherNow;
     log(2204, {
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -119,7 +119,7 @@
     log,
     now,
     isWatcher: () => peers.isWatcher(),
-    getWatchWaitMs: () => chooseWatchWaitMs(peers.countVms()),
+    getWatchWaitMs: () => chooseWatchWaitMs(peers.countVms(), settings.configApplyMs),
     onChange: () => {
       applyLimits();
       peers.notifyChange({ kind: 'view', isWatcher: peers.isWatcher() });
--- a/packages/router/src/view-controller.ts
+++ b/packages/router/src/view-controller.ts
@@ -37,6 +37,8 @@
   readonly getTable: () => RouteTable | undefined;
   readonly isComplete: () => boolean;
   readonly isStoreReachable: () => boolean;
+  /** Assumes that the store can be reached again, until a call to it fails. */
+  readonly assumeStoreReachable: () => void;
   readonly getSeenRevisions: () => SeenRevisions;
   /** Returns the changes after the given revisions. */
   readonly getChangesSince: (seen: SeenRevisions) => RawView;
@@ -184,14 +186,15 @@
       retryDelayMs = Math.min(maxRetryDelayMs, retryDelayMs * 2);
     };
     while (!isStopped) {
-      if (after === undefined) {
+      const isNeeded = table === undefined || !hasServerList || deps.isWatcher();
+      if (after === undefined && isNeeded) {
         const listed = await list();
         recordStoreResult(listed.isOk(), listed.isErr() ? listed.error : '');
         if (listed.isOk()) after = listed.value;
         else await waitBeforeRetry();
         continue;
       }
-      if (!deps.isWatcher()) {
+      if (after === undefined || !deps.isWatcher()) {
         await sleep(roleCheckPeriodMs);
         continue;
       }
@@ -235,6 +238,9 @@
     getTable: () => table,
     isComplete: () => table !== undefined && hasServerList,
     isStoreReachable: () => isReachable,
+    assumeStoreReachable: () => {
+      if (!isReachable) recordStoreResult(true, 'assumed');
+    },
     getSeenRevisions: () => ({ config: rawConfig?.revision ?? 0, servers: newestServerRevision }),
     getChangesSince: (seen) => ({
       config: rawConfig && rawConfig.revision > seen.config ? rawConfig : undefined,
--- a/packages/routing/src/choose-recipients.ts
+++ b/packages/routing/src/choose-recipients.ts
@@ -15,8 +15,8 @@
   /** The configuration or the list of backend servers changed. */
   | { readonly kind: 'view'; readonly isWatcher: boolean };
 
-/** Recipients of a change: all VMs, or those in a set of data centres. */
-export type Recipients = 'fleet' | ReadonlySet<string>;
+/** Recipients of a change: all VMs, a few random ones, or those in a set of data centres. */
+export type Recipients = 'fleet' | 'few' | ReadonlySet<string>;
 
 /**
  * Chooses the recipients of a change.
@@ -41,7 +41,8 @@
     case 'load':
       return new Set([localDataCentre, change.dataCentre]);
     case 'view':
-      return change.isWatcher ? 'fleet' : new Set([localDataCentre]);
+      // Watchers tell all VMs; a reader only passes a change on to a few that may have missed it.
+      return change.isWatcher ? 'fleet' : 'few';
     default:
       return 'fleet';
   }
@@ -53,5 +54,9 @@
  * @example
  * mergeRecipients(new Set(['north-a']), 'fleet'); // 'fleet'
  */
-export const mergeRecipients = (first: Recipients, second: Recipients): Recipients =>
-  first === 'fleet' || second === 'fleet' ? 'fleet' : new Set([...first, ...second]);
+export const mergeRecipients = (first: Recipients, second: Recipients): Recipients => {
+  if (first === 'fleet' || second === 'fleet') return 'fleet';
+  if (first === 'few') return second === 'few' || second.size === 0 ? 'few' : second;
+  if (second === 'few') return first.size === 0 ? 'few' : first;
+  return new Set([...first, ...second]);
+};
--- a/packages/routing/src/choose-watchers.ts
+++ b/packages/routing/src/choose-watchers.ts
@@ -5,27 +5,39 @@
 const watcherCount = 4;
 
 /** Maximum wait of a watch in a small fleet, where at least one watcher always remains. */
-const smallFleetWatchWaitMs = 4_000;
+const maxWatchWaitMs = 4_000;
 
 /** Minimum size of a fleet in which the store may reject all watchers but serve other VMs. */
 const largeFleetMinVms = 9;
 
 /**
- * Maximum wait of a watch in a large fleet. An unresponsive connection is detected within it,
- * early enough for another VM to start watching and receive a change within the limit of two
- * seconds.
+ * Part of the time limit for a new configuration that is left after an unresponsive watch has ended:
+ * the margin of its timeout, the check of roles and a listing.
  */
-const largeFleetWatchWaitMs = 1_200;
+const takeoverMs = 800;
 
 /**
- * Returns the maximum wait of a watch, in milliseconds.
+ * Returns the maximum wait of a watch, in milliseconds. In a large fleet an unresponsive
+ * connection is detected early enough for another VM to start watching and receive a change in time.
  *
  * @param vms - number of VMs in the fleet
+ * @param configApplyMs - time limit for a new configuration
  * @example
- * chooseWatchWaitMs(8); // 4000
+ * chooseWatchWaitMs(90, 3_000); // 2200
  */
-export const chooseWatchWaitMs = (vms: number): number =>
-  vms < largeFleetMinVms ? smallFleetWatchWaitMs : largeFleetWatchWaitMs;
+export const chooseWatchWaitMs = (vms: number, configApplyMs: number): number =>
+  vms < largeFleetMinVms
+    ? maxWatchWaitMs
+    : Math.min(maxWatchWaitMs, Math.max(takeoverMs, configApplyMs - takeoverMs));
+
+/** Time without a usable watcher after which twice as many VMs try to watch. */
+const widenPeriodMs = 250;
+
+/** Size of a fleet below which all VMs may try to watch at the same time. */
+const wideningMinVms = 24;
+
+/** Maximum number of VMs that try to watch while other watchers report that they can't. */
+const maxProbingVms = 16;
 
 /** State of another VM, from its latest message. */
 export interface PeerVm {
@@ -54,22 +66,32 @@
     (peer) => !peer.isFresh || !peer.isStoreReachable || peer.incarnation > self.incarnation,
   );
 
+const countLower = (incarnation: string, peers: readonly PeerVm[]): number =>
+  peers.filter((peer) => peer.incarnation < incarnation).length;
+
 /**
  * Decides whether this VM watches the store itself.
  *
  * Load pattern: each change completes one watch call of every watcher, and the store's rate limits
- * grow more slowly than the fleet. A VM that receives no message from a watcher becomes
- * one, so that changes are not delayed for long when a watcher is cut off or rejected.
+ * grow more slowly than the fleet. When the store is away, hundreds of VMs that all tried it and
+ * announced it to each other would cost more than their requests. Without a usable watcher, the
+ * number of VMs that try grows with time, within a limit while others try and fail.
  *
+ * @param silentMs - time since a watcher that reaches the store was heard last
  * @example
- * shouldWatch({ incarnation: 'a', isStoreReachable: true }, []); // true
+ * shouldWatch({ incarnation: 'a', isStoreReachable: true }, [], 0); // true
  */
 export const shouldWatch = (
   self: { readonly incarnation: string; readonly isStoreReachable: boolean },
   peers: readonly PeerVm[],
+  silentMs: number,
 ): boolean => {
-  const usablePeers = peers.filter((peer) => peer.isFresh && peer.isStoreReachable);
-  if (!usablePeers.some((peer) => peer.isWatcher)) return true;
-  const lowerCount = usablePeers.filter((peer) => peer.incarnation < self.incarnation).length;
-  return lowerCount < watcherCount;
+  const freshPeers = peers.filter((peer) => peer.isFresh);
+  const usablePeers = freshPeers.filter((peer) => peer.isStoreReachable);
+  const rank = countLower(self.incarnation, self.isStoreReachable ? usablePeers : freshPeers);
+  if (usablePeers.some((peer) => peer.isWatcher)) return rank < watcherCount;
+  if (peers.length + 1 < wideningMinVms) return true;
+  const widened = watcherCount * 2 ** Math.floor(silentMs / widenPeriodMs);
+  const hasProbes = freshPeers.some((peer) => peer.isWatcher);
+  return rank < (hasProbes ? Math.min(maxProbingVms, widened) : widened);
 };
