Lost prefill results rest their engine; smaller messages; nearer engines; one Retry-After rule

A prefill engine whose results are lost was recorded as answering with each prefill, so it never rested. Quota levels now go only to VMs that are new; a watcher's heartbeat is an update. - Bytes between data centres are dear on the large site: an engine elsewhere is chosen only if the near ones are 30% of their capacity fuller (15% before). - The refusals before routing had their own jitter and no limits; one function serves both.

--- a/packages/router/src/call-context.ts
+++ b/packages/router/src/call-context.ts
@@ -14,6 +14,18 @@
  */
 export const retryAfterJitter = 0.3;
 
+/**
+ * Adds jitter to the time after which a caller may come back and keeps it within limits.
+ *
+ * @example
+ * spreadRetryAfterMs(1_000, () => 0); // 1000
+ */
+export const spreadRetryAfterMs = (retryAfterMs: number, random: () => number): number =>
+  Math.min(
+    maxRetryAfterMs,
+    Math.max(minRetryAfterMs, retryAfterMs * (1 + retryAfterJitter * random())),
+  );
+
 /** A request in progress, after the filters. */
 export interface CallContext {
   readonly req: IncomingMessage;
@@ -159,11 +171,10 @@
     },
     refuse: (status, retryAfterMs, reason, inputs = {}) => {
       if (isEnded) return;
-      const delayMs = retryAfterMs * (1 + retryAfterJitter * hooks.random());
-      const clampedMs = Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, delayMs));
-      recordEnd('refused', { status, reason, retryMs: Math.round(clampedMs), ...inputs });
+      const spreadMs = spreadRetryAfterMs(retryAfterMs, hooks.random);
+      recordEnd('refused', { status, reason, retryMs: Math.round(spreadMs), ...inputs });
       sendRouterResponse(res, status, reason, 'not-run', {
-        'retry-after': (clampedMs / 1_000).toFixed(2),
+        'retry-after': (spreadMs / 1_000).toFixed(2),
         ...(hooks.isShuttingDown() ? { connection: 'close' } : {}),
       });
     },
--- a/packages/router/src/handle-call.ts
+++ b/packages/router/src/handle-call.ts
@@ -12,6 +12,7 @@
 import {
   makeResponder,
   sendRouterResponse,
+  spreadRetryAfterMs,
   type CallContext,
   type Responder,
   type ResponderHooks,
@@ -182,7 +183,6 @@
   rejection: Rejection,
 ): void => {
   const { log, random, isShuttingDown } = deps.hooks;
-  const retryAfterMs = (rejection.retryAfterMs ?? 0) * (1 + 0.3 * random());
   const readResult = deps.readMetadata(req.rawHeaders);
   log(2308, {
     id: 'metadata' in readResult ? readResult.metadata.id : undefined,
@@ -198,7 +198,9 @@
   sendRouterResponse(res, rejection.status, rejection.reason, 'not-run', {
     ...(rejection.retryAfterMs === undefined
       ? {}
-      : { 'retry-after': (retryAfterMs / 1_000).toFixed(2) }),
+      : {
+          'retry-after': (spreadRetryAfterMs(rejection.retryAfterMs, random) / 1_000).toFixed(2),
+        }),
     ...(isShuttingDown() ? { connection: 'close' } : {}),
   });
 };
--- a/packages/router/src/peer-outbox.ts
+++ b/packages/router/src/peer-outbox.ts
@@ -14,8 +14,12 @@
 } from './gossip-message.js';
 import type { ViewController } from './view-controller.js';
 
-/** Time for which changes are collected into one message. */
+/** Time for which changes are collected into one message, in a small and in a large fleet. */
 const batchDelayMs = 5;
+const largeFleetBatchDelayMs = 12;
+
+/** Size of a fleet from which changes are collected for longer. */
+const largeFleetMinVms = 24;
 
 /** Number of VMs to which a reader passes on a change of its view. */
 const relayCount = 3;
@@ -32,8 +36,10 @@
   readonly address: string;
   readonly view: Pick<ViewController, 'getSeenRevisions' | 'getChangesSince' | 'isStoreReachable'>;
   readonly getRole: () => StoreRole;
-  /** Maximum time between two full messages. */
+  /** Maximum time between two messages to all VMs. */
   readonly getHeartbeatMs: () => number;
+  /** Maximum time between two full messages; the others are updates. */
+  readonly getFullPeriodMs: () => number;
   readonly countVms: () => number;
   /** Addresses of all other VMs, and of those in the given data centres. */
   readonly getAddresses: () => Iterable<string>;
@@ -70,6 +76,7 @@
   const startedAt = deps.now();
   let sequence = 0;
   let lastFullAt = Number.NEGATIVE_INFINITY;
+  let lastToAllAt = Number.NEGATIVE_INFINITY;
   /** Whether the next send must be a full message to all VMs. */
   let isFullDue = true;
   /** Addresses of VMs that do not know this one yet. */
@@ -118,14 +125,15 @@
     };
   };
 
-  const encodeFull = (update: LoadUpdate, now: number): Buffer =>
+  /** Encodes a full message; only a VM that does not know this one needs the quota levels. */
+  const encodeFull = (update: LoadUpdate, now: number, isForNew: boolean): Buffer =>
     encodeFullMessage({
       ...update,
       vm: deps.vm,
       address: deps.address,
       dataCentre: deps.dataCentre,
       ageMs: Math.round(now - startedAt),
-      quotaLevels: deps.getQuotaLevels(now),
+      quotaLevels: isForNew ? deps.getQuotaLevels(now) : undefined,
     });
 
   const selectAddresses = (): string[] => {
@@ -144,20 +152,28 @@
     });
   };
 
+  const sendFull = (update: LoadUpdate, now: number): void => {
+    const bytes = encodeFull(update, now, false);
+    [...deps.getAddresses()].forEach((address) => {
+      if (!newAddresses.has(address)) deps.sendDatagram(bytes, address);
+    });
+  };
+
   const send = (isShuttingDown: boolean): void => {
     sendTimer = undefined;
     const now = deps.now();
     const update = makeUpdate(isShuttingDown);
-    const isFullForAll = isShuttingDown || isFullDue || now - lastFullAt >= deps.getHeartbeatMs();
-    if (isFullForAll || newAddresses.size > 0) {
-      const fullMessage = encodeFull(update, now);
-      [...(isFullForAll ? deps.getAddresses() : newAddresses)].forEach((address) =>
-        deps.sendDatagram(fullMessage, address),
-      );
+    const isFullForAll = isShuttingDown || isFullDue || now - lastFullAt >= deps.getFullPeriodMs();
+    if (now - lastToAllAt >= deps.getHeartbeatMs()) recipients = 'fleet';
+    if (newAddresses.size > 0) {
+      const greeting = encodeFull(update, now, true);
+      newAddresses.forEach((address) => deps.sendDatagram(greeting, address));
     }
-    if (!isFullForAll) sendUpdate(update);
+    if (isFullForAll) sendFull(update, now);
+    else sendUpdate(update);
     if (isFullForAll) lastFullAt = now;
     if (isFullForAll || recipients === 'fleet') {
+      lastToAllAt = now;
       sentTotals = { ...update.admitted };
       sentServerRevision = update.seenRevisions.servers;
     }
@@ -168,7 +184,8 @@
 
   const scheduleSend = (): void => {
     if (sendTimer || isStopped) return;
-    sendTimer = setTimeout(() => send(false), batchDelayMs);
+    const delayMs = deps.countVms() < largeFleetMinVms ? batchDelayMs : largeFleetBatchDelayMs;
+    sendTimer = setTimeout(() => send(false), delayMs);
   };
 
   return {
@@ -188,7 +205,7 @@
       scheduleSend();
     },
     tick: (now) => {
-      if (now - lastFullAt >= deps.getHeartbeatMs()) scheduleSend();
+      if (now - lastToAllAt >= deps.getHeartbeatMs()) scheduleSend();
     },
     sendShutdown: () => {
       if (sendTimer) clearTimeout(sendTimer);
--- a/packages/router/src/peers-controller.ts
+++ b/packages/router/src/peers-controller.ts
@@ -19,7 +19,7 @@
 import { fetchPeerView } from './peer-views.js';
 import type { SeenRevisions, ViewController } from './view-controller.js';
 
-/** Interval between full messages of a watcher, or of any VM in a small fleet. */
+/** Interval between messages of a watcher to all VMs, or of any VM in a small fleet. */
 const heartbeatMs = 500;
 
 /** Interval between full messages of a reader, for each VM of the fleet; at least `heartbeatMs`. */
@@ -172,6 +172,7 @@
     view,
     getRole: getLocalRole,
     getHeartbeatMs: () => getHeartbeatMs(getLocalRole()),
+    getFullPeriodMs: () => getHeartbeatMs('reader'),
     countVms: () => peers.size + 1,
     getAddresses,
     getAddressesIn,
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -348,7 +348,6 @@
           onFault(outcome.fault);
           return;
         }
-        deps.health.record(placement.prefill.id, 'answered', deps.now());
         deps.rates.recordPrefill(promptTokens, deps.now() - prefillSentAt);
         if (!isStillReady(placement.decode)) {
           // The decode engine began to drain during the prefill.
@@ -423,6 +422,8 @@
             isFirstChunk = false;
             deps.timing.recordFirstEventDelay(deps.now() - sentAt);
             deps.health.record(server.id, 'answered', deps.now());
+            // Only now is it certain that the prefill engine kept its result.
+            deps.health.record(prefilled.server.id, 'answered', deps.now());
           }
           const events = splitter.push(chunk);
           if (!events) return;
@@ -492,10 +493,10 @@
   ): void => {
     recordFault(server, 'decode', fault);
     excluded.add(server.id);
-    if (fault.kind === 'rejected' && unusedPrefill) {
+    if (fault.kind === 'rejected' && unusedPrefill && engine && engine.maxReservationMs > 0) {
       // A decode engine with reserved memory rejects a run only if it cannot fetch the prefilled
       // prompt.
-      deps.health.record(unusedPrefill.server.id, 'broken', deps.now());
+      deps.health.record(unusedPrefill.server.id, 'result-lost', deps.now());
     }
     if (fault.kind !== 'unknown' && unusedPrefill) {
       deps.backends.releasePrefill(unusedPrefill);
--- a/packages/routing/src/limits.test.ts
+++ b/packages/routing/src/limits.test.ts
@@ -168,3 +168,15 @@
   t.true(shouldWatch({ incarnation: 'e', isStoreReachable: true }, peers, 0));
   t.false(shouldWatch({ incarnation: 's', isStoreReachable: true }, peers, 0));
 });
+
+test('a prefill engine whose results are lost rests longer each time until a result was used', (t) => {
+  const health = makeServerHealth();
+  health.record('p', 'result-lost', 0);
+  t.true(health.isCoolingDown('p', 300));
+  t.false(health.isCoolingDown('p', 500));
+  health.record('p', 'result-lost', 500);
+  t.true(health.isCoolingDown('p', 1_200));
+  health.record('p', 'answered', 1_400);
+  health.record('p', 'result-lost', 1_500);
+  t.false(health.isCoolingDown('p', 2_000));
+});
--- a/packages/routing/src/place-work.ts
+++ b/packages/routing/src/place-work.ts
@@ -4,7 +4,7 @@
 import type { ServerHealth } from './server-health.js';
 
 /** Score penalty of a backend server in another data centre, as a share of load. */
-const otherDataCentrePenalty = 0.15;
+const otherDataCentrePenalty = 0.3;
 
 /** Weight of the share of failed calls relative to the share of load. */
 const failureWeight = 2;
--- a/packages/routing/src/server-health.ts
+++ b/packages/routing/src/server-health.ts
@@ -31,6 +31,8 @@
   | 'unreachable'
   /** The call failed after it was sent. */
   | 'broken'
+  /** It read a prompt, but did not keep the result until the decode engine asked for it. */
+  | 'result-lost'
   /** Another backend server responds at its address. */
   | 'replaced';
 
@@ -92,7 +94,8 @@
         return;
       }
       health.consecutiveFailures += 1;
-      if (outcome === 'unreachable' || health.consecutiveFailures >= failuresBeforeCooldown)
+      const isCertain = outcome === 'unreachable' || outcome === 'result-lost';
+      if (isCertain || health.consecutiveFailures >= failuresBeforeCooldown)
         startCooldown(health, now);
     },
     recordPause: (id, durationMs, now) => {
--- a/packages/soak/src/inject-fault.ts
+++ b/packages/soak/src/inject-fault.ts
@@ -88,7 +88,7 @@
   const { service, backend, proxy } = server;
   registerBackendServer(environment.platform.store, service, backend, 'draining', proxy.port);
   environment.changes.push({
-    kind: 'server-leaving',
+    kind: 'server-draining',
     server: backend.options.id,
     at: environment.now(),
   });
--- a/packages/soak/src/records.ts
+++ b/packages/soak/src/records.ts
@@ -38,7 +38,7 @@
 /** A change that every VM must apply within a bound after the store acknowledged it. */
 export type AcknowledgedChange =
   | { readonly kind: 'key-withdrawn'; readonly key: string; readonly at: number }
-  | { readonly kind: 'server-leaving'; readonly server: string; readonly at: number };
+  | { readonly kind: 'server-draining'; readonly server: string; readonly at: number };
 
 /** Everything that a soak recorded, as input of the checks. */
 export interface SoakRecord {
