--- a/packages/router/src/call-context.ts
+++ b/packages/router/src/call-context.ts
@@ -107,6 +107,8 @@
   const { log, metrics } = hooks;
   const disconnectCallbacks: (() => void)[] = [];
   let isEnded = false;
+  /** Time from the arrival of the request to the head of its response, once it was sent. */
+  let firstMs: number | undefined;
   /** Number of chunks of the response that were forwarded. */
   let writes = 0;
 
@@ -122,6 +124,7 @@
       workspace: ctx.workspace?.name,
       cost: ctx.cost,
       ms: Math.round(hooks.now() - ctx.arrivedAt),
+      firstMs,
       version: ctx.table.config.version,
     };
     const event = { answered: 2301, refused: 2302, failed: 2303, left: 2304 } as const;
@@ -138,7 +141,8 @@
   res.on('error', () => {});
 
   const writeHead = (head: ResponseHead, length?: number): void => {
-    metrics.firstByteMs.observe({ kind: route.kind }, hooks.now() - ctx.arrivedAt);
+    firstMs = Math.round(hooks.now() - ctx.arrivedAt);
+    metrics.firstByteMs.observe({ kind: route.kind }, firstMs);
     const headers = head.headers.flatMap(([name, value]) => [name, value]);
     const hasLength = head.headers.some(([name]) => name === 'content-length');
     if (!head.isFramed) {
--- a/packages/router/src/stage-lock.test.ts
+++ b/packages/router/src/stage-lock.test.ts
@@ -70,12 +70,12 @@
   return { state, makeLock, runUntil };
 };
 
-test('a holder gives orders only after a whole lease, and goes on while it renews', async (t) => {
+test('a holder gives orders only after two leases, and goes on while it renews', async (t) => {
   const { makeLock, runUntil } = makeScenario();
   const lock = makeLock('a');
-  await runUntil(3_000, lock);
+  await runUntil(6_000, lock);
   t.is(lock.getFence(), undefined);
-  await runUntil(3_700, lock);
+  await runUntil(6_700, lock);
   t.is(lock.getFence(), 11);
   await runUntil(20_000, lock);
   t.is(lock.getFence(), 11);
@@ -84,14 +84,14 @@
 test('a suspended holder stops at once, and its successor starts later with a higher token', async (t) => {
   const { state, makeLock, runUntil } = makeScenario();
   const [first, second] = [makeLock('a'), makeLock('b')];
-  await runUntil(5_000, first);
+  await runUntil(8_000, first);
   t.is(first.getFence(), 11);
   // The monotonic clock stands still while the VM is suspended.
   state.wallShift += 4_000;
   t.is(first.getFence(), undefined);
-  await runUntil(8_000, second);
+  await runUntil(13_000, second);
   t.is(second.getFence(), undefined);
-  await runUntil(10_000, second);
+  await runUntil(16_000, second);
   t.is(second.getFence(), 12);
   t.is(first.getFence(), undefined);
 });
@@ -99,9 +99,9 @@
 test('a holder that cannot renew stops before its lease lapses', async (t) => {
   const { state, makeLock, runUntil } = makeScenario();
   const lock = makeLock('a');
-  await runUntil(5_000, lock);
+  await runUntil(8_000, lock);
   state.isDown = true;
-  await runUntil(7_800, lock);
+  await runUntil(10_800, lock);
   t.is(lock.getFence(), undefined);
 });
 
@@ -111,6 +111,21 @@
   state.losesAnswers = true;
   await runUntil(2_500, lock);
   state.losesAnswers = false;
-  await runUntil(8_000, lock);
+  await runUntil(11_000, lock);
   t.is(lock.getFence(), 11);
 });
+
+test('if a restored store has lost the lock, both holders never give orders within a lease', async (t) => {
+  const { state, makeLock, runUntil } = makeScenario();
+  const [first, second] = [makeLock('a'), makeLock('b')];
+  await runUntil(8_000, first);
+  t.is(first.getFence(), 11);
+  state.entry = undefined;
+  let lastOrderAt = 0;
+  while (second.getFence() === undefined) {
+    await runUntil(state.now + 100, second);
+    if (first.getFence() !== undefined) lastOrderAt = state.now;
+  }
+  t.true(lastOrderAt > 8_000);
+  t.true(state.now - lastOrderAt > leaseMs, `${state.now} ${lastOrderAt}`);
+});
--- a/packages/router/src/stage-lock.ts
+++ b/packages/router/src/stage-lock.ts
@@ -4,6 +4,12 @@
 /** Part of the lease during which its holder gives no more orders. */
 const safetyMarginMs = 400;
 
+/**
+ * Wait of a new holder before its first order, in leases. If a restored store has lost the lock, its
+ * former holder may still give orders for the rest of its lease.
+ */
+const waitLeases = 2;
+
 /** Delay before another attempt to take a lock that is held or can't be reached. */
 const retryDelayMs = 1_000;
 
@@ -23,7 +29,7 @@
   readonly key: string;
   /** Name of this process, unique among all incarnations of all VMs. */
   readonly holder: string;
-  /** Duration of the lease, and wait of a new holder before its first order. */
+  /** Duration of the lease. */
   readonly leaseMs: number;
   readonly log: LogRouterEvent;
   readonly now: () => number;
@@ -43,7 +49,8 @@
  * Makes the lock of the VM that changes the stages of engines.
  *
  * The fencing token is the store's revision of the lock, which rises with each holder. A new holder
- * waits for a whole lease before its first order, so that no order of its predecessor can follow.
+ * waits for two leases before its first order, so that no order of its predecessor can follow, even
+ * if a restored store has lost the lock.
  *
  * @example
  * const lock = makeStageLock(deps);
@@ -70,7 +77,7 @@
     held = {
       leaseId,
       fence,
-      ordersFrom: deps.now() + deps.leaseMs + safetyMarginMs,
+      ordersFrom: deps.now() + deps.leaseMs * waitLeases + safetyMarginMs,
       validUntil: 0,
       validUntilWall: 0,
     };
