--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Agent, request } from 'undici';
 import type { EngineOptions } from '@hemlocksill/stand-ins/engine-types.js';
+import { reservePorts } from '@hemlocksill/stand-ins/reserve-ports.js';
 import {
   assembleDocument,
   assembleEntrySettings,
@@ -16,7 +17,6 @@
   type DocumentOptions,
 } from './deployment.js';
 import {
-  findFreePorts,
   programs,
   runProgram,
   startProgram,
@@ -105,7 +105,7 @@
 ): Promise<Fleet> => {
   mkdirSync(dir, { recursive: true });
   const documentOptions = { ...defaultDocumentOptions, ...opts.documentOptions };
-  const ports = opts.ports ?? assignPorts(deployment, await findFreePorts(countPorts(deployment)));
+  const ports = opts.ports ?? assignPorts(deployment, await reservePorts(countPorts(deployment)));
   const documentFile = join(dir, `${environment}.ini`);
   const operatorFile = join(dir, 'operator.ini');
   const document = assembleDocument(deployment, ports, documentOptions);
--- a/packages/bench/src/processes.ts
+++ b/packages/bench/src/processes.ts
@@ -1,6 +1,5 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { createWriteStream } from 'node:fs';
-import { createServer, type AddressInfo, type Server } from 'node:net';
 import { fileURLToPath } from 'node:url';
 
 /** A running child process. */
@@ -63,24 +62,3 @@
     });
     child.on('close', (code) => resolve({ code: code ?? -1, stdout, stderr }));
   });
-
-const listenOnFreePort = (): Promise<Server> =>
-  new Promise((resolve) => {
-    const server = createServer();
-    server.listen(0, '127.0.0.1', () => resolve(server));
-  });
-
-/** Finds free ports on the loopback address; all are open together, so that no port is found twice. */
-export const findFreePorts = async (count: number): Promise<number[]> => {
-  const servers = await Promise.all(Array.from({ length: count }, listenOnFreePort));
-  const ports = servers.map((s) => (s.address() as AddressInfo).port);
-  await Promise.all(
-    servers.map(
-      (s) =>
-        new Promise((resolve) => {
-          s.close(resolve);
-        }),
-    ),
-  );
-  return ports;
-};
--- a/packages/router/src/peers-controller.ts
+++ b/packages/router/src/peers-controller.ts
@@ -34,6 +34,9 @@
 /** Time over which the VMs of a fleet spread their registration after a restore of the store. */
 const registrationDelayMs = 2_000;
 
+/** Time after its start during which a VM may not have heard of all others yet. */
+const firstVmGraceMs = 2_000;
+
 /** Interval between checks of unresponsive peers, of this VM's role and of missing changes. */
 const checkPeriodMs = 200;
 
@@ -397,7 +400,7 @@
       outbox.tick(now);
     },
     isWatcher: () => isWatching && deps.now() - startedAt > startupGraceMs,
-    isFirst: () => isFirst,
+    isFirst: () => isFirst && deps.now() - startedAt > firstVmGraceMs,
     countVms: () => peers.size + 1,
     getReachableShare: () => {
       const reachable = [...peers.values()].filter((peer) => !peer.isUnresponsive).length;
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -77,6 +77,8 @@
   let decodeAttempts = 0;
   let prefillAttempts = 0;
   let mayHaveRun = false;
+  /** Whether the stream was continued at the engine whose connection broke. */
+  let hasContinued = false;
   let lastEventId: string | undefined;
   let cancelAttempt: CancelCall = () => {};
   let attemptTimer: NodeJS.Timeout | undefined;
@@ -107,11 +109,11 @@
       deps.health.record(server.id, 'replaced', deps.now());
   };
 
-  /** Adds the memory of a placement to the ledger until `release` is called. */
-  const allocateMemory = (placement: Placement): MemoryAllocation => {
+  /** Adds the memory of the stream at an engine to the ledger until `release` is called. */
+  const allocateMemory = (server: BackendServer): MemoryAllocation => {
     const startedAt = deps.now();
-    const allocation = deps.engineLedger.addDecode(placement.decode.id, requirement.promptTokens);
-    deps.notifyLoadChange(placement.decode);
+    const allocation = deps.engineLedger.addDecode(server.id, requirement.promptTokens);
+    deps.notifyLoadChange(server);
     let isAllocated = true;
     let outputTokens = 0;
     return {
@@ -125,13 +127,13 @@
         allocation.release();
         // A placement that was given up says nothing about the time that streams take.
         if (outputTokens === 0) {
-          deps.notifyLoadChange(placement.decode);
+          deps.notifyLoadChange(server);
           return;
         }
         const durationMs = deps.now() - startedAt;
         deps.timing.recordStreamDuration(durationMs);
         deps.rates.recordOutput(outputTokens, durationMs);
-        deps.notifyLoadChange(placement.decode);
+        deps.notifyLoadChange(server);
       },
     };
   };
@@ -235,7 +237,7 @@
 
   /** Reserves memory at the decode engine before the prefill, so that no prefill is wasted. */
   const reserveDecodeMemory = (placement: Placement, attempt: number): void => {
-    const allocation = allocateMemory(placement);
+    const allocation = allocateMemory(placement.decode);
     const ttlMs = Math.min(
       engine?.maxReservationMs ?? 0,
       placement.prefillMs + reservationMarginMs,
@@ -356,6 +358,7 @@
           retryFromPlacement();
           return;
         }
+        decodeAttempts += 1;
         runDecode(placement.decode, outcome.result, reservation, allocation);
       },
     );
@@ -377,7 +380,7 @@
 
   const runDecode = (
     server: BackendServer,
-    prefilled: PrefillResult,
+    prefilled: PrefillResult | undefined,
     reservation: string | undefined,
     allocation: MemoryAllocation,
   ): void => {
@@ -393,7 +396,6 @@
       allocation.release();
       return true;
     };
-    decodeAttempts += 1;
     const forwardEvents = (events: Buffer): void => {
       lastEventId = splitter.getLastId() ?? lastEventId;
       if (!responder.hasSentHead() && head) responder.sendHead(head);
@@ -404,7 +406,7 @@
       call,
       {
         remainingMs: getRemainingMs(),
-        prefilled,
+        ...(prefilled === undefined ? {} : { prefilled }),
         ...(reservation === undefined ? {} : { reservation }),
         ...(lastEventId === undefined ? {} : { resumeAfter: lastEventId }),
       },
@@ -423,7 +425,7 @@
             deps.timing.recordFirstEventDelay(deps.now() - sentAt);
             deps.health.record(server.id, 'answered', deps.now());
             // Only now is it certain that the prefill engine kept its result.
-            deps.health.record(prefilled.server.id, 'answered', deps.now());
+            if (prefilled) deps.health.record(prefilled.server.id, 'answered', deps.now());
           }
           const events = splitter.push(chunk);
           if (!events) return;
@@ -436,7 +438,10 @@
           if (!tryFinish()) return;
           if (splitter.hasIncompleteEvent()) {
             mayHaveRun = true;
-            resumeOrFail(server, { kind: 'unknown', reason: 'the stream ended inside an event' });
+            continueOrResume(server, {
+              kind: 'unknown',
+              reason: 'the stream ended inside an event',
+            });
             return;
           }
           if (!responder.hasSentHead() && head) responder.sendHead(head);
@@ -446,15 +451,15 @@
           if (!tryFinish()) return;
           if (fault.kind === 'unknown') mayHaveRun = true;
           if (fault.kind === 'rejected') deps.engineLedger.recordFull(server.id, deps.now());
-          resumeOrFail(server, fault, prefilled);
+          continueOrResume(server, fault, prefilled);
         },
       },
     );
     const forwardErrorResponse = (errorHead: ResponseHead, chunk: Buffer): void => {
       if (responder.hasSentHead()) {
-        tryFinish();
+        if (!tryFinish()) return;
         cancelSend();
-        responder.fail(502, 'the resumed stream failed');
+        resumeOrFail(server, { kind: 'unknown', reason: 'the resumed stream failed' });
         return;
       }
       responder.sendHead(errorHead);
@@ -478,11 +483,39 @@
       if (!tryFinish()) return;
       cancelSend();
       // Before the first event, the decode engine may not have fetched the prefill result.
-      if (isFirstChunk) deps.backends.releasePrefill(prefilled);
+      if (isFirstChunk && prefilled) deps.backends.releasePrefill(prefilled);
     };
     restartIdleTimer();
   };
 
+  /**
+   * Continues a stream whose connection broke at the same engine, which still keeps its memory
+   * unless it has crashed; resumes it elsewhere if that is not possible.
+   */
+  const continueOrResume = (
+    server: BackendServer,
+    fault: CallFault,
+    unusedPrefill?: PrefillResult,
+  ): void => {
+    const canContinue =
+      fault.kind === 'unknown' &&
+      route.isResumable &&
+      lastEventId !== undefined &&
+      !hasContinued &&
+      getRemainingMs() > 0 &&
+      isStillReady(server) &&
+      deps.tryTakeRetry(service.name);
+    if (!canContinue) {
+      resumeOrFail(server, fault, unusedPrefill);
+      return;
+    }
+    hasContinued = true;
+    recordFault(server, 'decode', fault);
+    deps.metrics.retries.inc({ reason: 'continued' });
+    deps.log(2307, { id, after: lastEventId, from: server.id, fault: fault.kind, at: server.id });
+    runDecode(server, undefined, undefined, allocateMemory(server));
+  };
+
   /**
    * Resumes a stream after a failed decode, if the route allows it; fails the request otherwise.
    */
