--- a/packages/router/src/changing-engines.ts
+++ b/packages/router/src/changing-engines.ts
@@ -1,5 +1,8 @@
-/** Time without a message after which a peer's announcement no longer counts. */
-const announcementTimeoutMs = 12_000;
+/**
+ * Time without a message after which a peer's announcement no longer counts. Until then it counts
+ * also if the peer has left, since an engine goes on with an order that it has accepted.
+ */
+const announcementTimeoutMs = 9_000;
 
 interface Announcement {
   readonly engines: readonly string[];
@@ -9,7 +12,6 @@
 /** Engines of which other VMs announced that they change their stage. */
 export interface ChangingEngines {
   readonly recordPeer: (incarnation: string, engines: readonly string[], now: number) => void;
-  readonly removePeer: (incarnation: string) => void;
   readonly list: (now: number) => ReadonlySet<string>;
 }
 
@@ -28,16 +30,12 @@
       if (engines.length > 0) announcements.set(incarnation, { engines, receivedAt: now });
       else announcements.delete(incarnation);
     },
-    removePeer: (incarnation) => {
-      announcements.delete(incarnation);
-    },
     list: (now) => {
       if (announcements.size === 0) return noEngines;
-      return new Set(
-        [...announcements.values()]
-          .filter(({ receivedAt }) => now - receivedAt < announcementTimeoutMs)
-          .flatMap(({ engines }) => engines),
-      );
+      announcements.forEach(({ receivedAt }, incarnation) => {
+        if (now - receivedAt >= announcementTimeoutMs) announcements.delete(incarnation);
+      });
+      return new Set([...announcements.values()].flatMap(({ engines }) => engines));
     },
   };
 };
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -314,6 +314,8 @@
     };
     const onFault = (fault: CallFault): void => {
       recordFault(placement.prefill, 'prefill', fault);
+      if (fault.kind === 'rejected' && fault.reason === 'full')
+        deps.health.record(placement.prefill.id, 'prompt-rejected', deps.now());
       excluded.add(placement.prefill.id);
       if (!isStillReady(placement.decode)) {
         retryFromPlacement();
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -179,7 +179,6 @@
     },
     onPeerRemoved: (removedIncarnation) => {
       engineLedger.removePeer(removedIncarnation);
-      changingEngines.removePeer(removedIncarnation);
     },
     log,
     now,
@@ -222,7 +221,7 @@
     lockKey: format.stageLockKey,
     holder: `${settings.vm} ${incarnation}`,
     leaseMs: settings.leaseMs,
-    isResponsible: () => peers.isFirst(),
+    isResponsible: () => !isShuttingDown && peers.isFirst(),
     listServices: () => view.getTable()?.config.services ?? [],
     listReady: (service) => directory.listReady(service, now()),
     listAnnounced: () => changingEngines.list(now()),
--- a/packages/routing/src/server-health.ts
+++ b/packages/routing/src/server-health.ts
@@ -31,6 +31,8 @@
   | 'unreachable'
   /** The call failed after it was sent. */
   | 'broken'
+  /** It rejected a prompt, which only an engine does that is changing its stage or overloaded. */
+  | 'prompt-rejected'
   /** It read a prompt, but did not keep the result until the decode engine asked for it. */
   | 'result-lost'
   /** Another backend server responds at its address. */
@@ -94,8 +96,9 @@
         return;
       }
       health.consecutiveFailures += 1;
-      const isCertain = outcome === 'unreachable' || outcome === 'result-lost';
-      if (isCertain || health.consecutiveFailures >= failuresBeforeCooldown)
+      const isConclusive =
+        outcome === 'unreachable' || outcome === 'result-lost' || outcome === 'prompt-rejected';
+      if (isConclusive || health.consecutiveFailures >= failuresBeforeCooldown)
         startCooldown(health, now);
     },
     recordPause: (id, durationMs, now) => {
