VMs tell each other which prefill engines fail

A conclusive failure is told to all once, and rests the engine for 0.8 s there. If all prefill engines rest, one is tried all the same.

--- a/packages/router/src/gossip-message.test.ts
+++ b/packages/router/src/gossip-message.test.ts
@@ -29,6 +29,7 @@
     removed: [['s/2', 8]],
   },
   changing: ['i-7'],
+  failing: ['i-8'],
 };
 
 test('a full message and an update survive encoding and decoding unchanged', (t) => {
--- a/packages/router/src/gossip-message.ts
+++ b/packages/router/src/gossip-message.ts
@@ -33,6 +33,8 @@
   readonly serverChanges: ServerChanges | undefined;
   /** Engines that must get no new work because the VM changes their stage. */
   readonly changing: readonly string[];
+  /** Prefill engines that failed at the VM a moment ago. */
+  readonly failing: readonly string[];
 }
 
 /** Complete state of a VM, sent periodically; the updates in between are smaller. */
@@ -56,8 +58,8 @@
 const watcherFlag = 2;
 const reachableFlag = 4;
 
-const updateFieldCount = 10;
-const fullFieldCount = 15;
+const updateFieldCount = 11;
+const fullFieldCount = 16;
 
 const encodeFlags = (update: LoadUpdate): number =>
   (update.isShuttingDown ? shuttingDownFlag : 0) +
@@ -75,6 +77,7 @@
   encodeFlags(update),
   update.serverChanges ?? null,
   update.changing,
+  update.failing,
 ];
 
 /** Encodes an update; fields are positional because updates are sent many times a second. */
@@ -164,12 +167,13 @@
     flags,
     serverChanges,
     changing,
+    failing,
   ] = row;
   if (typeof incarnation !== 'string') return undefined;
   if (![sequence, config, servers, flags].every((n) => Number.isFinite(n))) return undefined;
   if (!isLoadRows(loads) || !isNumberRecord(admitted) || !isNumberRecord(waiting)) return undefined;
   if (serverChanges !== null && !isServerChanges(serverChanges)) return undefined;
-  if (!isTextList(changing)) return undefined;
+  if (!isTextList(changing) || !isTextList(failing)) return undefined;
   return {
     incarnation,
     sequence: Number(sequence),
@@ -182,6 +186,7 @@
     isStoreReachable: hasFlag(Number(flags), reachableFlag),
     serverChanges: serverChanges ?? undefined,
     changing,
+    failing,
   };
 };
 
--- a/packages/router/src/peer-outbox.test.ts
+++ b/packages/router/src/peer-outbox.test.ts
@@ -42,7 +42,13 @@
       const decoded = decodeMessage(bytes);
       if (decoded) sentMessages.push({ address, decoded });
     },
-    getLocalLoad: () => ({ loads: {}, admitted: { ...admitted }, waiting: {}, changing: [] }),
+    getLocalLoad: () => ({
+      loads: {},
+      admitted: { ...admitted },
+      waiting: {},
+      changing: [],
+      failing: [],
+    }),
     getQuotaLevels: () => ({ forge: [5, 7] }),
     now: () => performance.now(),
   });
--- a/packages/router/src/peer-outbox.ts
+++ b/packages/router/src/peer-outbox.ts
@@ -45,7 +45,10 @@
   readonly getAddresses: () => Iterable<string>;
   readonly getAddressesIn: (dataCentres: ReadonlySet<string>) => readonly string[];
   readonly sendDatagram: (bytes: Buffer, address: string) => void;
-  readonly getLocalLoad: () => Pick<LoadUpdate, 'loads' | 'admitted' | 'waiting' | 'changing'>;
+  readonly getLocalLoad: () => Pick<
+    LoadUpdate,
+    'loads' | 'admitted' | 'waiting' | 'changing' | 'failing'
+  >;
   readonly getQuotaLevels: (now: number) => QuotaLevels | undefined;
   readonly now: () => number;
 }
--- a/packages/router/src/peers-controller.ts
+++ b/packages/router/src/peers-controller.ts
@@ -107,7 +107,10 @@
   readonly vmPrefix: string;
   readonly store: Store;
   readonly view: ViewController;
-  readonly getLocalLoad: () => Pick<LoadUpdate, 'loads' | 'admitted' | 'waiting' | 'changing'>;
+  readonly getLocalLoad: () => Pick<
+    LoadUpdate,
+    'loads' | 'admitted' | 'waiting' | 'changing' | 'failing'
+  >;
   readonly getQuotaLevels: (now: number) => QuotaLevels | undefined;
   readonly onQuotaLevels: (levels: QuotaLevels, now: number) => void;
   /** `isOlder` says whether the peer started before this VM. */
--- a/packages/router/src/run-deps.ts
+++ b/packages/router/src/run-deps.ts
@@ -29,6 +29,11 @@
   readonly getPlacementView: () => PlacementView;
   /** Takes one retry from this VM's budget for a service; false when the budget is spent. */
   readonly tryTakeRetry: (service: string) => boolean;
+  /** Records that a prefill engine failed conclusively, and tells the other VMs. */
+  readonly recordFailingPrefill: (
+    server: BackendServer,
+    outcome: 'result-lost' | 'prompt-rejected',
+  ) => void;
   /** Notifies the other VMs that work was placed at an engine or has ended there. */
   readonly notifyLoadChange: (server: BackendServer) => void;
   readonly log: LogRouterEvent;
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -315,7 +315,7 @@
     const onFault = (fault: CallFault): void => {
       recordFault(placement.prefill, 'prefill', fault);
       if (fault.kind === 'rejected' && fault.reason === 'full')
-        deps.health.record(placement.prefill.id, 'prompt-rejected', deps.now());
+        deps.recordFailingPrefill(placement.prefill, 'prompt-rejected');
       excluded.add(placement.prefill.id);
       if (!isStillReady(placement.decode)) {
         retryFromPlacement();
@@ -531,7 +531,7 @@
     if (fault.kind === 'rejected' && unusedPrefill && engine && engine.maxReservationMs > 0) {
       // A decode engine with reserved memory rejects a run only if it cannot fetch the prefilled
       // prompt.
-      deps.health.record(unusedPrefill.server.id, 'result-lost', deps.now());
+      deps.recordFailingPrefill(unusedPrefill.server, 'result-lost');
     }
     if (fault.kind !== 'unknown' && unusedPrefill) {
       deps.backends.releasePrefill(unusedPrefill);
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -30,6 +30,7 @@
 import { runPlain } from './run-plain.js';
 import { runStream } from './run-stream.js';
 import { makeChangingEngines } from './changing-engines.js';
+import { makeFailingEngines } from './failing-engines.js';
 import { makeEngineStages } from './engine-stages.js';
 import { makeViewController } from './view-controller.js';
 
@@ -107,6 +108,7 @@
   );
   const streamTiming = makeStreamTiming();
   const changingEngines = makeChangingEngines();
+  const failingEngines = makeFailingEngines();
   const retryBudgets = new Map<string, RetryBudget>();
   let isShuttingDown = false;
   let isRefusing = false;
@@ -168,6 +170,7 @@
       admitted: quota.getTotals(),
       waiting: sumWaitingTokens(),
       changing: stages.listChanging(),
+      failing: failingEngines.list(now()),
     }),
     getQuotaLevels: quota.getLevels,
     onQuotaLevels: quota.adoptLevels,
@@ -175,6 +178,7 @@
       engineLedger.recordPeerLoad(update.incarnation, update.loads, nowMs);
       quota.recordPeerTotals(update.incarnation, update.admitted, isOlder, nowMs);
       changingEngines.recordPeer(update.incarnation, update.changing, nowMs);
+      update.failing.forEach((engine) => health.recordPeerFailure(engine, nowMs));
       if (queue.size() > 0) queue.process(nowMs);
     },
     onPeerRemoved: (removedIncarnation) => {
@@ -254,6 +258,10 @@
     listReady,
     getPlacementView,
     tryTakeRetry: (service) => getRetryBudget(service).tryTakeRetry(peers.countVms(), now()),
+    recordFailingPrefill: (server, outcome) => {
+      health.record(server.id, outcome, now());
+      if (failingEngines.record(server.id, now())) peers.notifyChange({ kind: 'failing' });
+    },
     notifyLoadChange: (server) => {
       peers.notifyChange({ kind: 'load', dataCentre: server.dataCentre });
       if (queue.size() > 0) setImmediate(() => queue.process(now()));
--- a/packages/routing/src/choose-recipients.ts
+++ b/packages/routing/src/choose-recipients.ts
@@ -12,6 +12,8 @@
   | { readonly kind: 'low-rate' }
   /** An engine starts or ends a change of its stage. */
   | { readonly kind: 'stage' }
+  /** A prefill engine failed in a way that other VMs would meet, too. */
+  | { readonly kind: 'failing' }
   /** The configuration or the list of backend servers changed. */
   | { readonly kind: 'view'; readonly isWatcher: boolean };
 
--- a/packages/routing/src/place-work.ts
+++ b/packages/routing/src/place-work.ts
@@ -94,8 +94,15 @@
 ): { readonly server: BackendServer; readonly expectedMs: number } | undefined => {
   let best: BackendServer | undefined;
   let bestMs = Number.POSITIVE_INFINITY;
-  servers.forEach((server) => {
-    if (server.stage !== 'prefill' || excluded.has(server.id) || !isAvailable(server, view)) return;
+  const allowed = servers.filter(
+    (server) =>
+      server.stage === 'prefill' &&
+      !excluded.has(server.id) &&
+      !view.health.isPaused(server.id, view.now),
+  );
+  const available = allowed.filter((server) => isAvailable(server, view));
+  // If all prefill engines are cooling down, one of them is tried rather than no stream placed.
+  (available.length > 0 ? available : allowed).forEach((server) => {
     const load = view.ledger.getTotal(server.id, view.now);
     const processingMs = (load.prefillTokens + promptTokens) / view.rates.getPrefillTokensPerMs();
     const transferMs = server.dataCentre === decodeDataCentre ? 0 : crossDataCentreTransferMs;
--- a/packages/routing/src/placement.test.ts
+++ b/packages/routing/src/placement.test.ts
@@ -211,6 +211,19 @@
   t.true(Math.abs(predictedMs - 600) < 5);
 });
 
+test('prefill engines that cool down are used only if no other is left', (t) => {
+  const view = { ...makeView(), now: 1_000 };
+  const engines = [makeEngine('a', 'prefill'), makeEngine('b', 'prefill')];
+  view.health.recordPeerFailure('a', 1_000);
+  t.is(choosePrefill(engines, 3_000, 'north-a', view, noExclusions)?.server.id, 'b');
+  view.health.record('b', 'result-lost', 1_000);
+  t.truthy(choosePrefill(engines, 3_000, 'north-a', view, noExclusions));
+  t.is(
+    choosePrefill(engines, 3_000, 'north-a', { ...view, now: 1_500 }, noExclusions)?.server.id,
+    'b',
+  );
+});
+
 test('a server that asked for a pause is not chosen, though all others are cooling down', (t) => {
   const view = { ...makeView(), now: 1_000 };
   const servers = [makeServer({ id: 'a' }), makeServer({ id: 'b' })];
--- a/packages/routing/src/server-health.ts
+++ b/packages/routing/src/server-health.ts
@@ -8,6 +8,9 @@
 /** Consecutive failures after which a backend server gets a cooldown. */
 const failuresBeforeCooldown = 2;
 
+/** Cooldown of a backend server that failed at another VM. */
+export const peerFailureCooldownMs = 800;
+
 /** Longest pause that a backend server may ask for. */
 const maxPauseMs = 60_000;
 
@@ -41,6 +44,8 @@
 /** Tracks the health of backend servers from the outcomes of calls to them. */
 export interface ServerHealth {
   readonly record: (id: string, outcome: CallOutcome, now: number) => void;
+  /** Records that another VM has seen a backend server fail conclusively. */
+  readonly recordPeerFailure: (id: string, now: number) => void;
   /** Records that a backend server wants no request for a time. */
   readonly recordPause: (id: string, durationMs: number, now: number) => void;
   /** Whether a backend server asked for a pause that has not ended; it must get no request. */
@@ -101,6 +106,10 @@
       if (isConclusive || health.consecutiveFailures >= failuresBeforeCooldown)
         startCooldown(health, now);
     },
+    recordPeerFailure: (id, now) => {
+      const health = getOrCreate(id);
+      health.cooldownUntil = Math.max(health.cooldownUntil, now + peerFailureCooldownMs);
+    },
     recordPause: (id, durationMs, now) => {
       const health = getOrCreate(id);
       const pausedUntil = now + Math.min(maxPauseMs, durationMs);
