Views are fetched after the watchers' message had time, and from a near VM

And configurations were fetched from any data centre, where bytes are dear.

Change: readers wait 60 ms, watchers 250 ms as before; a VM of the own data centre is asked first, and if none has it yet, readers of a large fleet spread their fetches over 0.3 s; a reader that has a new configuration tells its data centre.

--- a/packages/router/src/peer-outbox.ts
+++ b/packages/router/src/peer-outbox.ts
@@ -1,6 +1,7 @@
 import {
   chooseRecipients,
   mergeRecipients,
+  selectiveSendMinVms,
   type Recipients,
   type FleetChange,
 } from '@hemlocksill/routing/choose-recipients.js';
@@ -18,9 +19,6 @@
 const batchDelayMs = 5;
 const largeFleetBatchDelayMs = 12;
 
-/** Size of a fleet from which changes are collected for longer. */
-const largeFleetMinVms = 24;
-
 /** Number of VMs to which a reader passes on a change of its view. */
 const relayCount = 3;
 
@@ -187,7 +185,7 @@
 
   const scheduleSend = (): void => {
     if (sendTimer || isStopped) return;
-    const delayMs = deps.countVms() < largeFleetMinVms ? batchDelayMs : largeFleetBatchDelayMs;
+    const delayMs = deps.countVms() < selectiveSendMinVms ? batchDelayMs : largeFleetBatchDelayMs;
     sendTimer = setTimeout(() => send(false), delayMs);
   };
 
--- a/packages/router/src/peers-controller.ts
+++ b/packages/router/src/peers-controller.ts
@@ -1,7 +1,7 @@
 import { createSocket } from 'node:dgram';
 import type { Endpoint } from '@hemlocksill/config/settings.js';
 import type { Store } from '@hemlocksill/types/ports.js';
-import type { FleetChange } from '@hemlocksill/routing/choose-recipients.js';
+import { selectiveSendMinVms, type FleetChange } from '@hemlocksill/routing/choose-recipients.js';
 import { isFirstVm, shouldWatch } from '@hemlocksill/routing/choose-watchers.js';
 import { getStoreEra } from '@hemlocksill/types/store-revision.js';
 import type { QuotaLevels } from '@hemlocksill/routing/fleet-quota.js';
@@ -56,10 +56,14 @@
 const peerExpiryMs = 60_000;
 
 /**
- * Time for which a peer may be ahead of a watcher before the watcher fetches the peer's view. The
- * watcher's own watch is usually faster.
+ * Time for which a peer may be ahead before its view is fetched. A watcher usually receives the
+ * change from the store, and a reader the message of a watcher, sooner.
  */
-const maxViewLagMs = 250;
+const maxWatcherLagMs = 250;
+const maxReaderLagMs = 60;
+
+/** Time over which readers spread their fetches from other data centres. */
+const remoteFetchSpreadMs = 300;
 
 /** Minimum delay between two fetches of a view. */
 const fetchRetryDelayMs = 400;
@@ -148,6 +152,7 @@
   let usableWatcherSince: number | undefined;
   let isStopped = false;
   let behindSince: number | undefined;
+  let remoteFetchDelayMs = 0;
   let nextCheckAt = Number.NEGATIVE_INFINITY;
   let lastFetchAt = 0;
   /** Latest era of the store in which this VM was registered. */
@@ -282,13 +287,21 @@
   const fetchMissingView = (now: number): void => {
     if (now - lastFetchAt < fetchRetryDelayMs) return;
     const seen = view.getSeenRevisions();
-    const peerAhead = pickRandom(
-      [...peers.values()].filter((peer) => !peer.isUnresponsive && isAhead(peer, seen)),
+    const peersAhead = [...peers.values()].filter(
+      (peer) => !peer.isUnresponsive && isAhead(peer, seen),
     );
+    const nearPeersAhead = peersAhead.filter((peer) => peer.dataCentre === deps.dataCentre);
+    const peerAhead = pickRandom(nearPeersAhead.length > 0 ? nearPeersAhead : peersAhead);
     if (peerAhead) {
-      behindSince ??= now;
-      // A watcher usually receives the same change from the store at about the same time.
-      if (!isWatching || now - behindSince > maxViewLagMs) void fetchViewFrom(peerAhead.address);
+      if (behindSince === undefined) {
+        behindSince = now;
+        remoteFetchDelayMs = Math.random() * remoteFetchSpreadMs;
+      }
+      const isRemote = nearPeersAhead.length === 0 && peers.size >= selectiveSendMinVms;
+      const lagMs = isWatching
+        ? maxWatcherLagMs
+        : maxReaderLagMs + (isRemote ? remoteFetchDelayMs : 0);
+      if (now - behindSince >= lagMs) void fetchViewFrom(peerAhead.address);
       return;
     }
     behindSince = undefined;
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -122,9 +122,9 @@
     now,
     isWatcher: () => peers.isWatcher(),
     getWatchWaitMs: () => chooseWatchWaitMs(peers.countVms(), settings.configApplyMs),
-    onChange: () => {
+    onChange: (kind) => {
       applyLimits();
-      peers.notifyChange({ kind: 'view', isWatcher: peers.isWatcher() });
+      peers.notifyChange({ kind, isWatcher: peers.isWatcher() });
     },
   });
 
--- a/packages/router/src/view-controller.ts
+++ b/packages/router/src/view-controller.ts
@@ -57,7 +57,8 @@
   readonly isWatcher: () => boolean;
   /** Maximum duration of one watch call, in milliseconds. */
   readonly getWatchWaitMs: () => number;
-  readonly onChange: () => void;
+  /** Called after a change of the configuration, or of anything else. */
+  readonly onChange: (kind: 'config' | 'view') => void;
 }
 
 /** Maximum number of removed keys that are kept for peers; the oldest are dropped first. */
@@ -92,7 +93,7 @@
     isReachable = isOk;
     log(isOk ? 2102 : 2101, { reason });
     // Peers use this VM's store reachability to decide which VMs watch the store.
-    deps.onChange();
+    deps.onChange('view');
   };
 
   const applyConfig = (entry: StoreEntry, source: string): void => {
@@ -107,7 +108,7 @@
     config = decoded.value;
     table = buildRouteTable(config);
     log(2103, { version: config.version, revision: entry.revision, source });
-    deps.onChange();
+    deps.onChange('config');
   };
 
   const applyServer = (entry: StoreEntry, source: string): void => {
@@ -130,7 +131,7 @@
         source,
       });
     else log(2106, { key: entry.key, revision: entry.revision });
-    deps.onChange();
+    deps.onChange('view');
   };
 
   const applyRemoval = (key: string, revision: number, source: string): void => {
@@ -141,7 +142,7 @@
     const oldest = removed.keys().next().value;
     if (removed.size > maxRememberedRemovals && oldest !== undefined) removed.delete(oldest);
     log(2105, { server: key, state: 'removed', revision, source });
-    deps.onChange();
+    deps.onChange('view');
   };
 
   const listServers = async (): Promise<Result<number, string>> => {
@@ -161,7 +162,7 @@
         log(2105, { server: entry.key, state: 'removed', revision, source: 'listing' });
       });
     hasServerList = true;
-    deps.onChange();
+    deps.onChange('view');
     return ok(revision);
   };
 
--- a/packages/routing/src/choose-recipients.ts
+++ b/packages/routing/src/choose-recipients.ts
@@ -2,7 +2,7 @@
  * Minimum number of VMs in a fleet in which a change is sent only to the VMs that it affects; the
  * others receive it with the sender's next full message.
  */
-const selectiveSendMinVms = 24;
+export const selectiveSendMinVms = 24;
 
 /** A change at this VM that other VMs need to know. */
 export type FleetChange =
@@ -14,8 +14,9 @@
   | { readonly kind: 'stage' }
   /** A prefill engine failed in a way that other VMs would meet, too. */
   | { readonly kind: 'failing' }
-  /** The configuration or the list of backend servers changed. */
-  | { readonly kind: 'view'; readonly isWatcher: boolean };
+  /** The list of backend servers changed, or whether the store can be reached. */
+  | { readonly kind: 'view'; readonly isWatcher: boolean }
+  | { readonly kind: 'config'; readonly isWatcher: boolean };
 
 /** Recipients of a change: all VMs, a few random ones, or those in a set of data centres. */
 export type Recipients = 'fleet' | 'few' | ReadonlySet<string>;
@@ -45,6 +46,9 @@
     case 'view':
       // Watchers tell all VMs; a reader only passes a change on to a few that may have missed it.
       return change.isWatcher ? 'fleet' : 'few';
+    case 'config':
+      // VMs fetch a configuration from one in their own data centre if they can.
+      return change.isWatcher ? 'fleet' : new Set([localDataCentre]);
     default:
       return 'fleet';
   }
