--- a/packages/router/src/peers-controller.ts
+++ b/packages/router/src/peers-controller.ts
@@ -1,7 +1,7 @@
 import { createSocket } from 'node:dgram';
 import type { Endpoint } from '@hemlocksill/config/settings.js';
 import type { Store } from '@hemlocksill/types/ports.js';
-import { selectiveSendMinVms, type FleetChange } from '@hemlocksill/routing/choose-recipients.js';
+import type { FleetChange } from '@hemlocksill/routing/choose-recipients.js';
 import { isFirstVm, shouldWatch } from '@hemlocksill/routing/choose-watchers.js';
 import { getStoreEra } from '@hemlocksill/types/store-revision.js';
 import type { QuotaLevels } from '@hemlocksill/routing/fleet-quota.js';
@@ -16,8 +16,8 @@
 import type { LogRouterEvent } from './events.js';
 import { sleep } from './sleep.js';
 import { makePeerOutbox } from './peer-outbox.js';
-import { fetchPeerView } from './peer-views.js';
-import type { SeenRevisions, ViewController } from './view-controller.js';
+import type { ViewController } from './view-controller.js';
+import { makeViewFetcher } from './view-fetcher.js';
 
 /** Interval between messages of a watcher to all VMs, or of any VM in a small fleet. */
 const heartbeatMs = 500;
@@ -55,19 +55,6 @@
 /** Time without a message after which a peer is removed; no more messages are sent to it. */
 const peerExpiryMs = 60_000;
 
-/**
- * Time for which a peer may be ahead before its view is fetched. A watcher usually receives the
- * change from the store, and a reader the message of a watcher, sooner.
- */
-const maxWatcherLagMs = 250;
-const maxReaderLagMs = 60;
-
-/** Time over which readers spread their fetches from other data centres. */
-const remoteFetchSpreadMs = 300;
-
-/** Minimum delay between two fetches of a view. */
-const fetchRetryDelayMs = 400;
-
 /** A peer and its latest state. */
 interface Peer {
   readonly vm: string;
@@ -151,10 +138,7 @@
   /** Time since which such a watcher was heard without a break. */
   let usableWatcherSince: number | undefined;
   let isStopped = false;
-  let behindSince: number | undefined;
-  let remoteFetchDelayMs = 0;
   let nextCheckAt = Number.NEGATIVE_INFINITY;
-  let lastFetchAt = 0;
   /** Latest era of the store in which this VM was registered. */
   let registeredEra: number | undefined;
 
@@ -226,7 +210,7 @@
     }
     deps.onUpdate(update, peer.isOlder, now);
     if (update.serverChanges) applyServerChanges(update.serverChanges);
-    if (isAhead(peer, view.getSeenRevisions())) fetchMissingView(now);
+    if (fetcher.isAhead(update.seenRevisions)) fetcher.fetchMissing(now);
   };
 
   const applyFullMessage = (message: FullMessage): void => {
@@ -260,55 +244,23 @@
     outbox.sendFullTo(message.address);
   };
 
-  const fetchViewFrom = async (address: string): Promise<void> => {
-    lastFetchAt = deps.now();
-    const fetched = await fetchPeerView(address, view.getSeenRevisions());
-    if (fetched.isErr()) {
-      log(2110, { peer: address, reason: fetched.error });
-      return;
-    }
-    log(2108, { peer: address, servers: fetched.value.servers.length });
-    view.merge(fetched.value);
-    // A peer that returned changes may already have more, so the next fetch is not delayed.
-    if (fetched.value.config || fetched.value.servers.length > 0) lastFetchAt = 0;
-  };
-
-  const isAhead = (peer: Peer, seen: SeenRevisions): boolean =>
-    peer.lastUpdate.seenRevisions.config > seen.config ||
-    peer.lastUpdate.seenRevisions.servers > seen.servers;
-
-  const pickRandom = <T>(list: readonly T[]): T | undefined =>
-    list[Math.floor(Math.random() * list.length)];
-
-  /**
-   * Fetches the view of a peer that is ahead, or of any peer while this VM has no view and no
-   * store.
-   */
-  const fetchMissingView = (now: number): void => {
-    if (now - lastFetchAt < fetchRetryDelayMs) return;
-    const seen = view.getSeenRevisions();
-    const peersAhead = [...peers.values()].filter(
-      (peer) => !peer.isUnresponsive && isAhead(peer, seen),
-    );
-    const nearPeersAhead = peersAhead.filter((peer) => peer.dataCentre === deps.dataCentre);
-    const peerAhead = pickRandom(nearPeersAhead.length > 0 ? nearPeersAhead : peersAhead);
-    if (peerAhead) {
-      if (behindSince === undefined) {
-        behindSince = now;
-        remoteFetchDelayMs = Math.random() * remoteFetchSpreadMs;
-      }
-      const isRemote = nearPeersAhead.length === 0 && peers.size >= selectiveSendMinVms;
-      const lagMs = isWatching
-        ? maxWatcherLagMs
-        : maxReaderLagMs + (isRemote ? remoteFetchDelayMs : 0);
-      if (now - behindSince >= lagMs) void fetchViewFrom(peerAhead.address);
-      return;
-    }
-    behindSince = undefined;
-    if (view.isComplete() || view.isStoreReachable()) return;
-    const address = pickRandom([...getAddresses()]);
-    if (address !== undefined) void fetchViewFrom(address);
-  };
+  const fetcher = makeViewFetcher({
+    view,
+    dataCentre: deps.dataCentre,
+    isWatching: () => isWatching,
+    countVms: () => peers.size + 1,
+    listResponsivePeers: () =>
+      [...peers.values()]
+        .filter((peer) => !peer.isUnresponsive)
+        .map(({ address, dataCentre, lastUpdate }) => ({
+          address,
+          dataCentre,
+          seenRevisions: lastUpdate.seenRevisions,
+        })),
+    listAddresses: () => [...getAddresses()],
+    log,
+    now: deps.now,
+  });
 
   const getPeerTimeoutMs = (peer: Peer): number =>
     getHeartbeatMs(peer.lastUpdate.role) * maxMissedHeartbeats;
@@ -411,7 +363,7 @@
         checkPeerTimeouts(now);
         updateRole(now);
         checkStoreEra();
-        fetchMissingView(now);
+        fetcher.fetchMissing(now);
       }
       outbox.tick(now);
     },
