Without a prefill engine, decode engines run whole streams; a lost stage is filled again

Change: a decode engine reads the prompt itself if no prefill engine is left, or if the prefill failed and a retry is allowed; the planner gives an engine to a stage that has none, also before any demand is known.

--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -51,10 +51,17 @@
 /** Engines chosen for a stream, with the predicted duration of its prefill. */
 interface Placement {
   readonly decode: BackendServer;
-  readonly prefill: BackendServer;
+  /** Undefined if the decode engine reads the prompt itself. */
+  readonly prefill: BackendServer | undefined;
   readonly prefillMs: number;
 }
 
+/** A placement with an engine that runs the prefill. */
+type SplitPlacement = Placement & { readonly prefill: BackendServer };
+
+/** Time that a decode engine takes to read a prompt, as a multiple of a prefill engine's. */
+const decodePrefillSlowdown = 2;
+
 const roundUpToBlock = (tokens: number): number =>
   Math.ceil(tokens / memoryBlockTokens) * memoryBlockTokens;
 
@@ -151,7 +158,13 @@
       view,
       excluded,
     );
-    return prefill && { decode, prefill: prefill.server, prefillMs: prefill.expectedMs };
+    return {
+      decode,
+      prefill: prefill?.server,
+      prefillMs: prefill
+        ? prefill.expectedMs
+        : (requirement.promptTokens / deps.rates.getPrefillTokensPerMs()) * decodePrefillSlowdown,
+    };
   };
 
   /**
@@ -243,7 +256,7 @@
       placement.prefillMs + reservationMarginMs,
     );
     if (ttlMs <= 0) {
-      runPrefill(placement, undefined, allocation);
+      runPlacement(placement, undefined, allocation);
       return;
     }
     deps.backends.reserve(
@@ -252,9 +265,10 @@
       Math.ceil(ttlMs),
       (outcome) => {
         if (outcome.kind === 'reserved') {
-          const isStale = !isStillReady(placement.decode) || !isStillReady(placement.prefill);
+          const { decode, prefill } = placement;
+          const isStale = !isStillReady(decode) || (prefill && !isStillReady(prefill));
           if (responder.isOpen() && !isStale) {
-            runPrefill(placement, outcome.reservation, allocation);
+            runPlacement(placement, outcome.reservation, allocation);
             return;
           }
           allocation.release();
@@ -273,19 +287,44 @@
     );
   };
 
-  const runPrefill = (
+  /** Runs the prefill where the placement says, or lets the decode engine run the whole stream. */
+  const runPlacement = (
     placement: Placement,
     reservation: string | undefined,
     allocation: MemoryAllocation,
   ): void => {
+    const { decode, prefill } = placement;
+    if (prefill) runPrefill({ ...placement, prefill }, reservation, allocation);
+    else runWithoutPrefill(decode, reservation, allocation);
+  };
+
+  const logPlacement = (decode: BackendServer, prefill: BackendServer | undefined): void =>
     deps.log(2305, {
       id,
-      prefill: placement.prefill.id,
-      decode: placement.decode.id,
+      prefill: prefill?.id,
+      decode: decode.id,
       promptTokens: requirement.promptTokens,
-      used: deps.engineLedger.getTotal(placement.decode.id, deps.now()).tokens,
+      used: deps.engineLedger.getTotal(decode.id, deps.now()).tokens,
       waitedMs: Math.round(deps.now() - ctx.arrivedAt),
     });
+
+  /** Lets the decode engine read the prompt itself, since no prefill engine is left. */
+  const runWithoutPrefill = (
+    decode: BackendServer,
+    reservation: string | undefined,
+    allocation: MemoryAllocation,
+  ): void => {
+    logPlacement(decode, undefined);
+    decodeAttempts += 1;
+    runDecode(decode, undefined, reservation, allocation);
+  };
+
+  const runPrefill = (
+    placement: SplitPlacement,
+    reservation: string | undefined,
+    allocation: MemoryAllocation,
+  ): void => {
+    logPlacement(placement.decode, placement.prefill);
     const { promptTokens } = requirement;
     prefillAttempts += 1;
     deps.timing.recordPrompt(promptTokens);
@@ -339,6 +378,10 @@
         );
         return;
       }
+      if (deps.tryTakeRetry(service.name)) {
+        runWithoutPrefill(placement.decode, reservation, allocation);
+        return;
+      }
       releaseMemory();
       failOrRefuse('the prompt could not be read', noEngineRetryAfterMs);
     };
--- a/packages/router/src/stage-controller.ts
+++ b/packages/router/src/stage-controller.ts
@@ -169,7 +169,6 @@
     if (engine.stageChangeMs <= 0) return;
     // The lock is kept before it is needed, as its holder may give orders only after a wait.
     deps.lock.keep();
-    if (!demand) return;
     const changing = new Set([...changes.keys(), ...deps.listAnnounced()]);
     const count = servers.filter((server) => changing.has(server.id)).length;
     if (count >= Math.max(1, Math.floor(servers.length * maxChangingShare))) return;
@@ -191,8 +190,8 @@
     log(2505, {
       server: plan.server.id,
       stage: plan.stage,
-      decodeEngines: Number(demand.decodeEngines.toFixed(2)),
-      prefillEngines: Number(demand.prefillEngines.toFixed(2)),
+      decodeEngines: demand && Number(demand.decodeEngines.toFixed(2)),
+      prefillEngines: demand && Number(demand.prefillEngines.toFixed(2)),
       engines: servers.length,
     });
     deps.announce();
--- a/packages/routing/src/balance-stages.test.ts
+++ b/packages/routing/src/balance-stages.test.ts
@@ -47,6 +47,14 @@
   t.is(planStageChange(makeEngines('ppddd'), nothing, nothing, memoryBound), undefined);
 });
 
+test('if all engines of a stage are lost, another one takes it, also before any demand is known', (t) => {
+  t.is(planStageChange(makeEngines('dddd'), nothing, nothing, undefined)?.stage, 'prefill');
+  t.is(planStageChange(makeEngines('pp'), nothing, nothing, undefined)?.stage, 'decode');
+  t.is(planStageChange(makeEngines('p'), nothing, nothing, undefined)?.stage, 'decode');
+  t.is(planStageChange(makeEngines('d'), nothing, nothing, undefined), undefined);
+  t.is(planStageChange(makeEngines('pd'), nothing, nothing, undefined), undefined);
+});
+
 test('the engine is taken from the data centre that has the most of its stage', (t) => {
   const servers = [
     makeServer({ id: 'a1', stage: 'prefill', dataCentre: 'a' }),
--- a/packages/routing/src/balance-stages.ts
+++ b/packages/routing/src/balance-stages.ts
@@ -131,21 +131,26 @@
   servers: readonly BackendServer[],
   changing: ReadonlySet<string>,
   blocked: ReadonlySet<string>,
-  demand: StageDemand,
+  demand: StageDemand | undefined,
 ): StageChange | undefined => {
   const settled = servers.filter((server) => !changing.has(server.id));
   const prefill = settled.filter((server) => server.stage === 'prefill');
   const decode = settled.filter((server) => server.stage === 'decode');
-  const target = Math.max(1, computePrefillTarget(servers.length, demand));
   const choose = (engines: readonly BackendServer[]): BackendServer | undefined =>
     chooseFromLargestGroup(engines.filter((server) => !blocked.has(server.id)));
-  if (prefill.length - target >= surplusMargin && prefill.length > 1) {
-    const server = choose(prefill);
-    return server && { server, stage: 'decode' };
-  }
-  if (prefill.length < target * minPrefillShare && decode.length > 1) {
-    const server = choose(decode);
-    return server && { server, stage: 'prefill' };
-  }
+  const move = (engines: readonly BackendServer[], stage: EngineStage): StageChange | undefined => {
+    const server = choose(engines);
+    return server && { server, stage };
+  };
+  // Engines of one stage may all be lost at once, before any demand is known.
+  if (decode.length === 0) return move(prefill, 'decode');
+  if (prefill.length === 0 && changing.size === 0 && decode.length > 1)
+    return move(decode, 'prefill');
+  if (!demand) return undefined;
+  const target = Math.max(1, computePrefillTarget(servers.length, demand));
+  if (prefill.length - target >= surplusMargin && prefill.length > 1)
+    return move(prefill, 'decode');
+  if (prefill.length < target * minPrefillShare && decode.length > 1)
+    return move(decode, 'prefill');
   return undefined;
 };
