--- a/packages/router/src/peers-controller.ts
+++ b/packages/router/src/peers-controller.ts
@@ -84,7 +84,7 @@
   readonly countVms: () => number;
   /** Share of these VMs that are responsive, including this one. */
   readonly getReachableShare: () => number;
-  /** Tokens that streams at other VMs wait for, of those that can still be on time. */
+  /** Tokens that streams at other VMs wait for. */
   readonly countWaitingTokens: (service: string, now: number) => number;
 }
 
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -170,7 +170,7 @@
   /**
    * Places the stream now, or queues it until memory is free; the queue refuses it at `waitUntil`.
    */
-  const placeOrQueue = (onTimeUntil: number, waitUntil: number, notBefore: number): void => {
+  const placeOrQueue = (waitUntil: number, notBefore: number): void => {
     const stream = {
       id,
       service: service.name,
@@ -178,7 +178,6 @@
       priority: ctx.workspace?.priority ?? route.priority,
       neededTokens: requirement.promptTokens,
       arrivedAt: ctx.arrivedAt,
-      onTimeUntil,
       waitUntil,
       tryPlace: (now: number) => {
         if (!responder.isOpen()) return true;
@@ -228,7 +227,7 @@
     const predictedWaitMs = predictWaitMs();
     if (now + predictedWaitMs > getLatestOnTime())
       failOrRefuse('no memory in time', getRetryDelayMs(predictedWaitMs));
-    else placeOrQueue(getLatestOnTime(), getLatestOnTime(), 0);
+    else placeOrQueue(getLatestOnTime(), 0);
   };
 
   /** Whether a server chosen earlier is still ready, the same instance and not paused. */
@@ -242,11 +241,7 @@
 
   /** Queues the stream for another placement; it has not run yet. */
   const retryPlacement = (): void =>
-    placeOrQueue(
-      getLatestOnTime(),
-      Math.max(getLatestOnTime(), deps.now() + 1),
-      deps.now() + placementRetryDelayMs,
-    );
+    placeOrQueue(Math.max(getLatestOnTime(), deps.now() + 1), deps.now() + placementRetryDelayMs);
 
   /** Reserves memory at the decode engine before the prefill, so that no prefill is wasted. */
   const reserveDecodeMemory = (placement: Placement, attempt: number): void => {
@@ -594,8 +589,7 @@
     }
     deps.metrics.retries.inc({ reason: fault.kind });
     deps.log(2307, { id, after: lastEventId, from: server.id, fault: fault.kind });
-    const resumeUntil = deps.now() + route.targetLatencyMs;
-    placeOrQueue(resumeUntil, resumeUntil, 0);
+    placeOrQueue(deps.now() + route.targetLatencyMs, 0);
   };
 
   const timeout = setTimeout(
--- a/packages/router/src/stage-lock.ts
+++ b/packages/router/src/stage-lock.ts
@@ -10,8 +10,8 @@
  */
 const waitLeases = 2;
 
-/** Delay before another attempt to take a lock that is held or can't be reached. */
-const retryDelayMs = 1_000;
+/** Delay after an attempt to take the lock, and after a renewal that failed. */
+const retryDelayMs = 500;
 
 /** The lock under which one VM gives orders to engines. */
 export interface StageLock {
@@ -88,8 +88,12 @@
     const sentAt = deps.now();
     const sentAtWall = deps.wallNow();
     const renewed = await deps.store.renewLease(lock.leaseId);
-    if (renewed.isOk()) extend(lock, sentAt, sentAtWall);
-    else if (renewed.error === 'lease-gone' && held === lock) {
+    if (renewed.isOk()) {
+      extend(lock, sentAt, sentAtWall);
+      return;
+    }
+    nextAttemptAt = deps.now() + retryDelayMs;
+    if (renewed.error === 'lease-gone' && held === lock) {
       held = undefined;
       deps.log(2502, { fence: lock.fence });
     }
@@ -127,12 +131,11 @@
 
   return {
     keep: () => {
-      if (isBusy) return;
+      if (isBusy || deps.now() < nextAttemptAt) return;
       if (held) {
         if (isRenewalDue(held)) void run(renew(held));
         return;
       }
-      if (deps.now() < nextAttemptAt) return;
       nextAttemptAt = deps.now() + retryDelayMs;
       void run(take());
     },
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -142,15 +142,12 @@
     );
   };
 
-  const queue = makeStreamQueue({
-    predictMemoryWaitMs,
-    hasOnTimeElsewhere: (service, nowMs) => peers.countWaitingTokens(service, nowMs) > 0,
-  });
+  const queue = makeStreamQueue(predictMemoryWaitMs);
 
   const sumWaitingTokens = (): Record<string, number> => {
     const tokensByService: Record<string, number> = {};
     view.getTable()?.config.services.forEach(({ name, engine }) => {
-      const tokens = engine ? queue.countOnTimeTokens(name, now()) : 0;
+      const tokens = engine ? queue.countWaitingTokens(name) : 0;
       if (tokens > 0) tokensByService[name] = tokens;
     });
     return tokensByService;
