--- a/packages/soak/src/explain.test.ts
+++ b/packages/soak/src/explain.test.ts
@@ -95,7 +95,11 @@
 });
 
 test('explain names the engine that cut a stream and says that the response had begun', async (t) => {
-  const fleet = await startFleet(t, {}, { events: 30, gapMs: 20, breakAtEvent: 5 });
+  const fleet = await startFleet(
+    t,
+    {},
+    { events: 30, gapMs: 20, breakAtEvent: 5, breaksEachStream: true },
+  );
   const response = await sendStream(fleet, 'r3');
   t.false(response.isComplete);
   const text = await explainAfterEnd(fleet, 'r3');
