A stream leaves a silent engine only when another one is ready to go on

Cause: a resumable stream without an event for four gaps was cancelled first; only then an attempt, a retry of the budget, an engine with memory and a prefill were sought. Whenever one of them was missing the run that was given up was the only one, and the connection was closed (502 before the first event). A sound engine may fall silent for a second or so and go on. Class of fault: break before make, on a belief (silent means gone).

Change: the stream stays at its engine while another one is prepared (attempt and retry left, memory reserved, prompt read). If it goes on meanwhile, the preparation is cancelled and what it holds is released. What one stream asks of engines moves from run-stream to stream-engines, since both placements use it.

Ruled out: raising the time limit, which only moves the moment of the same cut.

--- a/packages/router/src/events.ts
+++ b/packages/router/src/events.ts
@@ -39,6 +39,7 @@
   2306: { level: 'warn', text: 'send to a backend server failed' },
   2307: { level: 'info', text: 'stream resumed' },
   2308: { level: 'warn', text: 'request rejected before routing' },
+  2309: { level: 'info', text: 'stream silent, another engine is sought' },
   2501: { level: 'info', text: 'control of engine stages taken' },
   2502: { level: 'warn', text: 'control of engine stages lost' },
   2503: { level: 'info', text: 'engine ordered to change its stage' },
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -5,15 +5,13 @@
   CancelCall,
   PrefillResult,
 } from '@hemlocksill/types/routing-ports.js';
-import {
-  chooseDecode,
-  choosePrefill,
-  type MemoryRequirement,
-} from '@hemlocksill/routing/place-work.js';
+import { choosePrefill } from '@hemlocksill/routing/place-work.js';
 import type { MemoryAllocation } from '@hemlocksill/routing/engine-ledger.js';
 import { retryAfterJitter, type CallContext, type Responder } from './call-context.js';
+import { prepareEngine, type PreparedEngine } from './prepare-engine.js';
 import type { RunDeps } from './run-deps.js';
 import { makeEventSplitter } from './sse-events.js';
+import { makeStreamEngines, type Placement, type SplitPlacement } from './stream-engines.js';
 
 /** Number of failed prefill attempts after which the request is refused. */
 const maxPrefillAttempts = 3;
@@ -22,16 +20,13 @@
 const maxReservationAttempts = 3;
 
 /**
- * Multiple of the target gap between events; a resumable stream that is idle for longer is resumed
- * at another engine.
+ * Multiple of the target gap between events; for a resumable stream that is idle for longer, another
+ * engine is prepared.
  */
 const idleTimeoutGaps = 4;
 
-/** A prefill counts as failed after twice its predicted duration plus this margin. */
-const prefillTimeoutMarginMs = 250;
-
-/** Time for which a reservation outlives the predicted end of its prefill. */
-const reservationMarginMs = 400;
+/** Delay before another engine is prepared for a silent stream, after none could be. */
+const preparationRetryDelayMs = 200;
 
 /** Retry-After of a request that is refused because no engine can take it. */
 const noEngineRetryAfterMs = 500;
@@ -42,44 +37,13 @@
 /** Delay before another placement is tried after a failed one. */
 const placementRetryDelayMs = 20;
 
-/** Output tokens covered by a reservation; further output uses the headroom of the engine. */
-const reservedOutputTokens = 608;
-
-/** Engines allocate memory in blocks of this many tokens. */
-const memoryBlockTokens = 16;
-
-/** Engines chosen for a stream, with the predicted duration of its prefill. */
-interface Placement {
-  readonly decode: BackendServer;
-  /** Undefined if the decode engine reads the prompt itself. */
-  readonly prefill: BackendServer | undefined;
-  readonly prefillMs: number;
-}
-
-/** A placement with an engine that runs the prefill. */
-type SplitPlacement = Placement & { readonly prefill: BackendServer };
-
-/** Time that a decode engine takes to read a prompt, as a multiple of a prefill engine's. */
-const decodePrefillSlowdown = 2;
-
-const roundUpToBlock = (tokens: number): number =>
-  Math.ceil(tokens / memoryBlockTokens) * memoryBlockTokens;
-
-/** Estimates how much engine memory a request needs, in tokens. */
-export const estimateMemoryRequirement = (ctx: CallContext): MemoryRequirement => {
-  const { promptTokens, maxOutputTokens } = ctx.call.metadata;
-  return {
-    promptTokens: roundUpToBlock(promptTokens),
-    maxTokens: roundUpToBlock(promptTokens + maxOutputTokens),
-  };
-};
-
 /** Runs a stream on a prefill and a decode engine and forwards its events to the caller. */
 export const runStream = (deps: RunDeps, ctx: CallContext, responder: Responder): void => {
   const { call, route, service } = ctx;
   const { engine } = service;
   const { id } = call.metadata;
-  const requirement = estimateMemoryRequirement(ctx);
+  const engines = makeStreamEngines(deps, ctx);
+  const { requirement, allocateMemory, isStillReady, recordFault } = engines;
   const excluded = new Set<string>();
   let decodeAttempts = 0;
   let prefillAttempts = 0;
@@ -88,7 +52,6 @@
   let hasContinued = false;
   let lastEventId: string | undefined;
   let cancelAttempt: CancelCall = () => {};
-  let attemptTimer: NodeJS.Timeout | undefined;
 
   const getRemainingMs = (): number => ctx.timeoutAt - deps.now();
 
@@ -108,65 +71,6 @@
   const predictWaitMs = (): number =>
     deps.predictMemoryWaitMs(service.name, requirement.promptTokens, deps.now());
 
-  const recordFault = (server: BackendServer, step: string, fault: CallFault): void => {
-    deps.log(2306, { id, server: server.id, step, fault: fault.kind, reason: fault.reason });
-    if (fault.kind === 'not-sent') deps.health.record(server.id, 'unreachable', deps.now());
-    if (fault.kind === 'unknown') deps.health.record(server.id, 'broken', deps.now());
-    if (fault.kind === 'rejected' && fault.reason === 'other-instance')
-      deps.health.record(server.id, 'replaced', deps.now());
-  };
-
-  /** Adds the memory of the stream at an engine to the ledger until `release` is called. */
-  const allocateMemory = (server: BackendServer): MemoryAllocation => {
-    const startedAt = deps.now();
-    const allocation = deps.engineLedger.addDecode(server.id, requirement.promptTokens);
-    deps.notifyLoadChange(server);
-    let isAllocated = true;
-    let outputTokens = 0;
-    return {
-      grow: (tokens) => {
-        outputTokens += tokens;
-        allocation.grow(tokens);
-      },
-      release: () => {
-        if (!isAllocated) return;
-        isAllocated = false;
-        allocation.release();
-        // A placement that was given up says nothing about the time that streams take.
-        if (outputTokens === 0) {
-          deps.notifyLoadChange(server);
-          return;
-        }
-        const durationMs = deps.now() - startedAt;
-        deps.timing.recordStreamDuration(durationMs);
-        deps.rates.recordOutput(outputTokens, durationMs);
-        deps.notifyLoadChange(server);
-      },
-    };
-  };
-
-  const choosePlacement = (): Placement | undefined => {
-    if (!engine) return undefined;
-    const engines = deps.listReady(service.name);
-    const view = deps.getPlacementView();
-    const decode = chooseDecode(engines, requirement, engine, view, excluded);
-    if (!decode) return undefined;
-    const prefill = choosePrefill(
-      engines,
-      requirement.promptTokens,
-      decode.dataCentre,
-      view,
-      excluded,
-    );
-    return {
-      decode,
-      prefill: prefill?.server,
-      prefillMs: prefill
-        ? prefill.expectedMs
-        : (requirement.promptTokens / deps.rates.getPrefillTokensPerMs()) * decodePrefillSlowdown,
-    };
-  };
-
   /**
    * Places the stream now, or queues it until memory is free; the queue refuses it at `waitUntil`.
    */
@@ -182,7 +86,7 @@
       tryPlace: (now: number) => {
         if (!responder.isOpen()) return true;
         if (now < notBefore) return false;
-        const placement = choosePlacement();
+        const placement = engines.choosePlacement(excluded);
         if (!placement) return false;
         reserveDecodeMemory(placement, 1);
         return true;
@@ -214,8 +118,7 @@
   const getLatestOnTime = (): number => getPlacementTime(ctx.arrivedAt + route.targetLatencyMs);
 
   const start = (): void => {
-    const engines = deps.listReady(service.name);
-    if (!engine || engines.length === 0) {
+    if (!engine || deps.listReady(service.name).length === 0) {
       failOrRefuse('no engine is ready', noEngineRetryAfterMs);
       return;
     }
@@ -230,15 +133,6 @@
     else placeOrQueue(getLatestOnTime(), 0);
   };
 
-  /** Whether a server chosen earlier is still ready, the same instance and not paused. */
-  const isStillReady = (server: BackendServer): boolean =>
-    !deps.health.isPaused(server.id, deps.now()) &&
-    deps
-      .listReady(service.name)
-      .some(
-        ({ id: serverId, startedAt }) => serverId === server.id && startedAt === server.startedAt,
-      );
-
   /** Queues the stream for another placement; it has not run yet. */
   const retryPlacement = (): void =>
     placeOrQueue(Math.max(getLatestOnTime(), deps.now() + 1), deps.now() + placementRetryDelayMs);
@@ -246,40 +140,27 @@
   /** Reserves memory at the decode engine before the prefill, so that no prefill is wasted. */
   const reserveDecodeMemory = (placement: Placement, attempt: number): void => {
     const allocation = allocateMemory(placement.decode);
-    const ttlMs = Math.min(
-      engine?.maxReservationMs ?? 0,
-      placement.prefillMs + reservationMarginMs,
-    );
-    if (ttlMs <= 0) {
-      runPlacement(placement, undefined, allocation);
-      return;
-    }
-    deps.backends.reserve(
-      placement.decode,
-      requirement.promptTokens + reservedOutputTokens,
-      Math.ceil(ttlMs),
-      (outcome) => {
-        if (outcome.kind === 'reserved') {
-          const { decode, prefill } = placement;
-          const isStale = !isStillReady(decode) || (prefill && !isStillReady(prefill));
-          if (responder.isOpen() && !isStale) {
-            runPlacement(placement, outcome.reservation, allocation);
-            return;
-          }
-          allocation.release();
-          deps.backends.releaseReservation(placement.decode, outcome.reservation);
-          if (responder.isOpen()) retryPlacement();
+    engines.reserve(placement, (outcome) => {
+      const reservation = outcome.kind === 'reserved' ? outcome.reservation : undefined;
+      if (outcome.kind === 'reserved' || outcome.kind === 'not-needed') {
+        const { decode, prefill } = placement;
+        const isStale = !isStillReady(decode) || (prefill && !isStillReady(prefill));
+        if (responder.isOpen() && !isStale) {
+          runPlacement(placement, reservation, allocation);
           return;
         }
         allocation.release();
-        if (!responder.isOpen()) return;
-        if (outcome.kind === 'full') deps.engineLedger.recordFull(placement.decode.id, deps.now());
-        else recordFault(placement.decode, 'reserve', { kind: 'not-sent', reason: outcome.reason });
-        const nextPlacement = attempt < maxReservationAttempts ? choosePlacement() : undefined;
-        if (nextPlacement) reserveDecodeMemory(nextPlacement, attempt + 1);
-        else retryPlacement();
-      },
-    );
+        if (reservation !== undefined) deps.backends.releaseReservation(decode, reservation);
+        if (responder.isOpen()) retryPlacement();
+        return;
+      }
+      allocation.release();
+      if (!responder.isOpen()) return;
+      const nextPlacement =
+        attempt < maxReservationAttempts ? engines.choosePlacement(excluded) : undefined;
+      if (nextPlacement) reserveDecodeMemory(nextPlacement, attempt + 1);
+      else retryPlacement();
+    });
   };
 
   /** Runs the prefill where the placement says, or lets the decode engine run the whole stream. */
@@ -322,19 +203,6 @@
     logPlacement(placement.decode, placement.prefill);
     const { promptTokens } = requirement;
     prefillAttempts += 1;
-    deps.timing.recordPrompt(promptTokens);
-    const prefillSentAt = deps.now();
-    deps.engineLedger.addPrefill(placement.prefill.id, promptTokens);
-    deps.notifyLoadChange(placement.prefill);
-    let isRunning = true;
-    const tryFinish = (): boolean => {
-      if (!isRunning) return false;
-      isRunning = false;
-      clearTimeout(attemptTimer);
-      // Other VMs are not notified: they reduce the load of a prefill at the assumed rate.
-      deps.engineLedger.removePrefill(placement.prefill.id, promptTokens);
-      return true;
-    };
     const releaseMemory = (): void => {
       allocation.release();
       if (reservation !== undefined)
@@ -380,42 +248,30 @@
       releaseMemory();
       failOrRefuse('the prompt could not be read', noEngineRetryAfterMs);
     };
-    const cancelPrefill = deps.backends.prefill(
-      placement.prefill,
-      call,
-      getRemainingMs(),
-      (outcome) => {
-        if (!tryFinish()) return;
-        if (outcome.kind === 'fault') {
-          onFault(outcome.fault);
-          return;
-        }
-        deps.rates.recordPrefill(promptTokens, deps.now() - prefillSentAt);
-        if (!isStillReady(placement.decode)) {
-          // The decode engine began to drain during the prefill.
-          deps.backends.releasePrefill(outcome.result);
-          deps.metrics.wastedPromptTokens.inc(promptTokens);
-          retryFromPlacement();
-          return;
-        }
-        decodeAttempts += 1;
-        runDecode(placement.decode, outcome.result, reservation, allocation);
-      },
-    );
+    let isReading = true;
+    const cancelPrefill = engines.readPrompt(placement, (outcome) => {
+      isReading = false;
+      if (outcome.kind === 'fault') {
+        onFault(outcome.fault);
+        return;
+      }
+      if (!isStillReady(placement.decode)) {
+        // The decode engine began to drain during the prefill.
+        deps.backends.releasePrefill(outcome.result);
+        deps.metrics.wastedPromptTokens.inc(promptTokens);
+        retryFromPlacement();
+        return;
+      }
+      decodeAttempts += 1;
+      runDecode(placement.decode, outcome.result, reservation, allocation);
+    });
+    if (!isReading) return;
     cancelAttempt = () => {
-      if (!tryFinish()) return;
+      if (!isReading) return;
+      isReading = false;
       cancelPrefill();
       releaseMemory();
     };
-    if (!isRunning) return;
-    attemptTimer = setTimeout(
-      () => {
-        if (!tryFinish()) return;
-        cancelPrefill();
-        onFault({ kind: 'unknown', reason: 'no prefill in time' });
-      },
-      placement.prefillMs * 2 + prefillTimeoutMarginMs,
-    );
   };
 
   const runDecode = (
@@ -429,10 +285,13 @@
     let head: ResponseHead | undefined;
     let isFirstChunk = true;
     let isRunning = true;
+    let idleTimer: NodeJS.Timeout | undefined;
+    let cancelPreparation: CancelCall = () => {};
     const tryFinish = (): boolean => {
       if (!isRunning) return false;
       isRunning = false;
-      clearTimeout(attemptTimer);
+      clearTimeout(idleTimer);
+      cancelPreparation();
       allocation.release();
       return true;
     };
@@ -506,19 +365,51 @@
       responder.write(chunk);
     };
     const restartIdleTimer = (): void => {
-      clearTimeout(attemptTimer);
-      if (!route.isResumable || !isRunning) return;
+      clearTimeout(idleTimer);
+      cancelPreparation();
+      if (!route.isResumable || !isRunning || decodeAttempts >= route.maxAttempts) return;
       const idleTimeoutMs = Math.max(
         route.targetEventGapMs * idleTimeoutGaps,
         isFirstChunk ? route.targetLatencyMs : 0,
       );
-      attemptTimer = setTimeout(() => {
-        if (decodeAttempts >= route.maxAttempts || !tryFinish()) return;
-        cancelSend();
-        mayHaveRun = true;
-        resumeOrFail(server, { kind: 'unknown', reason: 'the stream is silent' });
+      idleTimer = setTimeout(() => {
+        deps.log(2309, { id, server: server.id, after: lastEventId, idleTimeoutMs });
+        prepareResume();
       }, idleTimeoutMs);
     };
+    /**
+     * Prepares another engine for a silent stream. The stream stays where it is until then: its engine
+     * may be sound and go on, while a stream that has left it can't go back.
+     */
+    const prepareResume = (): void => {
+      cancelPreparation = prepareEngine(
+        deps,
+        engines,
+        service.name,
+        new Set([...excluded, server.id]),
+        (prepared) => {
+          if (prepared) moveTo(prepared);
+          else idleTimer = setTimeout(prepareResume, preparationRetryDelayMs);
+        },
+      );
+    };
+    const moveTo = (prepared: PreparedEngine): void => {
+      if (!tryFinish()) return;
+      cancelSend();
+      mayHaveRun = true;
+      recordFault(server, 'decode', { kind: 'unknown', reason: 'the stream is silent' });
+      excluded.add(server.id);
+      deps.metrics.retries.inc({ reason: 'silent' });
+      deps.log(2307, {
+        id,
+        after: lastEventId,
+        from: server.id,
+        fault: 'silent',
+        at: prepared.server.id,
+      });
+      decodeAttempts += 1;
+      runDecode(prepared.server, prepared.prefilled, prepared.reservation, prepared.allocation);
+    };
     cancelAttempt = () => {
       if (!tryFinish()) return;
       cancelSend();
