A slow idempotent request is retried only where another server can take it

What callers saw: 502 after three objectives although the only server was sound and silent for a moment.

Evidence: "an idempotent request whose only server falls silent is not failed" got 502 "no backend server is ready" before and gets 200 now. Ruled out: prefills, whose time limit ends in another prefill or in a refusal that is true, and requests of other kinds, which have no such limit.

--- a/packages/router/src/run-plain.ts
+++ b/packages/router/src/run-plain.ts
@@ -57,8 +57,7 @@
     return deps.tryTakeRetry(service.name);
   };
 
-  const onFault = (server: BackendServer, fault: CallFault): void => {
-    clearTimers();
+  const recordFault = (server: BackendServer, fault: CallFault): void => {
     excluded.add(server.id);
     deps.log(2306, {
       id: call.metadata.id,
@@ -67,6 +66,15 @@
       reason: fault.reason,
       sends,
     });
+    if (fault.kind === 'unknown') {
+      mayHaveRun = true;
+      deps.health.record(server.id, 'broken', deps.now());
+    }
+  };
+
+  const onFault = (server: BackendServer, fault: CallFault): void => {
+    clearTimers();
+    recordFault(server, fault);
     if (fault.kind === 'not-sent') {
       unsentAttempts += 1;
       deps.health.record(server.id, 'unreachable', deps.now());
@@ -74,10 +82,6 @@
       else failOrRefuse('no backend server reachable', noServerRetryAfterMs);
       return;
     }
-    if (fault.kind === 'unknown') {
-      mayHaveRun = true;
-      deps.health.record(server.id, 'broken', deps.now());
-    }
     if (fault.kind === 'rejected' && fault.reason === 'other-instance')
       deps.health.record(server.id, 'replaced', deps.now());
     if (tryTakeRetry()) {
@@ -86,18 +90,16 @@
     } else failOrRefuse(fault.reason, rejectedRetryAfterMs);
   };
 
+  const chooseServer = (excludedServers: ReadonlySet<string>): BackendServer | undefined =>
+    choosePlainServer(deps.listReady(service.name), deps.getPlacementView(), excludedServers);
+
   const onResponse = (server: BackendServer, head: ResponseHead, body: Buffer): void => {
     clearTimers();
     const isError = head.status >= 500;
     deps.health.record(server.id, isError ? 'error-answer' : 'answered', deps.now());
     if (isError && route.kind === 'idempotent') {
       excluded.add(server.id);
-      const alternative = choosePlainServer(
-        deps.listReady(service.name),
-        deps.getPlacementView(),
-        excluded,
-      );
-      if (alternative && tryTakeRetry()) {
+      if (chooseServer(excluded) && tryTakeRetry()) {
         deps.metrics.retries.inc({ reason: 'error-answer' });
         sendAttempt();
         return;
@@ -109,10 +111,7 @@
   const sendAttempt = (): void => {
     const now = deps.now();
     const remainingMs = ctx.timeoutAt - now;
-    const server =
-      remainingMs > 0
-        ? choosePlainServer(deps.listReady(service.name), deps.getPlacementView(), excluded)
-        : undefined;
+    const server = remainingMs > 0 ? chooseServer(excluded) : undefined;
     if (!server) {
       failOrRefuse('no backend server is ready', noServerRetryAfterMs);
       return;
@@ -156,24 +155,33 @@
     );
     cancelAttempt = () => finishOnce(cancelSend);
     if (isFinished) return;
-    timers.push(
-      setTimeout(() => retrySlowAttempt(server, cancelSend, finishOnce), getSlowResponseMs()),
-    );
+    scheduleSlowRetry(server, cancelSend, finishOnce);
   };
 
-  const getSlowResponseMs = (): number => route.targetLatencyMs * slowResponseLatencyFactor;
-
-  /** Retries an idempotent request on another server when its response takes too long. */
-  const retrySlowAttempt = (
+  /**
+   * Retries an idempotent request on another server when its response takes too long. Without another
+   * server or a retry in the budget, the attempt stays the only one that can still succeed.
+   */
+  const scheduleSlowRetry = (
     server: BackendServer,
     cancelSend: CancelCall,
     finishOnce: (action: () => void) => void,
   ): void => {
-    if (route.kind !== 'idempotent' || sends >= route.maxAttempts) return;
-    finishOnce(() => {
-      cancelSend();
-      onFault(server, { kind: 'unknown', reason: 'no answer in time' });
-    });
+    if (route.kind !== 'idempotent') return;
+    const retrySlowAttempt = (): void => {
+      if (!chooseServer(new Set([...excluded, server.id])) || !tryTakeRetry()) {
+        scheduleSlowRetry(server, cancelSend, finishOnce);
+        return;
+      }
+      finishOnce(() => {
+        cancelSend();
+        clearTimers();
+        recordFault(server, { kind: 'unknown', reason: 'no answer in time' });
+        deps.metrics.retries.inc({ reason: 'unknown' });
+        sendAttempt();
+      });
+    };
+    timers.push(setTimeout(retrySlowAttempt, route.targetLatencyMs * slowResponseLatencyFactor));
   };
 
   const timeout = setTimeout(
