A backend server's error response to a stream is forwarded whole

What callers saw: the connection closed in the middle of a backend server's error response to a stream request whose body came in more than one part; with a resumable route, events of another engine could follow it. In the same place, a stream that had to go on and got an error response without a body ended as if it were whole.

Cause: the second part of the body was taken for the error response of a resumed stream, since the head had been sent by then. An error response without a body never reached that check.

Change: the run remembers that it forwards an error; it then seeks no other engine, and a break closes the connection. The check is made at the end of the response, too. Ruled out: buffering the body, which delays it.

--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -37,6 +37,9 @@
 /** Delay before another placement is tried after a failed one. */
 const placementRetryDelayMs = 20;
 
+/** Fault of an engine that answers a stream which must go on with an error. */
+const resumedStreamFault: CallFault = { kind: 'unknown', reason: 'the resumed stream failed' };
+
 /** Runs a stream on a prefill and a decode engine and forwards its events to the caller. */
 export const runStream = (deps: RunDeps, ctx: CallContext, responder: Responder): void => {
   const { call, route, service } = ctx;
@@ -284,6 +287,7 @@
     const sentAt = deps.now();
     let head: ResponseHead | undefined;
     let isFirstChunk = true;
+    let isForwardingError = false;
     let isRunning = true;
     let idleTimer: NodeJS.Timeout | undefined;
     let cancelPreparation: CancelCall = () => {};
@@ -295,6 +299,7 @@
       allocation.release();
       return true;
     };
+    const isErrorHead = (): boolean => head !== undefined && head.status >= 300;
     const forwardEvents = (events: Buffer): void => {
       lastEventId = splitter.getLastId() ?? lastEventId;
       if (!responder.hasSentHead() && head) responder.sendHead(head);
@@ -315,7 +320,7 @@
         },
         data: (chunk) => {
           if (!isRunning) return;
-          if (head && head.status >= 300) {
+          if (head && isErrorHead()) {
             forwardErrorResponse(head, chunk);
             return;
           }
@@ -335,6 +340,11 @@
         },
         end: () => {
           if (!tryFinish()) return;
+          // An error response without a body to a stream that has already begun.
+          if (isErrorHead() && !isForwardingError && responder.hasSentHead()) {
+            resumeOrFail(server, resumedStreamFault);
+            return;
+          }
           if (splitter.hasIncompleteEvent()) {
             mayHaveRun = true;
             continueOrResume(server, {
@@ -350,18 +360,24 @@
           if (!tryFinish()) return;
           if (fault.kind === 'unknown') mayHaveRun = true;
           if (fault.kind === 'rejected') deps.engineLedger.recordFull(server.id, deps.now());
-          continueOrResume(server, fault, prefilled);
+          if (isForwardingError) responder.fail(502, fault.reason);
+          else continueOrResume(server, fault, prefilled);
         },
       },
     );
     const forwardErrorResponse = (errorHead: ResponseHead, chunk: Buffer): void => {
-      if (responder.hasSentHead()) {
+      if (!isForwardingError && responder.hasSentHead()) {
         if (!tryFinish()) return;
         cancelSend();
-        resumeOrFail(server, { kind: 'unknown', reason: 'the resumed stream failed' });
+        resumeOrFail(server, resumedStreamFault);
         return;
       }
-      responder.sendHead(errorHead);
+      if (!isForwardingError) {
+        isForwardingError = true;
+        clearTimeout(idleTimer);
+        cancelPreparation();
+        responder.sendHead(errorHead);
+      }
       responder.write(chunk);
     };
     const restartIdleTimer = (): void => {
