A stream that must go on elsewhere waits for memory after a failed reservation

What callers saw: a stream was cut although an engine had memory a moment later and its limit for that was not reached. Every stream that had run for longer than its objective was affected, also one that had left a silent engine and was then rejected by the next.

Cause: the first placement of a resumed stream waits for an objective, but a reservation that is rejected, or an engine that begins to drain meanwhile, queued the stream with the limit of its first event, which had passed. It was given up at the next look at the queue.

Change: the limit of the resumption holds for all of its placements. Ruled out: a longer limit.

Evidence: the new test in whole-answers.test.ts, where memory is free 400 ms after the break, failed before (cut after two of five events).

--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -53,6 +53,8 @@
   let mayHaveRun = false;
   /** Whether the stream was continued at the engine whose connection broke. */
   let hasContinued = false;
+  /** Time by which the stream must be placed again, once it had to leave an engine. */
+  let resumeBy = 0;
   let lastEventId: string | undefined;
   let cancelAttempt: CancelCall = () => {};
 
@@ -136,9 +138,12 @@
     else placeOrQueue(getLatestOnTime(), 0);
   };
 
-  /** Queues the stream for another placement; it has not run yet. */
+  /** Queues the stream for another placement after one that did not come about. */
   const retryPlacement = (): void =>
-    placeOrQueue(Math.max(getLatestOnTime(), deps.now() + 1), deps.now() + placementRetryDelayMs);
+    placeOrQueue(
+      Math.max(getLatestOnTime(), resumeBy, deps.now() + 1),
+      deps.now() + placementRetryDelayMs,
+    );
 
   /** Reserves memory at the decode engine before the prefill, so that no prefill is wasted. */
   const reserveDecodeMemory = (placement: Placement, attempt: number): void => {
@@ -496,7 +501,8 @@
     }
     deps.metrics.retries.inc({ reason: fault.kind });
     deps.log(2307, { id, after: lastEventId, from: server.id, fault: fault.kind });
-    placeOrQueue(deps.now() + route.targetLatencyMs, 0);
+    resumeBy = deps.now() + route.targetLatencyMs;
+    placeOrQueue(resumeBy, 0);
   };
 
   const timeout = setTimeout(
