A request on a connection that was ended is not passed on

What callers saw: on a kept connection, a request was run by a backend server and the connection closed without an answer. It happened beside a shutdown: a response whose head was sent before the stop signal carries no "connection: close", so its connection is ended after it; a request that crosses that end was still read and run.

Change: a request whose connection can't take a response any more is not run; the connection is destroyed, and the caller may repeat the request. Ruled out: keeping such connections open, which would delay the shutdown.

Evidence: the new test in whole-answers.test.ts failed before (the backend server received the request).

--- a/packages/router/src/handle-call.ts
+++ b/packages/router/src/handle-call.ts
@@ -255,6 +255,16 @@
   (deps: CallDeps) =>
   (req: IncomingMessage, res: ServerResponse): void => {
     const arrivedAt = deps.hooks.now();
+    // No response can be sent any more; the caller may repeat a request that was not run.
+    if (!req.socket.writable) {
+      deps.hooks.log(2308, {
+        reason: 'the connection was ended before',
+        method: req.method,
+        port: req.socket.remotePort,
+      });
+      req.socket.destroy();
+      return;
+    }
     res.on('finish', () => {
       // A head sent before the shutdown carries no `connection: close`.
       if (deps.hooks.isShuttingDown()) req.socket.end();
