The preparation of an engine takes no retry for nothing and no leaving engine

What callers saw: while engines were silent and others full, each silent stream took five retries a second from the budget of its service without sending anything; other streams and requests, whose servers had failed, then found no retry and were cut. Besides, a prompt or a stream could be sent to an engine that began to drain while its memory was reserved, and a prefill engine that rejects prompts was asked again every 200 ms.

Change: a retry is given back if neither the prompt nor the stream was sent. Both engines are checked again after the reservation, as before a first run. A prefill engine that fails is not chosen again, and a rejection is told to the other VMs, as in the first run. Ruled out: taking the retry after the reservation, which would reserve memory without a retry to use it.

Evidence: prepare-engine.test.ts and limits.test.ts; on the old code two new tests failed, and two old ones that now also expect the retry to be given back. The test of an engine that drains during the prefill now lets it begin to drain then, not before the reservation.

--- a/packages/router/src/prepare-engine.test.ts
+++ b/packages/router/src/prepare-engine.test.ts
@@ -10,7 +10,9 @@
 const fault: CallFault = { kind: 'unknown', reason: 'reset' };
 
 /** Starts a preparation whose calls to engines are answered by the test. */
-const startPreparation = ({ hasPlacement = true, hasRetry = true, isReady = true } = {}) => {
+const startPreparation = ({ hasPlacement = true, hasRetry = true } = {}) => {
+  const excluded = new Set<string>();
+  const leaving = new Set<string>();
   const steps: string[] = [];
   const results: (PreparedEngine | undefined)[] = [];
   let onReserved: (outcome: ReservationOutcome) => void = () => {};
@@ -31,13 +33,15 @@
       onRead = onDone;
       return () => steps.push('cancel read');
     },
-    isStillReady: () => isReady,
+    isStillReady: ({ id }) => !leaving.has(id),
     recordFault: (server) => steps.push(`fault of ${server.id}`),
   };
   const cancel = prepareEngine(
     {
       metrics: makeRouterMetrics(),
       tryTakeRetry: () => hasRetry,
+      returnRetry: () => steps.push('return retry'),
+      recordFailingPrefill: (server) => steps.push(`${server.id} fails`),
       backends: {
         releaseReservation: (_, reservation) => steps.push(`release ${reservation}`),
         releasePrefill: ({ handle }) => steps.push(`release ${handle}`),
@@ -45,13 +49,15 @@
     },
     engines,
     'llm',
-    new Set(),
+    excluded,
     (prepared) => results.push(prepared),
   );
   return {
     steps,
     results,
+    excluded,
     cancel,
+    leave: (server: string) => leaving.add(server),
     reserved: (outcome: ReservationOutcome) => onReserved(outcome),
     read: (outcome: PrefillOutcome) => onRead(outcome),
   };
@@ -83,13 +89,14 @@
 test('what a failed preparation holds is released', (t) => {
   const full = startPreparation();
   full.reserved({ kind: 'full' });
-  t.deepEqual(full.steps, ['reserve', 'free memory']);
+  t.deepEqual(full.steps, ['reserve', 'free memory', 'return retry']);
   const unread = startPreparation();
   unread.reserved(reservedOutcome);
   unread.read({ kind: 'fault', fault });
   t.deepEqual(unread.steps, ['reserve', 'read', 'fault of p1', 'free memory', 'release hold-1']);
-  const leaving = startPreparation({ isReady: false });
+  const leaving = startPreparation();
   leaving.reserved(reservedOutcome);
+  leaving.leave('d1');
   leaving.read(readOutcome);
   t.deepEqual(leaving.steps, ['reserve', 'read', 'release h-1', 'free memory', 'release hold-1']);
   t.deepEqual(
@@ -102,10 +109,35 @@
   const reserving = startPreparation();
   reserving.cancel();
   reserving.reserved(reservedOutcome);
-  t.deepEqual(reserving.steps, ['reserve', 'free memory', 'free memory', 'release hold-1']);
+  t.deepEqual(reserving.steps, [
+    'reserve',
+    'free memory',
+    'return retry',
+    'free memory',
+    'release hold-1',
+  ]);
   const reading = startPreparation();
   reading.reserved(reservedOutcome);
   reading.cancel();
   t.deepEqual(reading.steps, ['reserve', 'read', 'cancel read', 'free memory', 'release hold-1']);
   t.deepEqual([...reserving.results, ...reading.results], []);
 });
+
+test('nothing is sent to an engine that began to drain during the reservation', (t) => {
+  ['d1', 'p1'].forEach((server) => {
+    const preparation = startPreparation();
+    preparation.leave(server);
+    preparation.reserved(reservedOutcome);
+    t.deepEqual(preparation.steps, ['reserve', 'free memory', 'release hold-1', 'return retry']);
+    t.deepEqual(preparation.results, [undefined]);
+  });
+});
+
+test('a prefill engine that rejects the prompt is not tried again for the stream', (t) => {
+  const preparation = startPreparation();
+  preparation.reserved(reservedOutcome);
+  preparation.read({ kind: 'fault', fault: { kind: 'rejected', reason: 'full' } });
+  t.true(preparation.steps.includes('p1 fails'));
+  t.true(preparation.excluded.has('p1'));
+  t.false(preparation.steps.includes('return retry'));
+});
--- a/packages/router/src/prepare-engine.ts
+++ b/packages/router/src/prepare-engine.ts
@@ -13,14 +13,18 @@
 }
 
 /** Dependencies of the preparation of an engine. */
-export type PrepareDeps = Pick<RunDeps, 'tryTakeRetry' | 'metrics'> & {
+export type PrepareDeps = Pick<
+  RunDeps,
+  'tryTakeRetry' | 'returnRetry' | 'recordFailingPrefill' | 'metrics'
+> & {
   readonly backends: Pick<BackendClient, 'releaseReservation' | 'releasePrefill'>;
 };
 
 /**
- * Prepares another engine for a stream that keeps running meanwhile; counts as a retry. `onDone` gets
- * undefined if no engine can be prepared now.
+ * Prepares another engine for a stream that keeps running meanwhile; counts as a retry once the prompt or
+ * the stream is sent. `onDone` gets undefined if no engine can be prepared now.
  *
+ * @param excluded - servers that are not chosen; a prefill engine that fails is added
  * @returns a function that cancels the preparation and releases what it holds
  * @example
  * const cancel = prepareEngine(deps, engines, 'llm', new Set(['i-1']), (prepared) => {});
@@ -29,7 +33,7 @@
   deps: PrepareDeps,
   engines: StreamEngines,
   service: string,
-  excluded: ReadonlySet<string>,
+  excluded: Set<string>,
   onDone: (prepared: PreparedEngine | undefined) => void,
 ): CancelCall => {
   const placement = engines.choosePlacement(excluded);
@@ -40,6 +44,7 @@
   const { decode, prefill } = placement;
   const allocation = engines.allocateMemory(decode);
   let isPending = true;
+  let isRetryUsed = false;
   let reservation: string | undefined;
   let cancelPrefill: CancelCall = () => {};
 
@@ -48,21 +53,32 @@
     if (reservation !== undefined) deps.backends.releaseReservation(decode, reservation);
   };
 
-  const giveUp = (): void => {
+  const stop = (): void => {
     isPending = false;
     release();
+    if (!isRetryUsed) deps.returnRetry(service);
+  };
+
+  const giveUp = (): void => {
+    stop();
     onDone(undefined);
   };
 
   const finish = (prefilled: PrefillResult | undefined): void => {
     isPending = false;
+    isRetryUsed = true;
     onDone({ server: decode, prefilled, reservation, allocation });
   };
 
-  const readPrompt = (prefillServer: BackendServer): CancelCall =>
-    engines.readPrompt({ ...placement, prefill: prefillServer }, (outcome) => {
+  const readPrompt = (prefillServer: BackendServer): CancelCall => {
+    isRetryUsed = true;
+    return engines.readPrompt({ ...placement, prefill: prefillServer }, (outcome) => {
       if (outcome.kind === 'fault') {
+        const { kind, reason } = outcome.fault;
         engines.recordFault(prefillServer, 'prefill', outcome.fault);
+        if (kind === 'rejected' && reason === 'full')
+          deps.recordFailingPrefill(prefillServer, 'prompt-rejected');
+        excluded.add(prefillServer.id);
         giveUp();
       } else if (engines.isStillReady(decode)) finish(outcome.result);
       else {
@@ -71,19 +87,20 @@
         giveUp();
       }
     });
+  };
 
   engines.reserve(placement, (outcome: ReservationOutcome) => {
     if (outcome.kind === 'reserved') reservation = outcome.reservation;
     if (!isPending) release();
     else if (outcome.kind !== 'reserved' && outcome.kind !== 'not-needed') giveUp();
+    else if (!engines.isStillReady(decode) || (prefill && !engines.isStillReady(prefill))) giveUp();
     else if (prefill) cancelPrefill = readPrompt(prefill);
     else finish(undefined);
   });
 
   return () => {
     if (!isPending) return;
-    isPending = false;
     cancelPrefill();
-    release();
+    stop();
   };
 };
--- a/packages/router/src/run-deps.ts
+++ b/packages/router/src/run-deps.ts
@@ -29,6 +29,8 @@
   readonly getPlacementView: () => PlacementView;
   /** Takes one retry from this VM's budget for a service; false when the budget is spent. */
   readonly tryTakeRetry: (service: string) => boolean;
+  /** Gives back a retry that was taken from the budget of a service and not sent. */
+  readonly returnRetry: (service: string) => void;
   /** Records that a prefill engine failed conclusively, and tells the other VMs. */
   readonly recordFailingPrefill: (
     server: BackendServer,
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -296,6 +296,8 @@
     let isRunning = true;
     let idleTimer: NodeJS.Timeout | undefined;
     let cancelPreparation: CancelCall = () => {};
+    /** Servers that can't take the stream over from this engine. */
+    const unusable = new Set([...excluded, server.id]);
     const tryFinish = (): boolean => {
       if (!isRunning) return false;
       isRunning = false;
@@ -403,16 +405,10 @@
      * may be sound and go on, while a stream that has left it can't go back.
      */
     const prepareResume = (): void => {
-      cancelPreparation = prepareEngine(
-        deps,
-        engines,
-        service.name,
-        new Set([...excluded, server.id]),
-        (prepared) => {
-          if (prepared) moveTo(prepared);
-          else idleTimer = setTimeout(prepareResume, preparationRetryDelayMs);
-        },
-      );
+      cancelPreparation = prepareEngine(deps, engines, service.name, unusable, (prepared) => {
+        if (prepared) moveTo(prepared);
+        else idleTimer = setTimeout(prepareResume, preparationRetryDelayMs);
+      });
     };
     const moveTo = (prepared: PreparedEngine): void => {
       if (!tryFinish()) return;
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -255,6 +255,7 @@
     listReady,
     getPlacementView,
     tryTakeRetry: (service) => getRetryBudget(service).tryTakeRetry(peers.countVms(), now()),
+    returnRetry: (service) => getRetryBudget(service).returnRetry(),
     recordFailingPrefill: (server, outcome) => {
       health.record(server.id, outcome, now());
       if (failingEngines.record(server.id, now())) peers.notifyChange({ kind: 'failing' });
--- a/packages/routing/src/limits.test.ts
+++ b/packages/routing/src/limits.test.ts
@@ -32,6 +32,16 @@
   t.pass();
 });
 
+test('retries that were not sent leave the budget to others', (t) => {
+  const budget = makeRetryBudget({ ratio: 0, slack: 2, windowMs: 10_000 });
+  Array.from({ length: 20 }).forEach(() => {
+    t.true(budget.tryTakeRetry(1, 0));
+    budget.returnRetry();
+  });
+  t.true(budget.tryTakeRetry(1, 0));
+  t.false(budget.tryTakeRetry(1, 0));
+});
+
 test('an unreachable server gets a cooldown that doubles until a call succeeds', (t) => {
   const health = makeServerHealth();
   health.record('a', 'unreachable', 0);
--- a/packages/routing/src/retry-budget.ts
+++ b/packages/routing/src/retry-budget.ts
@@ -15,6 +15,8 @@
   readonly recordRequest: (now: number) => void;
   /** Takes one retry from the budget; returns false if it is exhausted. */
   readonly tryTakeRetry: (vms: number, now: number) => boolean;
+  /** Gives back the retry that was taken last, since it was not sent. */
+  readonly returnRetry: () => void;
   /** Records a retry that was sent regardless of the budget. */
   readonly recordRetry: (now: number) => void;
 }
@@ -49,6 +51,9 @@
       retries.push(now);
       return true;
     },
+    returnRetry: () => {
+      retries.pop();
+    },
     recordRetry: (now) => {
       retries.push(now);
     },
