A silent engine is left only when the next one has not rejected the stream

What callers saw: a stream was cut although its engine went on. The run at the silent engine was cancelled before the stream was sent to the prepared one. If that one rejected it (the prompt could not be fetched, no connection), nothing was left: the first engine had been given up, and on a route with two attempts there was no third.

Change: the stream is sent to the prepared engine while the first run goes on, and that run ends with the first bytes of the next, when its own connection breaks, or after 250 ms without a rejection, so that two engines don't work on one stream for longer. A rejection leaves the stream where it is. An event from the first engine meanwhile cancels the other run. Ruled out: sending the stream back to the first engine after a rejection, which needs a third attempt.

--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -28,6 +28,12 @@
 /** Delay before another engine is prepared for a silent stream, after none could be. */
 const preparationRetryDelayMs = 200;
 
+/**
+ * Time after which a stream leaves its silent engine for one that has not rejected it; longer, both would
+ * work on it.
+ */
+const takeoverDelayMs = 250;
+
 /** Retry-After of a request that is refused because no engine can take it. */
 const noEngineRetryAfterMs = 500;
 
@@ -40,6 +46,21 @@
 /** Fault of an engine that answers a stream which must go on with an error. */
 const resumedStreamFault: CallFault = { kind: 'unknown', reason: 'the resumed stream failed' };
 
+/** The run that a stream leaves once another engine has taken the stream over. */
+interface PreviousRun {
+  /** Ends the run. */
+  readonly leave: () => void;
+  /** Stays with the run, since the other engine failed. */
+  readonly keep: (fault: CallFault) => void;
+}
+
+/** A run at an engine that takes a stream over. */
+interface NextRun {
+  readonly cancel: CancelCall;
+  /** Ends the previous run and goes on. */
+  readonly takeOver: () => void;
+}
+
 /** Runs a stream on a prefill and a decode engine and forwards its events to the caller. */
 export const runStream = (deps: RunDeps, ctx: CallContext, responder: Responder): void => {
   const { call, route, service } = ctx;
@@ -287,15 +308,20 @@
     prefilled: PrefillResult | undefined,
     reservation: string | undefined,
     allocation: MemoryAllocation,
-  ): void => {
+    previousRun?: PreviousRun,
+  ): NextRun => {
     const splitter = makeEventSplitter();
     const sentAt = deps.now();
     let head: ResponseHead | undefined;
     let isFirstChunk = true;
     let isForwardingError = false;
+    /** Set until this run has taken the stream over. */
+    let runToLeave = previousRun;
     let isRunning = true;
     let idleTimer: NodeJS.Timeout | undefined;
     let cancelPreparation: CancelCall = () => {};
+    /** The run at another engine that has not taken the stream over yet. */
+    let nextRun: NextRun | undefined;
     /** Servers that can't take the stream over from this engine. */
     const unusable = new Set([...excluded, server.id]);
     const tryFinish = (): boolean => {
@@ -306,6 +332,15 @@
       allocation.release();
       return true;
     };
+    const takeOver = (): void => {
+      const leftRun = runToLeave;
+      if (!leftRun || !isRunning) return;
+      runToLeave = undefined;
+      leftRun.leave();
+      excluded.forEach((serverId) => unusable.add(serverId));
+      cancelAttempt = cancel;
+      restartIdleTimer();
+    };
     const isErrorHead = (): boolean => head !== undefined && head.status >= 300;
     const forwardEvents = (events: Buffer): void => {
       lastEventId = splitter.getLastId() ?? lastEventId;
@@ -327,6 +362,7 @@
         },
         data: (chunk) => {
           if (!isRunning) return;
+          if (!isErrorHead()) takeOver();
           if (head && isErrorHead()) {
             forwardErrorResponse(head, chunk);
             return;
@@ -346,7 +382,12 @@
           restartIdleTimer();
         },
         end: () => {
+          if (!isErrorHead()) takeOver();
           if (!tryFinish()) return;
+          if (runToLeave) {
+            runToLeave.keep(resumedStreamFault);
+            return;
+          }
           // An error response without a body to a stream that has already begun.
           if (isErrorHead() && !isForwardingError && responder.hasSentHead()) {
             resumeOrFail(server, resumedStreamFault);
@@ -364,15 +405,30 @@
           responder.end();
         },
         fault: (fault) => {
+          if (isRunning && nextRun) {
+            nextRun.takeOver();
+            return;
+          }
           if (!tryFinish()) return;
           if (fault.kind === 'unknown') mayHaveRun = true;
           if (fault.kind === 'rejected') deps.engineLedger.recordFull(server.id, deps.now());
+          if (runToLeave) {
+            handleUnusedPrefill(fault, prefilled);
+            runToLeave.keep(fault);
+            return;
+          }
           if (isForwardingError) responder.fail(502, fault.reason);
           else continueOrResume(server, fault, prefilled);
         },
       },
     );
     const forwardErrorResponse = (errorHead: ResponseHead, chunk: Buffer): void => {
+      if (runToLeave) {
+        if (!tryFinish()) return;
+        cancelSend();
+        runToLeave.keep(resumedStreamFault);
+        return;
+      }
       if (!isForwardingError && responder.hasSentHead()) {
         if (!tryFinish()) return;
         cancelSend();
@@ -383,6 +439,7 @@
         isForwardingError = true;
         clearTimeout(idleTimer);
         cancelPreparation();
+        nextRun = undefined;
         responder.sendHead(errorHead);
       }
       responder.write(chunk);
@@ -390,6 +447,7 @@
     const restartIdleTimer = (): void => {
       clearTimeout(idleTimer);
       cancelPreparation();
+      nextRun = undefined;
       if (!route.isResumable || !isRunning || decodeAttempts >= route.maxAttempts) return;
       const idleTimeoutMs = Math.max(
         route.targetEventGapMs * idleTimeoutGaps,
@@ -410,30 +468,60 @@
         else idleTimer = setTimeout(prepareResume, preparationRetryDelayMs);
       });
     };
+    /** Sends the stream to a prepared engine; it is left here only when that engine does not reject it. */
     const moveTo = (prepared: PreparedEngine): void => {
-      if (!tryFinish()) return;
-      cancelSend();
-      mayHaveRun = true;
-      recordFault(server, 'decode', { kind: 'unknown', reason: 'the stream is silent' });
-      excluded.add(server.id);
-      deps.metrics.retries.inc({ reason: 'silent' });
-      deps.log(2307, {
-        id,
-        after: lastEventId,
-        from: server.id,
-        fault: 'silent',
-        at: prepared.server.id,
-      });
       decodeAttempts += 1;
-      runDecode(prepared.server, prepared.prefilled, prepared.reservation, prepared.allocation);
+      deps.metrics.retries.inc({ reason: 'silent' });
+      idleTimer = setTimeout(() => nextRun?.takeOver(), takeoverDelayMs);
+      let hasFailed = false;
+      const next = runDecode(
+        prepared.server,
+        prepared.prefilled,
+        prepared.reservation,
+        prepared.allocation,
+        {
+          leave: () => {
+            cancelPreparation = () => {};
+            if (!tryFinish()) return;
+            cancelSend();
+            mayHaveRun = true;
+            recordFault(server, 'decode', { kind: 'unknown', reason: 'the stream is silent' });
+            excluded.add(server.id);
+            deps.log(2307, {
+              id,
+              after: lastEventId,
+              from: server.id,
+              fault: 'silent',
+              at: prepared.server.id,
+            });
+          },
+          keep: (fault) => {
+            hasFailed = true;
+            nextRun = undefined;
+            recordFault(prepared.server, 'decode', fault);
+            unusable.add(prepared.server.id);
+            if (fault.kind === 'not-sent') decodeAttempts -= 1;
+            clearTimeout(idleTimer);
+            if (decodeAttempts < route.maxAttempts)
+              idleTimer = setTimeout(prepareResume, preparationRetryDelayMs);
+          },
+        },
+      );
+      if (hasFailed) return;
+      nextRun = next;
+      cancelPreparation = next.cancel;
     };
-    cancelAttempt = () => {
+    const cancel = (): void => {
       if (!tryFinish()) return;
       cancelSend();
       // Before the first event, the decode engine may not have fetched the prefill result.
       if (isFirstChunk && prefilled) deps.backends.releasePrefill(prefilled);
     };
-    restartIdleTimer();
+    if (isRunning && !runToLeave) {
+      cancelAttempt = cancel;
+      restartIdleTimer();
+    }
+    return { cancel, takeOver };
   };
 
   /**
@@ -464,6 +552,18 @@
     runDecode(server, undefined, undefined, allocateMemory(server));
   };
 
+  const handleUnusedPrefill = (fault: CallFault, unusedPrefill?: PrefillResult): void => {
+    if (fault.kind === 'rejected' && unusedPrefill && engine && engine.maxReservationMs > 0) {
+      // A decode engine with reserved memory rejects a run only if it cannot fetch the prefilled
+      // prompt.
+      deps.recordFailingPrefill(unusedPrefill.server, 'result-lost');
+    }
+    if (fault.kind !== 'unknown' && unusedPrefill) {
+      deps.backends.releasePrefill(unusedPrefill);
+      deps.metrics.wastedPromptTokens.inc(requirement.promptTokens);
+    }
+  };
+
   /**
    * Resumes a stream after a failed decode, if the route allows it; fails the request otherwise.
    */
@@ -474,15 +574,7 @@
   ): void => {
     recordFault(server, 'decode', fault);
     excluded.add(server.id);
-    if (fault.kind === 'rejected' && unusedPrefill && engine && engine.maxReservationMs > 0) {
-      // A decode engine with reserved memory rejects a run only if it cannot fetch the prefilled
-      // prompt.
-      deps.recordFailingPrefill(unusedPrefill.server, 'result-lost');
-    }
-    if (fault.kind !== 'unknown' && unusedPrefill) {
-      deps.backends.releasePrefill(unusedPrefill);
-      deps.metrics.wastedPromptTokens.inc(requirement.promptTokens);
-    }
+    handleUnusedPrefill(fault, unusedPrefill);
     const isRetrySafe = fault.kind !== 'unknown' || route.isResumable;
     const hasAttemptsLeft = fault.kind === 'not-sent' || decodeAttempts < route.maxAttempts;
     if (fault.kind === 'not-sent') decodeAttempts -= 1;
