The first retry after a long time doesn't block the event loop

What callers saw: nothing for the time of the block, on all connections of a VM. Cause: the times of the requests to a service were only removed when a retry was taken; without one they were kept for good, and then removed one by one from the front of a long list.

No test: it could only bound a time. Ruled out: a list without times, which the sliding window needs.

--- a/packages/routing/src/retry-budget.ts
+++ b/packages/routing/src/retry-budget.ts
@@ -40,6 +40,8 @@
   const retries: number[] = [];
   return {
     recordRequest: (now) => {
+      // Removing many at once would block the event loop at the first retry after a long time.
+      removeOlder(requests, now - limit.windowMs);
       requests.push(now);
     },
     tryTakeRetry: (vms, now) => {
