An attempt that follows one that failed at once is aborted with its request

What callers saw: nothing; a backend server kept working for a caller that had left. Cause: an attempt that fails before anything is sent, such as one whose headers the HTTP client refuses, is followed by the next one inside the call that sends it; the first then overwrote the function that cancels the second.

--- a/packages/router/src/run-plain.ts
+++ b/packages/router/src/run-plain.ts
@@ -153,8 +153,9 @@
           }),
       },
     );
-    cancelAttempt = () => finishOnce(cancelSend);
+    // An attempt that failed at once has been followed by others already.
     if (isFinished) return;
+    cancelAttempt = () => finishOnce(cancelSend);
     scheduleSlowRetry(server, cancelSend, finishOnce);
   };
 
