--- a/packages/routing/src/retry-budget.ts
+++ b/packages/routing/src/retry-budget.ts
@@ -15,6 +15,8 @@
   readonly recordRequest: (now: number) => void;
   /** Takes one retry from the budget; returns false if it is exhausted. */
   readonly tryTakeRetry: (vms: number, now: number) => boolean;
+  /** Gives back the retry that was taken last, since it was not sent. */
+  readonly returnRetry: () => void;
   /** Records a retry that was sent regardless of the budget. */
   readonly recordRetry: (now: number) => void;
 }
@@ -38,6 +40,8 @@
   const retries: number[] = [];
   return {
     recordRequest: (now) => {
+      // Removing many at once would block the event loop at the first retry after a long time.
+      removeOlder(requests, now - limit.windowMs);
       requests.push(now);
     },
     tryTakeRetry: (vms, now) => {
@@ -49,6 +53,9 @@
       retries.push(now);
       return true;
     },
+    returnRetry: () => {
+      retries.pop();
+    },
     recordRetry: (now) => {
       retries.push(now);
     },
