--- a/packages/types/src/routing.ts
+++ b/packages/types/src/routing.ts
@@ -121,4 +121,6 @@
   readonly hasTokenCounts: boolean;
   /** Id of the last event that the caller received of an earlier response. */
   readonly lastEventId: string | undefined;
+  /** Ids of the parts of the prompt that other requests may share, in order. */
+  readonly promptParts: readonly string[];
 }
