VMs tell each other on which prompt parts engines crash

Every message carries the rows of crash-suspects: full messages all of them, updates those of the last seconds. A new incident, a survival that clears some, and a block that a witness decided go to the whole fleet at once (change kind crash). Rows of a wrong form make the message unreadable, as other fields do. Events 2310 and 2311 tell when a VM blocks or releases a part. Nothing records incidents yet.

New tests: a malformed row is refused, and a crash goes to all VMs at once while earlier ones are part of full messages only. Both could not compile on the old code, which has no such field.

--- a/packages/router/src/events.ts
+++ b/packages/router/src/events.ts
@@ -40,6 +40,8 @@
   2307: { level: 'info', text: 'stream resumed' },
   2308: { level: 'warn', text: 'request rejected before routing' },
   2309: { level: 'info', text: 'stream silent, another engine is sought' },
+  2310: { level: 'warn', text: 'prompt part blocked, engines crash on it' },
+  2311: { level: 'info', text: 'prompt part released' },
   2501: { level: 'info', text: 'control of engine stages taken' },
   2502: { level: 'warn', text: 'control of engine stages lost' },
   2503: { level: 'info', text: 'engine ordered to change its stage' },
--- a/packages/router/src/gossip-message.test.ts
+++ b/packages/router/src/gossip-message.test.ts
@@ -30,6 +30,7 @@
   },
   changing: ['i-7'],
   failing: ['i-8'],
+  crashes: [['9c4', [['i-9@17', 300]], 20, 'blocked']],
 };
 
 test('a full message and an update survive encoding and decoding unchanged', (t) => {
@@ -62,13 +63,35 @@
       const update = decoded.kind === 'full' ? decoded.message : decoded.update;
       return (
         Number.isFinite(update.sequence) &&
-        Object.values(update.loads).every((row) => row.length === 3)
+        Object.values(update.loads).every((row) => row.length === 3) &&
+        update.crashes.every(([, incidents]) =>
+          incidents.every((incident) => incident.length === 2),
+        )
       );
     }),
   );
   t.pass();
 });
 
+test('a message whose crashes are not well formed is not readable', (t) => {
+  const encode = (crashes: unknown): Buffer =>
+    encodeFullMessage({ ...message, crashes: crashes as FullMessage['crashes'] });
+  [
+    null,
+    'x',
+    {},
+    [null],
+    [['9c4', [], 20]],
+    [[9, [], 20, 'suspect']],
+    [['9c4', [['i-9@17']], 20, 'suspect']],
+    [['9c4', [['i-9@17', 'x']], 20, 'suspect']],
+    [['9c4', ['i-9@17'], 20, 'suspect']],
+    [['9c4', [], '20', 'suspect']],
+    [['9c4', [], 20, 'unknown']],
+  ].forEach((crashes) => t.is(decodeMessage(encode(crashes)), undefined, JSON.stringify(crashes)));
+  t.truthy(decodeMessage(encode([])));
+});
+
 test('a fetched view is accepted only if all of its entries are well formed', (t) => {
   const entry = { key: 's/1', value: 'v', revision: 3 };
   t.true(isRawView({ servers: [entry], removed: [['s/2', 4]] }));
--- a/packages/router/src/gossip-message.ts
+++ b/packages/router/src/gossip-message.ts
@@ -1,5 +1,6 @@
 import { isIPv4 } from 'node:net';
 import type { StoreEntry } from '@hemlocksill/types/ports.js';
+import type { CrashRow } from '@hemlocksill/routing/crash-rows.js';
 import type { LoadRows } from '@hemlocksill/routing/engine-ledger.js';
 import type { AdmittedTotals, QuotaLevels } from '@hemlocksill/routing/fleet-quota.js';
 import type { RawView, SeenRevisions } from './view-controller.js';
@@ -35,6 +36,8 @@
   readonly changing: readonly string[];
   /** Prefill engines that failed at the VM a moment ago. */
   readonly failing: readonly string[];
+  /** Parts of prompts on which engines crash; an update carries only what is recent. */
+  readonly crashes: readonly CrashRow[];
 }
 
 /** Complete state of a VM, sent periodically; the updates in between are smaller. */
@@ -58,8 +61,8 @@
 const watcherFlag = 2;
 const reachableFlag = 4;
 
-const updateFieldCount = 11;
-const fullFieldCount = 16;
+const updateFieldCount = 12;
+const fullFieldCount = 17;
 
 const encodeFlags = (update: LoadUpdate): number =>
   (update.isShuttingDown ? shuttingDownFlag : 0) +
@@ -78,6 +81,7 @@
   update.serverChanges ?? null,
   update.changing,
   update.failing,
+  update.crashes,
 ];
 
 /** Encodes an update; fields are positional because updates are sent many times a second. */
@@ -106,6 +110,31 @@
 const isTextList = (value: unknown): value is readonly string[] =>
   Array.isArray(value) && value.every((item) => typeof item === 'string');
 
+const isIncident = (value: unknown): value is readonly [string, number] =>
+  Array.isArray(value) &&
+  value.length === 2 &&
+  typeof value[0] === 'string' &&
+  Number.isFinite(value[1]);
+
+const crashRowStates: ReadonlySet<unknown> = new Set<CrashRow[3]>([
+  'suspect',
+  'blocked',
+  'survived',
+]);
+
+const isCrashRows = (value: unknown): value is readonly CrashRow[] =>
+  Array.isArray(value) &&
+  value.every(
+    (row) =>
+      Array.isArray(row) &&
+      row.length === 4 &&
+      typeof row[0] === 'string' &&
+      Array.isArray(row[1]) &&
+      row[1].every(isIncident) &&
+      Number.isFinite(row[2]) &&
+      crashRowStates.has(row[3]),
+  );
+
 const isLoadRows = (value: unknown): value is LoadRows =>
   isRecord(value) &&
   Object.values(value).every(
@@ -168,12 +197,14 @@
     serverChanges,
     changing,
     failing,
+    crashes,
   ] = row;
   if (typeof incarnation !== 'string') return undefined;
   if (![sequence, config, servers, flags].every((n) => Number.isFinite(n))) return undefined;
   if (!isLoadRows(loads) || !isNumberRecord(admitted) || !isNumberRecord(waiting)) return undefined;
   if (serverChanges !== null && !isServerChanges(serverChanges)) return undefined;
   if (!isTextList(changing) || !isTextList(failing)) return undefined;
+  if (!isCrashRows(crashes)) return undefined;
   return {
     incarnation,
     sequence: Number(sequence),
@@ -187,6 +218,7 @@
     serverChanges: serverChanges ?? undefined,
     changing,
     failing,
+    crashes,
   };
 };
 
--- a/packages/router/src/peer-outbox.test.ts
+++ b/packages/router/src/peer-outbox.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import type { StoreEntry } from '@hemlocksill/types/ports.js';
+import type { CrashRow } from '@hemlocksill/routing/crash-rows.js';
 import { decodeMessage, type PeerMessage, type StoreRole } from './gossip-message.js';
 import { sleep } from './sleep.js';
 import { makePeerOutbox } from './peer-outbox.js';
@@ -10,7 +11,11 @@
 const addresses = Array.from({ length: 40 }, (_, n) => `10.0.${n % 4}.${n}:80`);
 
 /** An outbox of a VM in data centre 0 of four, with 40 other VMs. */
-const makeOutbox = (role: StoreRole = 'watcher', heartbeatMs = 60_000) => {
+const makeOutbox = (
+  role: StoreRole = 'watcher',
+  heartbeatMs = 60_000,
+  crashes: readonly CrashRow[] = [],
+) => {
   const sentMessages: { address: string; decoded: PeerMessage }[] = [];
   const entries: StoreEntry[] = [{ key: 's/1', value: 'a', revision: 5 }];
   const admitted: Record<string, number> = { forge: 10 };
@@ -48,6 +53,7 @@
       waiting: {},
       changing: [],
       failing: [],
+      crashes,
     }),
     getQuotaLevels: () => ({ forge: [5, 7] }),
     now: () => performance.now(),
@@ -75,6 +81,19 @@
   );
 });
 
+test('a crash goes to all VMs at once; earlier ones are part of full messages only', async (t) => {
+  const recent: CrashRow = ['9c4', [['i-1@17', 20]], 20, 'suspect'];
+  const earlier: CrashRow = ['b7', [['i-2@17', 90_000]], 20, 'blocked'];
+  const { outbox, takeSentMessages } = makeOutbox('watcher', 60_000, [recent, earlier]);
+  outbox.sendFullToAll();
+  const [full] = await takeSentMessages();
+  t.like(full?.decoded, { kind: 'full', message: { crashes: [recent, earlier] } });
+  outbox.notifyChange({ kind: 'crash' });
+  const sent = await takeSentMessages();
+  t.is(sent.length, 40);
+  t.like(sent[0]?.decoded, { kind: 'update', update: { crashes: [recent] } });
+});
+
 test('forty new peers get one full message each, not a full message to all VMs for each of them', async (t) => {
   const { outbox, takeSentMessages } = makeOutbox();
   outbox.sendFullToAll();
--- a/packages/router/src/peer-outbox.ts
+++ b/packages/router/src/peer-outbox.ts
@@ -5,6 +5,7 @@
   type Recipients,
   type FleetChange,
 } from '@hemlocksill/routing/choose-recipients.js';
+import { isRecentCrashRow } from '@hemlocksill/routing/crash-rows.js';
 import type { AdmittedTotals, QuotaLevels } from '@hemlocksill/routing/fleet-quota.js';
 import {
   encodeFullMessage,
@@ -45,7 +46,7 @@
   readonly sendDatagram: (bytes: Buffer, address: string) => void;
   readonly getLocalLoad: () => Pick<
     LoadUpdate,
-    'loads' | 'admitted' | 'waiting' | 'changing' | 'failing'
+    'loads' | 'admitted' | 'waiting' | 'changing' | 'failing' | 'crashes'
   >;
   readonly getQuotaLevels: (now: number) => QuotaLevels | undefined;
   readonly now: () => number;
@@ -147,7 +148,11 @@
   };
 
   const sendUpdate = (update: LoadUpdate): void => {
-    const bytes = encodeUpdate({ ...update, admitted: selectChangedTotals(update.admitted) });
+    const bytes = encodeUpdate({
+      ...update,
+      admitted: selectChangedTotals(update.admitted),
+      crashes: update.crashes.filter(isRecentCrashRow),
+    });
     selectAddresses().forEach((address) => {
       if (!newAddresses.has(address)) deps.sendDatagram(bytes, address);
     });
--- a/packages/router/src/peers-controller.ts
+++ b/packages/router/src/peers-controller.ts
@@ -100,7 +100,7 @@
   readonly view: ViewController;
   readonly getLocalLoad: () => Pick<
     LoadUpdate,
-    'loads' | 'admitted' | 'waiting' | 'changing' | 'failing'
+    'loads' | 'admitted' | 'waiting' | 'changing' | 'failing' | 'crashes'
   >;
   readonly getQuotaLevels: (now: number) => QuotaLevels | undefined;
   readonly onQuotaLevels: (levels: QuotaLevels, now: number) => void;
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -10,6 +10,7 @@
   StoreFormat,
 } from '@hemlocksill/types/routing-ports.js';
 import { chooseWatchWaitMs } from '@hemlocksill/routing/choose-watchers.js';
+import { makeCrashSuspects } from '@hemlocksill/routing/crash-suspects.js';
 import { makeEngineLedger } from '@hemlocksill/routing/engine-ledger.js';
 import { makeEngineRates } from '@hemlocksill/routing/engine-rates.js';
 import { makeFleetQuota } from '@hemlocksill/routing/fleet-quota.js';
@@ -21,6 +22,7 @@
 import { makeStreamQueue } from '@hemlocksill/routing/stream-queue.js';
 import type { LogRouterEvent } from './events.js';
 import { makeCallHandler } from './handle-call.js';
+import { logBlockChange } from './crash-watch.js';
 import { sleep } from './sleep.js';
 import { makePeersController } from './peers-controller.js';
 import { servePeerViews } from './peer-views.js';
@@ -109,6 +111,7 @@
   const streamTiming = makeStreamTiming();
   const changingEngines = makeChangingEngines();
   const failingEngines = makeFailingEngines();
+  const crashSuspects = makeCrashSuspects((change) => logBlockChange(log, change));
   const retryBudgets = new Map<string, RetryBudget>();
   let isShuttingDown = false;
   let isRefusing = false;
@@ -168,6 +171,7 @@
       waiting: sumWaitingTokens(),
       changing: stages.listChanging(),
       failing: failingEngines.list(now()),
+      crashes: crashSuspects.listForPeers(now()),
     }),
     getQuotaLevels: quota.getLevels,
     onQuotaLevels: quota.adoptLevels,
@@ -176,6 +180,7 @@
       quota.recordPeerTotals(update.incarnation, update.admitted, isOlder, nowMs);
       changingEngines.recordPeer(update.incarnation, update.changing, nowMs);
       update.failing.forEach((engine) => health.recordPeerFailure(engine, nowMs));
+      if (crashSuspects.recordPeer(update.crashes, nowMs)) peers.notifyChange({ kind: 'crash' });
       if (queue.size() > 0) queue.process(nowMs);
     },
     onPeerRemoved: (removedIncarnation) => {
@@ -331,6 +336,7 @@
     detectClockJump(nowMs);
     peers.tick(nowMs);
     stages.tick(nowMs);
+    if (crashSuspects.tick(nowMs)) peers.notifyChange({ kind: 'crash' });
     quota.setReachableShare(peers.getReachableShare());
     if (queue.size() > 0) queue.process(nowMs);
     if (isReady() && !hasLoggedReady) {
--- a/packages/routing/src/choose-recipients.test.ts
+++ b/packages/routing/src/choose-recipients.test.ts
@@ -17,6 +17,7 @@
   t.deepEqual(chooseRecipients({ kind: 'view', isWatcher: false }, 'a', 90), 'few');
   t.deepEqual(chooseRecipients({ kind: 'config', isWatcher: false }, 'a', 90), new Set(['a']));
   t.is(chooseRecipients({ kind: 'stage' }, 'a', 90), 'fleet');
+  t.is(chooseRecipients({ kind: 'crash' }, 'a', 90), 'fleet');
 });
 
 test('merged recipients include the recipients of each change', (t) => {
--- a/packages/routing/src/choose-recipients.ts
+++ b/packages/routing/src/choose-recipients.ts
@@ -14,6 +14,8 @@
   | { readonly kind: 'stage' }
   /** A prefill engine failed in a way that other VMs would meet, too. */
   | { readonly kind: 'failing' }
+  /** An engine crashed on a prompt, or survived one that is suspected or blocked. */
+  | { readonly kind: 'crash' }
   /** The list of backend servers changed, or whether the store can be reached. */
   | { readonly kind: 'view'; readonly isWatcher: boolean }
   | { readonly kind: 'config'; readonly isWatcher: boolean };
