--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -29,6 +29,7 @@
 import type { RunDeps } from './run-deps.js';
 import { runPlain } from './run-plain.js';
 import { runStream } from './run-stream.js';
+import { makeCrashWatch } from './crash-watch.js';
 import { makeChangingEngines } from './changing-engines.js';
 import { makeFailingEngines } from './failing-engines.js';
 import { makeEngineStages } from './engine-stages.js';
@@ -109,6 +110,12 @@
   const streamTiming = makeStreamTiming();
   const changingEngines = makeChangingEngines();
   const failingEngines = makeFailingEngines();
+  const crashWatch = makeCrashWatch({
+    log,
+    metrics,
+    notifyPeers: () => peers.notifyChange({ kind: 'crash' }),
+    now,
+  });
   const retryBudgets = new Map<string, RetryBudget>();
   let isShuttingDown = false;
   let isRefusing = false;
@@ -168,6 +175,7 @@
       waiting: sumWaitingTokens(),
       changing: stages.listChanging(),
       failing: failingEngines.list(now()),
+      crashes: crashWatch.listForPeers(),
     }),
     getQuotaLevels: quota.getLevels,
     onQuotaLevels: quota.adoptLevels,
@@ -176,6 +184,7 @@
       quota.recordPeerTotals(update.incarnation, update.admitted, isOlder, nowMs);
       changingEngines.recordPeer(update.incarnation, update.changing, nowMs);
       update.failing.forEach((engine) => health.recordPeerFailure(engine, nowMs));
+      crashWatch.recordPeer(update.crashes);
       if (queue.size() > 0) queue.process(nowMs);
     },
     onPeerRemoved: (removedIncarnation) => {
@@ -264,6 +273,7 @@
       peers.notifyChange({ kind: 'load', dataCentre: server.dataCentre });
       if (queue.size() > 0) setImmediate(() => queue.process(now()));
     },
+    crashWatch,
     log,
     metrics,
     now,
@@ -283,6 +293,7 @@
       hooks: { log, metrics, random: Math.random, now, isShuttingDown: () => isShuttingDown },
       acceptsRequests: () => !isRefusing,
       recordRequest: (service) => getRetryBudget(service).recordRequest(now()),
+      crashWatch,
       notifyLowBucket: () => peers.notifyChange({ kind: 'low-rate' }),
       runPlain: (ctx, responder) => runPlain(plainDeps, ctx, responder),
       runStream: (ctx, responder) => runStream(runDeps, ctx, responder),
@@ -332,6 +343,7 @@
     detectClockJump(nowMs);
     peers.tick(nowMs);
     stages.tick(nowMs);
+    crashWatch.tick();
     quota.setReachableShare(peers.getReachableShare());
     if (queue.size() > 0) queue.process(nowMs);
     if (isReady() && !hasLoggedReady) {
