A broken response without framing is reset, not closed in order

Callers of a stream whose engine sent neither a length nor chunks saw a regular end when the stream was reset, ended inside an event or outlasted its deadline: the router closed their connection with a FIN, which is how such a response ends when it is whole. The same held for callers of HTTP/1.0, whose responses can't be chunked.

The responder now knows whether the caller can recognize a truncated response; if not, breaking it off resets the connection. Framed responses are still closed in order, so that events on their way are not discarded.

What the router received was ruled out: the backend client reported each of these as a fault.

--- a/packages/router/src/call-context.ts
+++ b/packages/router/src/call-context.ts
@@ -63,7 +63,7 @@
     reason: string,
     inputs?: Readonly<Record<string, unknown>>,
   ) => void;
-  /** Responds that the outcome is unknown, or destroys the connection if the head was sent. */
+  /** Responds that the outcome is unknown, or breaks the response off if its head was sent. */
   readonly fail: (status: 502 | 504, reason: string) => void;
   /** Registers a callback that runs if the client disconnects before the response ends. */
   readonly onDisconnect: (callback: () => void) => void;
@@ -111,6 +111,8 @@
   let firstMs: number | undefined;
   /** Number of chunks of the response that were forwarded. */
   let writes = 0;
+  /** Whether the caller recognizes a truncated response, by its length or by its chunks. */
+  let isFramed = true;
 
   const recordEnd = (outcome: RequestOutcome, fields: Readonly<Record<string, unknown>>): void => {
     if (isEnded) return;
@@ -153,6 +155,13 @@
     } else if (length !== undefined && !hasLength) headers.push('content-length', String(length));
     if (hooks.isShuttingDown()) headers.push('connection', 'close');
     res.writeHead(head.status, headers);
+    isFramed = res.chunkedEncoding || (head.isFramed && (hasLength || length !== undefined));
+  };
+
+  /** Closes the connection of a response that was begun, so that it does not look complete. */
+  const breakOff = (): void => {
+    if (isFramed) res.destroy();
+    else res.socket?.resetAndDestroy();
   };
 
   return {
@@ -185,7 +194,7 @@
     fail: (status, reason) => {
       if (isEnded) return;
       recordEnd('failed', { status, reason, hadHead: res.headersSent });
-      if (res.headersSent) res.destroy();
+      if (res.headersSent) breakOff();
       else sendRouterResponse(res, status, reason, 'outcome-unknown', {});
     },
     onDisconnect: (callback) => {
