Streams are forwarded in chunks, also those that come without framing

Callers of an unframed stream saw a whole response when the VM was killed or its grace period ran out: the kernel closes the connection in order, and since only whole events are passed on, nothing in the body tells either. The bytes of the body are unchanged, and the caller's connection can be kept.

Ruled out: leaving the framing as it came and resetting at the end of the grace period, which a killed process can't do. Plain responses without framing stay so: they are sent at once, and a backend server that dies while it writes one ends it in order, which must not become a complete response.

--- a/packages/router/src/call-context.ts
+++ b/packages/router/src/call-context.ts
@@ -147,15 +147,18 @@
     metrics.firstByteMs.observe({ kind: route.kind }, firstMs);
     const headers = head.headers.flatMap(([name, value]) => [name, value]);
     const hasLength = head.headers.some(([name]) => name === 'content-length');
-    if (!head.isFramed) {
-      // A response that ends when its connection closes may be truncated. It is forwarded in the
-      // same way: with a length or chunked encoding it would look complete to the caller.
+    if (length === undefined) {
+      // The response is sent in pieces, in chunks unless it has a length. Without chunks, it would
+      // look complete if this VM were lost between two events.
+    } else if (!head.isFramed) {
+      // A backend server that dies may have truncated the response unnoticed. It is forwarded in the
+      // same way: with a length it would look complete to the caller.
       res.useChunkedEncodingByDefault = false;
       res.shouldKeepAlive = false;
-    } else if (length !== undefined && !hasLength) headers.push('content-length', String(length));
+    } else if (!hasLength) headers.push('content-length', String(length));
     if (hooks.isShuttingDown()) headers.push('connection', 'close');
     res.writeHead(head.status, headers);
-    isFramed = res.chunkedEncoding || (head.isFramed && (hasLength || length !== undefined));
+    isFramed = res.chunkedEncoding || hasLength || (head.isFramed && length !== undefined);
   };
 
   /** Closes the connection of a response that was begun, so that it does not look complete. */
