A response that has no body is complete without a length

Callers got 502 for each HEAD request, and for each 204 or 304, whose backend server sent no length and kept its connection: the client took the response for one that ends with its connection, and that had not ended. A request that must not be repeated had run; one that may be was sent once more in vain.

The method and the status now decide whether a body can follow. Such a response is forwarded without the Content-Length of 0 that the router added to responses without one, which a 204 must not have and which would be wrong for HEAD and 304.

--- a/packages/router/src/call-context.ts
+++ b/packages/router/src/call-context.ts
@@ -147,7 +147,9 @@
     metrics.firstByteMs.observe({ kind: route.kind }, firstMs);
     const headers = head.headers.flatMap(([name, value]) => [name, value]);
     const hasLength = head.headers.some(([name]) => name === 'content-length');
-    if (length === undefined) {
+    if (!head.hasBody) {
+      // The response ends with its head; a length would be that of a body which it does not have.
+    } else if (length === undefined) {
       // The response is sent in pieces, in chunks unless it has a length. Without chunks, it would
       // look complete if this VM were lost between two events.
     } else if (!head.isFramed) {
--- a/packages/types/src/routing-ports.ts
+++ b/packages/types/src/routing-ports.ts
@@ -15,6 +15,8 @@
 export interface ResponseHead {
   readonly status: number;
   readonly headers: readonly (readonly [string, string])[];
+  /** False if the status or the method of the request allows no body. */
+  readonly hasBody: boolean;
   /** Whether the body has a length or is chunked; otherwise it ends when the connection closes. */
   readonly isFramed: boolean;
 }
