A stream is forwarded without its engine's Content-Length

Callers of a stream whose engine sent a length, and that was resumed elsewhere after a break, got a body of another length than the head states: bytes that belong to no response, or a kept connection on which the next response is read as the rest of this one.

Streams are always forwarded in chunks, since the router withholds events that are not whole and may join the runs of two engines. HEAD and the statuses without a body keep the stated length.

--- a/packages/router/src/call-context.ts
+++ b/packages/router/src/call-context.ts
@@ -142,25 +142,29 @@
   // A connection reset also emits `close`, which is handled above.
   res.on('error', () => {});
 
+  const isLength = ([name]: readonly [string, string]): boolean => name === 'content-length';
+
+  /**
+   * Sends the head of a response whose body has this length, or follows in pieces. Node sends pieces
+   * in chunks: without them, a stream would look complete if this VM were lost between two events.
+   */
   const writeHead = (head: ResponseHead, length?: number): void => {
     firstMs = Math.round(hooks.now() - ctx.arrivedAt);
     metrics.firstByteMs.observe({ kind: route.kind }, firstMs);
-    const headers = head.headers.flatMap(([name, value]) => [name, value]);
-    const hasLength = head.headers.some(([name]) => name === 'content-length');
-    if (!head.hasBody) {
-      // The response ends with its head; a length would be that of a body which it does not have.
-    } else if (length === undefined) {
-      // The response is sent in pieces, in chunks unless it has a length. Without chunks, it would
-      // look complete if this VM were lost between two events.
-    } else if (!head.isFramed) {
-      // A backend server that dies may have truncated the response unnoticed. It is forwarded in the
-      // same way: with a length it would look complete to the caller.
-      res.useChunkedEncodingByDefault = false;
-      res.shouldKeepAlive = false;
-    } else if (!hasLength) headers.push('content-length', String(length));
-    if (hooks.isShuttingDown()) headers.push('connection', 'close');
-    res.writeHead(head.status, headers);
-    isFramed = res.chunkedEncoding || hasLength || (head.isFramed && length !== undefined);
+    // Another engine may go on with a stream, which then has another length.
+    const isStream = head.hasBody && length === undefined && head.status < 300;
+    const headers = head.headers.filter((header) => !isStream || !isLength(header));
+    if (head.hasBody && length !== undefined) {
+      if (!head.isFramed) {
+        // A backend server that dies may have truncated the response unnoticed. It is forwarded in
+        // the same way: with a length it would look complete to the caller.
+        res.useChunkedEncodingByDefault = false;
+        res.shouldKeepAlive = false;
+      } else if (!headers.some(isLength)) headers.push(['content-length', String(length)]);
+    }
+    if (hooks.isShuttingDown()) headers.push(['connection', 'close']);
+    res.writeHead(head.status, headers.flat());
+    isFramed = res.chunkedEncoding || headers.some(isLength);
   };
 
   /** Closes the connection of a response that was begun, so that it does not look complete. */
