At the end of the grace period, open requests are answered or reset

Callers whose request was read whole but not answered when the grace period of their VM ran out saw their connection close; a response without framing (to a caller of HTTP/1.0, or one not yet flushed) looked complete, since the kernel closes the connections of a process in order.

The responder now keeps the timer of each request and calls the run's own handler also when the VM stops: 503 if nothing was sent to a backend server, else 502, or the response is broken off. A tenth of a second is left to send that.

--- a/packages/router/src/call-context.ts
+++ b/packages/router/src/call-context.ts
@@ -67,8 +67,16 @@
   readonly fail: (status: 502 | 504, reason: string) => void;
   /** Registers a callback that runs if the client disconnects before the response ends. */
   readonly onDisconnect: (callback: () => void) => void;
+  /** Registers the callback that abandons the request: at its timeout, or when the VM stops. */
+  readonly onAbandon: (callback: AbandonRequest) => void;
 }
 
+/** Ends a request for which there is no more time, with this status if it may have run. */
+export type AbandonRequest = (
+  status: 502 | 504,
+  when: 'before the timeout' | 'before the VM stopped',
+) => void;
+
 /** Dependencies of a responder. */
 export interface ResponderHooks {
   readonly log: LogRouterEvent;
@@ -77,6 +85,8 @@
   readonly now: () => number;
   /** Whether connections must be closed after their response. */
   readonly isShuttingDown: () => boolean;
+  /** Callbacks that abandon the responses in progress, for the end of the grace period. */
+  readonly abandonAtStop: Set<() => void>;
 }
 
 /** Sends an error response that the router itself produced. */
@@ -209,5 +219,22 @@
     onDisconnect: (callback) => {
       disconnectCallbacks.push(callback);
     },
+    onAbandon: (callback) => {
+      const timer = setTimeout(
+        () => {
+          if (!isEnded) callback(504, 'before the timeout');
+        },
+        Math.max(0, ctx.timeoutAt - hooks.now()),
+      );
+      const abandonAtStop = (): void => {
+        if (!isEnded) callback(502, 'before the VM stopped');
+        else breakOff();
+      };
+      hooks.abandonAtStop.add(abandonAtStop);
+      res.on('close', () => {
+        clearTimeout(timer);
+        hooks.abandonAtStop.delete(abandonAtStop);
+      });
+    },
   };
 };
--- a/packages/router/src/run-plain.ts
+++ b/packages/router/src/run-plain.ts
@@ -185,16 +185,12 @@
     timers.push(setTimeout(retrySlowAttempt, route.targetLatencyMs * slowResponseLatencyFactor));
   };
 
-  const timeout = setTimeout(
-    () => {
-      const wasSent = sends > 0;
-      stopAttempt();
-      if (wasSent) responder.fail(504, 'no answer before the timeout');
-      else responder.refuse(503, noServerRetryAfterMs, 'no backend server before the timeout');
-    },
-    Math.max(0, ctx.timeoutAt - deps.now()),
-  );
-  ctx.res.on('close', () => clearTimeout(timeout));
+  responder.onAbandon((status, when) => {
+    const wasSent = sends > 0;
+    stopAttempt();
+    if (wasSent) responder.fail(status, `no answer ${when}`);
+    else responder.refuse(503, noServerRetryAfterMs, `no backend server ${when}`);
+  });
   responder.onDisconnect(stopAttempt);
   sendAttempt();
 };
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -630,18 +630,13 @@
     placeOrQueue(resumeBy, 0);
   };
 
-  const timeout = setTimeout(
-    () => {
-      const wasSent = decodeAttempts > 0;
-      cancelAttempt();
-      deps.queue.remove(id);
-      if (wasSent || responder.hasSentHead())
-        responder.fail(504, 'no whole answer before the timeout');
-      else responder.refuse(503, noEngineRetryAfterMs, 'no engine before the timeout');
-    },
-    Math.max(0, getRemainingMs()),
-  );
-  ctx.res.on('close', () => clearTimeout(timeout));
+  responder.onAbandon((status, when) => {
+    const wasSent = decodeAttempts > 0;
+    cancelAttempt();
+    deps.queue.remove(id);
+    if (wasSent || responder.hasSentHead()) responder.fail(status, `no whole answer ${when}`);
+    else responder.refuse(503, noEngineRetryAfterMs, `no engine ${when}`);
+  });
   responder.onDisconnect(() => {
     deps.queue.remove(id);
     cancelAttempt();
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -57,6 +57,9 @@
 /** Part of the grace period that remains after open requests are abandoned, to close the router. */
 const graceReserveMs = 400;
 
+/** Time for which the responses of abandoned requests are sent. */
+const abandonedFlushMs = 100;
+
 /**
  * Minimum jump of the wall clock, relative to the monotonic clock, that is logged: the process was
  * suspended or the clock was set.
@@ -117,6 +120,7 @@
     now,
   });
   const retryBudgets = new Map<string, RetryBudget>();
+  const abandonAtStop = new Set<() => void>();
   let isShuttingDown = false;
   let isRefusing = false;
   let hasLoggedReady = false;
@@ -290,7 +294,14 @@
       getTable: view.getTable,
       readMetadata: ports.readMetadata,
       quota,
-      hooks: { log, metrics, random: Math.random, now, isShuttingDown: () => isShuttingDown },
+      hooks: {
+        log,
+        metrics,
+        random: Math.random,
+        now,
+        isShuttingDown: () => isShuttingDown,
+        abandonAtStop,
+      },
       acceptsRequests: () => !isRefusing,
       recordRequest: (service) => getRetryBudget(service).recordRequest(now()),
       crashWatch,
@@ -367,6 +378,10 @@
       const closed = closeServer(callerServer);
       callerServer.closeIdleConnections();
       await Promise.race([closed, sleep(Math.max(0, shutdownDeadline - now()))]);
+      if (abandonAtStop.size > 0) {
+        abandonAtStop.forEach((abandon) => abandon());
+        await Promise.race([closed, sleep(abandonedFlushMs)]);
+      }
       log(2004, {});
       clearInterval(tick);
       view.stop();
