A pipelined request waits for the responses before it

A caller that sends requests one behind the other lost answers to requests that had run: a response without framing, or with Connection: close in a shutdown, ends the connection, while the requests behind it were already at backend servers. And when such a caller left, those requests ran on: Node emits no close for a response that has not got its connection yet.

Each request of a connection now starts when the response before it has ended; its body is read meanwhile, so that the end of the connection is noticed. If the connection closes first, the request is not run, which is logged. In a shutdown the connection is closed behind the last request read, not the first that ends.

Two of the three tests failed before: the second request had run unanswered, and a request was not aborted after its caller had left. That all are answered in order passed before and after.

--- a/packages/router/src/handle-call.ts
+++ b/packages/router/src/handle-call.ts
@@ -10,6 +10,7 @@
 import type { FleetQuota } from '@hemlocksill/routing/fleet-quota.js';
 import { chooseService, type RouteTable } from '@hemlocksill/routing/route-table.js';
 import { blockedReason, blockedRetryAfterMs, type CrashWatch } from './crash-watch.js';
+import { makeRequestOrder } from './request-order.js';
 import {
   makeResponder,
   sendRouterResponse,
@@ -271,23 +272,27 @@
  * @example
  * createServer(makeCallHandler(deps));
  */
-export const makeCallHandler =
-  (deps: CallDeps) =>
-  (req: IncomingMessage, res: ServerResponse): void => {
+export const makeCallHandler = (deps: CallDeps) => {
+  const order = makeRequestOrder();
+  return (req: IncomingMessage, res: ServerResponse): void => {
     const arrivedAt = deps.hooks.now();
     // No response can be sent any more; the caller may repeat a request that was not run.
-    if (!req.socket.writable) {
+    const drop = (): void => {
       deps.hooks.log(2308, {
         reason: 'the connection was ended before',
         method: req.method,
         port: req.socket.remotePort,
       });
       req.socket.destroy();
+    };
+    if (!req.socket.writable) {
+      drop();
       return;
     }
+    const awaitTurn = order.add(req, res);
     res.on('finish', () => {
       // A head sent before the shutdown carries no `connection: close`.
-      if (deps.hooks.isShuttingDown()) req.socket.end();
+      if (deps.hooks.isShuttingDown() && order.isLast(req, res)) req.socket.end();
     });
     const state = runFilters(deps, req);
     if (state.isErr()) {
@@ -296,7 +301,8 @@
       return;
     }
     readBody(req, state.value.table.config.limits.maxBodyBytes, (body) => {
-      if (body) startRun(deps, req, res, state.value, body, arrivedAt);
+      if (body) awaitTurn(() => startRun(deps, req, res, state.value, body, arrivedAt), drop);
       else reject(deps, req, res, { status: 413, reason: 'the body is too large' });
     });
   };
+};
