--- a/packages/router/src/call-context.ts
+++ b/packages/router/src/call-context.ts
@@ -63,12 +63,20 @@
     reason: string,
     inputs?: Readonly<Record<string, unknown>>,
   ) => void;
-  /** Responds that the outcome is unknown, or destroys the connection if the head was sent. */
+  /** Responds that the outcome is unknown, or breaks the response off if its head was sent. */
   readonly fail: (status: 502 | 504, reason: string) => void;
   /** Registers a callback that runs if the client disconnects before the response ends. */
   readonly onDisconnect: (callback: () => void) => void;
+  /** Registers the callback that abandons the request: at its timeout, or when the VM stops. */
+  readonly onAbandon: (callback: AbandonRequest) => void;
 }
 
+/** Ends a request for which there is no more time, with this status if it may have run. */
+export type AbandonRequest = (
+  status: 502 | 504,
+  when: 'before the timeout' | 'before the VM stopped',
+) => void;
+
 /** Dependencies of a responder. */
 export interface ResponderHooks {
   readonly log: LogRouterEvent;
@@ -77,6 +85,8 @@
   readonly now: () => number;
   /** Whether connections must be closed after their response. */
   readonly isShuttingDown: () => boolean;
+  /** Callbacks that abandon the responses in progress, for the end of the grace period. */
+  readonly abandonAtStop: Set<() => void>;
 }
 
 /** Sends an error response that the router itself produced. */
@@ -111,6 +121,8 @@
   let firstMs: number | undefined;
   /** Number of chunks of the response that were forwarded. */
   let writes = 0;
+  /** Whether the caller recognizes a truncated response, by its length or by its chunks. */
+  let isFramed = true;
 
   const recordEnd = (outcome: RequestOutcome, fields: Readonly<Record<string, unknown>>): void => {
     if (isEnded) return;
@@ -140,19 +152,35 @@
   // A connection reset also emits `close`, which is handled above.
   res.on('error', () => {});
 
+  const isLength = ([name]: readonly [string, string]): boolean => name === 'content-length';
+
+  /**
+   * Sends the head of a response whose body has this length, or follows in pieces. Node sends pieces
+   * in chunks: without them, a stream would look complete if this VM were lost between two events.
+   */
   const writeHead = (head: ResponseHead, length?: number): void => {
     firstMs = Math.round(hooks.now() - ctx.arrivedAt);
     metrics.firstByteMs.observe({ kind: route.kind }, firstMs);
-    const headers = head.headers.flatMap(([name, value]) => [name, value]);
-    const hasLength = head.headers.some(([name]) => name === 'content-length');
-    if (!head.isFramed) {
-      // A response that ends when its connection closes may be truncated. It is forwarded in the
-      // same way: with a length or chunked encoding it would look complete to the caller.
-      res.useChunkedEncodingByDefault = false;
-      res.shouldKeepAlive = false;
-    } else if (length !== undefined && !hasLength) headers.push('content-length', String(length));
-    if (hooks.isShuttingDown()) headers.push('connection', 'close');
-    res.writeHead(head.status, headers);
+    // Another engine may go on with a stream, which then has another length.
+    const isStream = head.hasBody && length === undefined && head.status < 300;
+    const headers = head.headers.filter((header) => !isStream || !isLength(header));
+    if (head.hasBody && length !== undefined) {
+      if (!head.isFramed) {
+        // A backend server that dies may have truncated the response unnoticed. It is forwarded in
+        // the same way: with a length it would look complete to the caller.
+        res.useChunkedEncodingByDefault = false;
+        res.shouldKeepAlive = false;
+      } else if (!headers.some(isLength)) headers.push(['content-length', String(length)]);
+    }
+    if (hooks.isShuttingDown()) headers.push(['connection', 'close']);
+    res.writeHead(head.status, headers.flat());
+    isFramed = res.chunkedEncoding || headers.some(isLength);
+  };
+
+  /** Closes the connection of a response that was begun, so that it does not look complete. */
+  const breakOff = (): void => {
+    if (isFramed) res.destroy();
+    else res.socket?.resetAndDestroy();
   };
 
   return {
@@ -185,11 +213,28 @@
     fail: (status, reason) => {
       if (isEnded) return;
       recordEnd('failed', { status, reason, hadHead: res.headersSent });
-      if (res.headersSent) res.destroy();
+      if (res.headersSent) breakOff();
       else sendRouterResponse(res, status, reason, 'outcome-unknown', {});
     },
     onDisconnect: (callback) => {
       disconnectCallbacks.push(callback);
     },
+    onAbandon: (callback) => {
+      const timer = setTimeout(
+        () => {
+          if (!isEnded) callback(504, 'before the timeout');
+        },
+        Math.max(0, ctx.timeoutAt - hooks.now()),
+      );
+      const abandonAtStop = (): void => {
+        if (!isEnded) callback(502, 'before the VM stopped');
+        else breakOff();
+      };
+      hooks.abandonAtStop.add(abandonAtStop);
+      res.on('close', () => {
+        clearTimeout(timer);
+        hooks.abandonAtStop.delete(abandonAtStop);
+      });
+    },
   };
 };
