Soak: a sound backend server falls silent for a while and goes on

The soak had no such fault: its proxy loses the bytes of a silent connection, and that excuses violations.

Change: new fault `server-silent`, in version 2 of the schedule. The stand-in sends nothing for 0.6 to 2.5 s, on streams, plain responses, rejections, reservations, prefills, reports and orders, then goes on with all of them. The silence is in the stand-in and not in the proxy, since a proxy would let the engine run on and deliver a burst of events afterwards. No span is recorded: the server is sound, and the silence excuses nothing.

Changed test: all of 11 kinds occur, instead of 10.

--- a/packages/soak/src/generate-faults.test.ts
+++ b/packages/soak/src/generate-faults.test.ts
@@ -28,7 +28,7 @@
 
 test('the schedules of many seeds contain every kind of fault, and faults overlap', (t) => {
   const schedules = Array.from({ length: 30 }, (_, seed) => generateFaults(seed, options));
-  t.is(new Set(schedules.flat().map(({ kind }) => kind)).size, 10);
+  t.is(new Set(schedules.flat().map(({ kind }) => kind)).size, 11);
   const overlaps = schedules.map((schedule) =>
     schedule.some(
       (fault, n) => n > 0 && (schedule[n - 1]?.at ?? 0) + (schedule[n - 1]?.forMs ?? 0) > fault.at,
@@ -36,3 +36,10 @@
   );
   t.true(overlaps.every(Boolean));
 });
+
+test('a server is silent for 0.6 to 2.5 s', (t) => {
+  const faults = Array.from({ length: 30 }, (_, seed) => generateFaults(seed, options)).flat();
+  const silences = faults.filter(({ kind }) => kind === 'server-silent');
+  t.true(silences.length > 20);
+  t.true(silences.every(({ forMs }) => forMs >= 600 && forMs <= 2_500));
+});
--- a/packages/soak/src/generate-faults.ts
+++ b/packages/soak/src/generate-faults.ts
@@ -9,6 +9,7 @@
   | { readonly kind: 'server-link'; readonly server: number; readonly mode: ProxyMode }
   | { readonly kind: 'server-leaves'; readonly server: number }
   | { readonly kind: 'server-full'; readonly server: number }
+  | { readonly kind: 'server-silent'; readonly server: number }
   | { readonly kind: 'key-withdrawn' }
   | { readonly kind: 'config-storm' }
 );
@@ -17,12 +18,12 @@
  * Versions of the list from which kinds of faults are drawn. A new kind comes with a new version, since a
  * longer list changes the schedule of every seed.
  */
-export const scheduleVersions = ['v1'] as const;
+export const scheduleVersions = ['v1', 'v2'] as const;
 
 export type ScheduleVersion = (typeof scheduleVersions)[number];
 
 /** Version with all kinds of faults. */
-export const newestScheduleVersion: ScheduleVersion = 'v1';
+export const newestScheduleVersion: ScheduleVersion = 'v2';
 
 /** Options of a fault schedule. */
 export interface FaultGenerationOptions {
@@ -38,6 +39,10 @@
 const minDurationMs = 300;
 const maxDurationMs = 3_500;
 
+/** Bounds of the time for which a sound server is silent. */
+const minSilenceMs = 600;
+const maxSilenceMs = 2_500;
+
 const linkFaultModes: readonly ProxyMode[] = ['delay', 'silent', 'one-way', 'reset'];
 
 type FaultGenerator = (
@@ -94,6 +99,15 @@
 
 const generatorsByVersion: Readonly<Record<ScheduleVersion, readonly FaultGenerator[]>> = {
   v1: firstGenerators,
+  v2: [
+    ...firstGenerators,
+    (at, _, random, options) => ({
+      kind: 'server-silent',
+      at,
+      forMs: random.integer(minSilenceMs, maxSilenceMs),
+      server: pickServer(random, options),
+    }),
+  ],
 };
 
 /**
--- a/packages/soak/src/inject-fault.ts
+++ b/packages/soak/src/inject-fault.ts
@@ -161,6 +161,15 @@
       options.isFull = false;
       return undefined;
     }
+    case 'server-silent': {
+      const { options } = getItem(environment.servers, fault.server).backend;
+      const now = performance.now();
+      // A second silence would make the first longer than a sound server's.
+      if (now < (options.silentUntil ?? 0)) return undefined;
+      options.silentUntil = now + forMs;
+      await sleep(forMs);
+      return undefined;
+    }
     case 'server-leaves':
       return drainServer(environment, getItem(environment.servers, fault.server));
     case 'config-storm':
