Soak: a request ends with a complete response or a refusal

The soak reported a missing answer only after a graceful stop.

Change: new promise `ends-with-answer`. Excused are faults of the request's own VM (a planned stop has its own check), of the connections to servers of its own service, the caller's leaving, and a timeout that was reached. A 401 is an answer for a key that was withdrawn, or added less than the time limit ago. Changes of the configuration, draining, full and silent servers, and store outages excuse nothing. For this the fault spans of servers name their service, and a withdrawn key names its successor; the older checks read them as before.

Changed tests: two records of older tests contain a call that got no answer, a truncated stream and a connection closed at a VM that was not stopped. They were expected to violate nothing; now each violates the new promise, and still not the one that the test is about. New tests contain each violation and each excused case.

--- a/packages/soak/src/check-promises.test.ts
+++ b/packages/soak/src/check-promises.test.ts
@@ -75,7 +75,7 @@
     t.true(listViolatedPromises({ calls: [makeStreamCall(body)] }).includes('own-answer'), body),
   );
   const truncated = makeStreamCall('id: 1\ndata: a e1\n\nid: 2\nda', { isComplete: false });
-  t.deepEqual(listViolatedPromises({ calls: [truncated] }), []);
+  t.deepEqual(listViolatedPromises({ calls: [truncated] }), ['ends-with-answer']);
 });
 
 test('a forwarded key and a run for another workspace are reported', (t) => {
@@ -86,7 +86,12 @@
 });
 
 test('late use of a withdrawn key or of a draining server is reported', (t) => {
-  const withdrawal = { kind: 'key-withdrawn' as const, key: 'k1', at: 6_000 };
+  const withdrawal = {
+    kind: 'key-withdrawn' as const,
+    key: 'k1',
+    successor: 'k2',
+    at: 6_000,
+  };
   t.deepEqual(listViolatedPromises({ changes: [withdrawal] }), ['change-in-force']);
   t.deepEqual(listViolatedPromises({ changes: [{ ...withdrawal, at: 9_000 }] }), []);
   t.deepEqual(
@@ -127,10 +132,80 @@
   t.deepEqual(listViolatedPromises({ calls, stops, vmFaultSpans }), ['graceful-stop']);
   t.deepEqual(
     listViolatedPromises({ calls, stops: [{ ...stops[0], vm: 'vm-2', from: 0, to: 1 }] }),
-    [],
+    ['ends-with-answer'],
   );
 });
 
+const closedCall = makeCall({ status: undefined, body: '', isComplete: false, endedAt: 10_300 });
+
+test('a call without an answer is reported, beside planned changes and store outages, too', (t) => {
+  const truncatedStream = makeStreamCall('id: 1\ndata: a e1\n\n', {
+    isComplete: false,
+    endedAt: 14_000,
+  });
+  const calls = [
+    closedCall,
+    truncatedStream,
+    makeCall({ status: 502, body: '', endedAt: 10_300 }),
+    makeCall({ status: 504, body: '', endedAt: 10_300 }),
+    makeCall({ status: 404, body: '' }),
+    makeCall({ status: 503, body: '', isComplete: false }),
+  ];
+  const changes = [
+    { kind: 'key-withdrawn' as const, key: 'k1', successor: 'k2', at: 9_900 },
+    { kind: 'server-draining' as const, server: 's1', at: 9_900 },
+  ];
+  const storeOutages = [{ from: 9_000, to: 11_000 }];
+  calls.forEach((call) => {
+    const detail = JSON.stringify(call);
+    t.deepEqual(listViolatedPromises({ calls: [call], runs: [] }), ['ends-with-answer'], detail);
+    t.deepEqual(
+      listViolatedPromises({ calls: [call], runs: [], changes, storeOutages }),
+      ['ends-with-answer'],
+      detail,
+    );
+  });
+});
+
+test('a call that ends with a response, a refusal or its timeout, or whose caller left, has its answer', (t) => {
+  const calls = [
+    makeCall({}),
+    makeCall({ status: 429, body: '' }),
+    makeCall({ status: 503, body: '' }),
+    makeCall({ status: 504, body: '', endedAt: 11_000 }),
+    makeCall({ ...closedCall, endedAt: 10_950 }),
+    makeCall({ ...closedCall, disconnectedAt: 10_200 }),
+  ];
+  t.deepEqual(listViolatedPromises({ calls, runs: [] }), []);
+});
+
+test('a rejected key is an answer if it was withdrawn or has just been added', (t) => {
+  const listForKey = (key: string, at: number): string[] =>
+    listViolatedPromises({
+      calls: [makeCall({ key, status: 401, body: '' })],
+      runs: [],
+      changes: [{ kind: 'key-withdrawn', key: 'k1', successor: 'k2', at }],
+    });
+  t.deepEqual(listForKey('k1', 6_000), []);
+  t.deepEqual(listForKey('k2', 9_500), []);
+  t.deepEqual(listForKey('k2', 6_000), ['ends-with-answer']);
+  t.deepEqual(listForKey('k3', 9_500), ['ends-with-answer']);
+});
+
+test('faults of its VM and of the servers of its service excuse a call without an answer, others do not', (t) => {
+  const listWith = (overrides: Partial<SoakRecord>): string[] =>
+    listViolatedPromises({ calls: [closedCall], runs: [], ...overrides });
+  const during = { from: 10_100, to: 10_200 };
+  const before = { from: 9_000, to: 9_900 };
+  t.deepEqual(listWith({ vmFaultSpans: new Map([['vm-1', [during]]]) }), []);
+  t.deepEqual(listWith({ serverFaultSpans: [{ ...during, service: 'desk' }] }), []);
+  const reported = ['ends-with-answer'];
+  t.deepEqual(listWith({ vmFaultSpans: new Map([['vm-2', [during]]]) }), reported);
+  t.deepEqual(listWith({ vmFaultSpans: new Map([['vm-1', [before]]]) }), reported);
+  t.deepEqual(listWith({ serverFaultSpans: [{ ...during, service: 'llm' }] }), reported);
+  t.deepEqual(listWith({ serverFaultSpans: [{ ...before, service: 'desk' }] }), reported);
+});
+
 test('a fleet that does not recover is reported', (t) => {
   const calls = Array.from({ length: 20 }, (_, n) =>
     makeCall({ id: `c${n}`, status: 503, startedAt: 40_000, endedAt: 40_010 }),
--- a/packages/soak/src/check-promises.ts
+++ b/packages/soak/src/check-promises.ts
@@ -1,4 +1,12 @@
-import type { AcknowledgedChange, CallRecord, RunRecord, SoakRecord, Span } from './records.js';
+import type {
+  AcknowledgedChange,
+  CallKind,
+  CallRecord,
+  RunRecord,
+  Service,
+  SoakRecord,
+  Span,
+} from './records.js';
 
 /** Time limits of the guarantees in docs/GUARANTEES.md, in milliseconds. */
 const timeLimits = {
@@ -33,6 +41,7 @@
     | 'change-in-force'
     | 'ends-with-caller'
     | 'final-answer'
+    | 'ends-with-answer'
     | 'graceful-stop'
     | 'recovers';
   readonly detail: string;
@@ -41,6 +50,22 @@
 /** Timeout of a caller by kind of request, in milliseconds. */
 export const callerTimeoutMs = { stream: 6_000, confirm: 2_000, read: 2_000 } as const;
 
+/** Timeout of the stand-in's route by kind of request; each is shorter than the caller's timeout. */
+const routeTimeoutMs: Readonly<Record<CallKind, number>> = {
+  stream: 5_000,
+  confirm: 1_000,
+  read: 1_000,
+};
+
+/** A request that ends this long before its timeout has used its time. */
+const timeoutMarginMs = 100;
+
+const serviceByKind: Readonly<Record<CallKind, Service>> = {
+  stream: 'llm',
+  confirm: 'desk',
+  read: 'desk',
+};
+
 const overlaps = (spans: readonly Span[], from: number, to: number): boolean =>
   spans.some((span) => span.from < to && span.to > from);
 
@@ -172,6 +197,46 @@
       })),
   );
 
+/** Whether a rejected key was withdrawn, or is so new that the VM need not know it yet. */
+const isKeyRejected = (call: CallRecord, record: SoakRecord): boolean =>
+  call.status === 401 &&
+  record.changes.some(
+    (change) =>
+      change.kind === 'key-withdrawn' &&
+      (change.key === call.key ||
+        (change.successor === call.key && !mustApplyChange(call, change, record))),
+  );
+
+const hasAnswer = (call: CallRecord, record: SoakRecord): boolean =>
+  call.isComplete && (call.status === 200 || isRefusal(call) || isKeyRejected(call, record));
+
+/**
+ * A call ends with a complete response or a refusal. Changes of the configuration, withdrawn keys,
+ * draining, full or silent servers and store outages excuse nothing.
+ */
+const checkAnswers = (record: SoakRecord): Violation[] =>
+  record.calls
+    .filter((call) => {
+      // A call that is still open after its timeout violates `final-answer`.
+      if (call.endedAt === undefined || hasAnswer(call, record)) return false;
+      // Nobody waits for the response of a caller that has left.
+      if (call.disconnectedAt !== undefined) return false;
+      // Once its time is up, a call may end without a response.
+      if (call.endedAt - call.startedAt >= routeTimeoutMs[call.kind] - timeoutMarginMs)
+        return false;
+      // A VM that dies takes its connections along; planned stops are checked by checkStops.
+      if (overlaps(record.vmFaultSpans.get(call.vm) ?? [], call.startedAt, call.endedAt))
+        return false;
+      // A backend server whose connections break may have run the request.
+      const service = serviceByKind[call.kind];
+      const faultSpans = record.serverFaultSpans.filter((span) => span.service === service);
+      return !overlaps(faultSpans, call.startedAt, call.endedAt);
+    })
+    .map((call) => ({
+      promise: 'ends-with-answer' as const,
+      detail: `${call.id} at ${call.vm}: ${call.kind} ended after ${Math.round((call.endedAt ?? 0) - call.startedAt)} ms with ${call.status ?? 'a closed connection'}, ${call.isComplete ? 'complete' : 'incomplete'}`,
+    }));
+
 const checkRecovery = (record: SoakRecord): Violation[] => {
   const callsAfterRecovery = record.calls.filter(
     (call) =>
@@ -204,6 +269,7 @@
     ...record.calls.flatMap((call) => checkCall(call, runs.get(call.id) ?? [], record, eventCount)),
     ...checkChanges(record, runs),
     ...checkStops(record),
+    ...checkAnswers(record),
     ...checkRecovery(record),
   ];
 };
--- a/packages/soak/src/inject-fault.ts
+++ b/packages/soak/src/inject-fault.ts
@@ -70,7 +70,12 @@
   environment.version += 1;
   const newKey = `key-${environment.version}`;
   publishConfig(environment.platform.store, environment.version, [newKey]);
-  environment.changes.push({ kind: 'key-withdrawn', key: environment.key, at: environment.now() });
+  environment.changes.push({
+    kind: 'key-withdrawn',
+    key: environment.key,
+    successor: newKey,
+    at: environment.now(),
+  });
   environment.key = newKey;
 };
 
@@ -148,11 +153,9 @@
       return recordAndEndFault(environment, faultSpans, forMs, () => storeProxy.setMode('pass'));
     }
     case 'server-link': {
-      const { proxy } = getItem(environment.servers, fault.server);
+      const { proxy, faultSpans } = getItem(environment.servers, fault.server);
       proxy.setMode(fault.mode);
-      return recordAndEndFault(environment, environment.serverFaultSpans, forMs, () =>
-        proxy.setMode('pass'),
-      );
+      return recordAndEndFault(environment, faultSpans, forMs, () => proxy.setMode('pass'));
     }
     case 'server-full': {
       const { options } = getItem(environment.servers, fault.server).backend;
--- a/packages/soak/src/records.ts
+++ b/packages/soak/src/records.ts
@@ -1,6 +1,9 @@
 /** Kind of a caller's request. */
 export type CallKind = 'stream' | 'confirm' | 'read';
 
+/** Service of the backend servers: engines or plain servers. */
+export type Service = 'llm' | 'desk';
+
 /** A caller's request and its result; times are milliseconds on one monotonic clock. */
 export interface CallRecord {
   readonly id: string;
@@ -35,9 +38,20 @@
   readonly to: number;
 }
 
+/** A time interval in which the connections to a backend server of a service had a fault. */
+export interface ServerFaultSpan extends Span {
+  readonly service: Service;
+}
+
 /** A change that every VM must apply within a bound after the store acknowledged it. */
 export type AcknowledgedChange =
-  | { readonly kind: 'key-withdrawn'; readonly key: string; readonly at: number }
+  | {
+      readonly kind: 'key-withdrawn';
+      readonly key: string;
+      /** Key that the same change added. */
+      readonly successor: string;
+      readonly at: number;
+    }
   | { readonly kind: 'server-draining'; readonly server: string; readonly at: number };
 
 /** Everything that a soak recorded, as input of the checks. */
@@ -50,7 +64,7 @@
   /** Intervals in which a VM was paused, stopped, starting or cut off from the store, by VM. */
   readonly vmFaultSpans: ReadonlyMap<string, readonly Span[]>;
   /** Intervals in which the connections to a backend server had a fault. */
-  readonly serverFaultSpans: readonly Span[];
+  readonly serverFaultSpans: readonly ServerFaultSpan[];
   /** VMs that received SIGTERM, from the signal to the exit of the process. */
   readonly stops: readonly (Span & { readonly vm: string })[];
   readonly endedAt: number;
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -64,7 +64,9 @@
   changes: environment.changes,
   storeOutages: environment.storeOutages,
   vmFaultSpans: new Map(environment.vms.map((vm) => [vm.process.vm, vm.faultSpans])),
-  serverFaultSpans: environment.serverFaultSpans,
+  serverFaultSpans: environment.servers.flatMap(({ service, faultSpans }) =>
+    faultSpans.map((span) => ({ ...span, service })),
+  ),
   stops: environment.stops,
   endedAt: environment.now(),
   faultsEndedAt,
--- a/packages/soak/src/start-environment.ts
+++ b/packages/soak/src/start-environment.ts
@@ -10,7 +10,7 @@
   BackendServerOptions,
   StandInBackendServer,
 } from '@hemlocksill/platform/fakes/stand-in-backend-server.js';
-import type { AcknowledgedChange, RunRecord, Span } from './records.js';
+import type { AcknowledgedChange, RunRecord, Service, Span } from './records.js';
 import { startTcpProxy, type TcpProxy } from './tcp-proxy.js';
 
 /** Number of events in a complete stream. */
@@ -27,9 +27,10 @@
 
 /** A backend server and the proxy in front of it. */
 export interface ProxiedServer {
-  readonly service: string;
+  readonly service: Service;
   readonly backend: StandInBackendServer;
   readonly proxy: TcpProxy;
+  readonly faultSpans: Span[];
   /** Never drained, so that each service and stage keeps at least one server. */
   readonly isPermanent: boolean;
   isLeaving: boolean;
@@ -53,7 +54,6 @@
   key: string;
   readonly changes: AcknowledgedChange[];
   readonly storeOutages: Span[];
-  readonly serverFaultSpans: Span[];
   readonly stops: (Span & { readonly vm: string })[];
   /** Milliseconds since the start of the soak. */
   readonly now: () => number;
@@ -61,7 +61,7 @@
   readonly close: () => Promise<void>;
 }
 
-const serverDefinitions: readonly (readonly [string, BackendServerOptions, boolean])[] = [
+const serverDefinitions: readonly (readonly [Service, BackendServerOptions, boolean])[] = [
   ['llm', { id: 'p1', stage: 'prefill' }, true],
   ['llm', { id: 'p2', stage: 'prefill' }, false],
   ['llm', { id: 'd1', stage: 'decode' }, true],
@@ -88,7 +88,7 @@
       const backend = await platform.addBackendServer(service, fullOptions);
       const proxy = await startTcpProxy(backend.port);
       registerBackendServer(platform.store, service, backend, 'ready', proxy.port);
-      return { service, backend, proxy, isPermanent, isLeaving: false };
+      return { service, backend, proxy, faultSpans: [], isPermanent, isLeaving: false };
     }),
   );
 
@@ -126,7 +126,6 @@
     key,
     changes: [],
     storeOutages: [],
-    serverFaultSpans: [],
     stops: [],
     now: () => performance.now() - startedAt,
     listRuns: () =>
