Soak: half of the seeds play with one server of each service

Cause: with three engines and three plain servers another one nearly always took over, and the loss of the only run of a request stayed hidden.

Change: from version 2 of the schedule on, odd seeds play with one prefill engine, one decode engine and one plain server.

--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -5,9 +5,10 @@
 import { generateFaults, type ScheduleVersion, type SoakFault } from './generate-faults.js';
 import type { CallRecord, SoakRecord } from './records.js';
 import {
-  serverCount,
+  countServers,
   startEnvironment,
   streamEvents,
+  type ServerSet,
   type SoakEnvironment,
 } from './start-environment.js';
 import { injectFault } from './inject-fault.js';
@@ -72,6 +73,10 @@
   faultsEndedAt,
 });
 
+/** From the second version on, odd seeds play with one backend server of each service and stage. */
+const chooseServerSet = (seed: number, version: ScheduleVersion): ServerSet =>
+  version === 'v1' || seed % 2 === 0 ? 'several' : 'single';
+
 /**
  * Runs the fault schedule of a seed against real router processes and checks the guarantees.
  *
@@ -80,8 +85,10 @@
  */
 export const runSoak = async (options: SoakOptions): Promise<SoakResult> => {
   const { seed, version, faultMs, vms } = options;
-  const faults = generateFaults(seed, { version, vms, servers: serverCount, faultMs });
-  const environment = await startEnvironment(vms);
+  const serverSet = chooseServerSet(seed, version);
+  const servers = countServers(serverSet);
+  const faults = generateFaults(seed, { version, vms, servers, faultMs });
+  const environment = await startEnvironment(vms, serverSet);
   const callers = driveCallers(
     {
       vms: environment.vms,
--- a/packages/soak/src/start-environment.ts
+++ b/packages/soak/src/start-environment.ts
@@ -72,12 +72,23 @@
   ['desk', { id: 's3' }, false],
 ];
 
-/** Number of backend servers of a soak. */
-export const serverCount = serverDefinitions.length;
+/** Backend servers of a soak: one of each service and stage, so that none can replace another, or more. */
+export type ServerSet = 'single' | 'several';
 
-const startServers = (platform: StandInPlatform): Promise<ProxiedServer[]> =>
+const listDefinitions = (set: ServerSet) =>
+  serverDefinitions.filter(([, , isPermanent]) => isPermanent || set === 'several');
+
+/**
+ * Returns the number of backend servers of a set.
+ *
+ * @example
+ * countServers('single'); // 3
+ */
+export const countServers = (set: ServerSet): number => listDefinitions(set).length;
+
+const startServers = (platform: StandInPlatform, set: ServerSet): Promise<ProxiedServer[]> =>
   Promise.all(
-    serverDefinitions.map(async ([service, options, isPermanent]) => {
+    listDefinitions(set).map(async ([service, options, isPermanent]) => {
       const fullOptions = {
         ...options,
         events: streamEvents,
@@ -106,15 +117,18 @@
  * Starts stand-ins and router processes and waits until all VMs are ready for callers.
  *
  * @example
- * const environment = await startEnvironment(4);
+ * const environment = await startEnvironment(4, 'several');
  * await environment.close();
  */
-export const startEnvironment = async (vmCount: number): Promise<SoakEnvironment> => {
+export const startEnvironment = async (
+  vmCount: number,
+  serverSet: ServerSet,
+): Promise<SoakEnvironment> => {
   const startedAt = performance.now();
   const platform = await startStandInPlatform();
   const key = 'k1';
   publishConfig(platform.store, 1, [key]);
-  const servers = await startServers(platform);
+  const servers = await startServers(platform, serverSet);
   const vmNames = Array.from({ length: vmCount }, (_, n) => `vm-${n + 1}`);
   const vms = await Promise.all(vmNames.map((name) => startVm(platform, name)));
   await Promise.all(vms.map((vm) => waitUntilReady(platform, vm.process)));
