Soak: a seed that cuts requests of silent servers beside new configurations

Seed 3881 of version 2, 4 s, plays two silences of the only decode engine and two of the only plain server under four storms of configurations and a drain. It stands in soak.test.ts (22 s).

--- a/packages/soak/src/soak.test.ts
+++ b/packages/soak/src/soak.test.ts
@@ -34,6 +34,13 @@
     faultMs: 8_000,
     cause: 'the ports of two VMs were in use when the VMs restarted',
   },
+  {
+    seed: 3881,
+    version: 'v2',
+    faultMs: 4_000,
+    cause:
+      'streams and reads lost their answer when a sound server was silent beside new configurations',
+  },
 ];
 
 cases.forEach(({ seed, version, faultMs, cause }) => {
