--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -2,12 +2,13 @@
 import { makeSeededRandom } from '@hemlocksill/bench/seeded-random.js';
 import { checkPromises, type Violation } from './check-promises.js';
 import { driveCallers } from './drive-callers.js';
-import { generateFaults, type SoakFault } from './generate-faults.js';
+import { generateFaults, type ScheduleVersion, type SoakFault } from './generate-faults.js';
 import type { CallRecord, SoakRecord } from './records.js';
 import {
-  serverCount,
+  countServers,
   startEnvironment,
   streamEvents,
+  type ServerSet,
   type SoakEnvironment,
 } from './start-environment.js';
 import { injectFault } from './inject-fault.js';
@@ -23,6 +24,7 @@
 /** Options of a soak. */
 export interface SoakOptions {
   readonly seed: number;
+  readonly version: ScheduleVersion;
   /** Length of the period in which faults start. */
   readonly faultMs: number;
   readonly vms: number;
@@ -63,22 +65,30 @@
   changes: environment.changes,
   storeOutages: environment.storeOutages,
   vmFaultSpans: new Map(environment.vms.map((vm) => [vm.process.vm, vm.faultSpans])),
-  serverFaultSpans: environment.serverFaultSpans,
+  serverFaultSpans: environment.servers.flatMap(({ service, faultSpans }) =>
+    faultSpans.map((span) => ({ ...span, service })),
+  ),
   stops: environment.stops,
   endedAt: environment.now(),
   faultsEndedAt,
 });
 
+/** From the second version on, odd seeds play with one backend server of each service and stage. */
+const chooseServerSet = (seed: number, version: ScheduleVersion): ServerSet =>
+  version === 'v1' || seed % 2 === 0 ? 'several' : 'single';
+
 /**
  * Runs the fault schedule of a seed against real router processes and checks the guarantees.
  *
  * @example
- * (await runSoak({ seed: 1, faultMs: 5_000, vms: 4 })).violations.length; // 0
+ * (await runSoak({ seed: 1, version: 'v1', faultMs: 5_000, vms: 4 })).violations.length; // 0
  */
 export const runSoak = async (options: SoakOptions): Promise<SoakResult> => {
-  const { seed, faultMs, vms } = options;
-  const faults = generateFaults(seed, { vms, servers: serverCount, faultMs });
-  const environment = await startEnvironment(vms);
+  const { seed, version, faultMs, vms } = options;
+  const serverSet = chooseServerSet(seed, version);
+  const servers = countServers(serverSet);
+  const faults = generateFaults(seed, { version, vms, servers, faultMs });
+  const environment = await startEnvironment(vms, serverSet);
   const callers = driveCallers(
     {
       vms: environment.vms,
--- a/packages/soak/src/start-environment.ts
+++ b/packages/soak/src/start-environment.ts
@@ -10,7 +10,7 @@
   BackendServerOptions,
   StandInBackendServer,
 } from '@hemlocksill/platform/fakes/stand-in-backend-server.js';
-import type { AcknowledgedChange, RunRecord, Span } from './records.js';
+import type { AcknowledgedChange, RunRecord, Service, Span } from './records.js';
 import { startTcpProxy, type TcpProxy } from './tcp-proxy.js';
 
 /** Number of events in a complete stream. */
@@ -27,9 +27,10 @@
 
 /** A backend server and the proxy in front of it. */
 export interface ProxiedServer {
-  readonly service: string;
+  readonly service: Service;
   readonly backend: StandInBackendServer;
   readonly proxy: TcpProxy;
+  readonly faultSpans: Span[];
   /** Never drained, so that each service and stage keeps at least one server. */
   readonly isPermanent: boolean;
   isLeaving: boolean;
@@ -53,7 +54,6 @@
   key: string;
   readonly changes: AcknowledgedChange[];
   readonly storeOutages: Span[];
-  readonly serverFaultSpans: Span[];
   readonly stops: (Span & { readonly vm: string })[];
   /** Milliseconds since the start of the soak. */
   readonly now: () => number;
@@ -61,7 +61,7 @@
   readonly close: () => Promise<void>;
 }
 
-const serverDefinitions: readonly (readonly [string, BackendServerOptions, boolean])[] = [
+const serverDefinitions: readonly (readonly [Service, BackendServerOptions, boolean])[] = [
   ['llm', { id: 'p1', stage: 'prefill' }, true],
   ['llm', { id: 'p2', stage: 'prefill' }, false],
   ['llm', { id: 'd1', stage: 'decode' }, true],
@@ -72,12 +72,23 @@
   ['desk', { id: 's3' }, false],
 ];
 
-/** Number of backend servers of a soak. */
-export const serverCount = serverDefinitions.length;
+/** Backend servers of a soak: one of each service and stage, so that none can replace another, or more. */
+export type ServerSet = 'single' | 'several';
+
+const listDefinitions = (set: ServerSet) =>
+  serverDefinitions.filter(([, , isPermanent]) => isPermanent || set === 'several');
+
+/**
+ * Returns the number of backend servers of a set.
+ *
+ * @example
+ * countServers('single'); // 3
+ */
+export const countServers = (set: ServerSet): number => listDefinitions(set).length;
 
-const startServers = (platform: StandInPlatform): Promise<ProxiedServer[]> =>
+const startServers = (platform: StandInPlatform, set: ServerSet): Promise<ProxiedServer[]> =>
   Promise.all(
-    serverDefinitions.map(async ([service, options, isPermanent]) => {
+    listDefinitions(set).map(async ([service, options, isPermanent]) => {
       const fullOptions = {
         ...options,
         events: streamEvents,
@@ -88,7 +99,7 @@
       const backend = await platform.addBackendServer(service, fullOptions);
       const proxy = await startTcpProxy(backend.port);
       registerBackendServer(platform.store, service, backend, 'ready', proxy.port);
-      return { service, backend, proxy, isPermanent, isLeaving: false };
+      return { service, backend, proxy, faultSpans: [], isPermanent, isLeaving: false };
     }),
   );
 
@@ -106,15 +117,18 @@
  * Starts stand-ins and router processes and waits until all VMs are ready for callers.
  *
  * @example
- * const environment = await startEnvironment(4);
+ * const environment = await startEnvironment(4, 'several');
  * await environment.close();
  */
-export const startEnvironment = async (vmCount: number): Promise<SoakEnvironment> => {
+export const startEnvironment = async (
+  vmCount: number,
+  serverSet: ServerSet,
+): Promise<SoakEnvironment> => {
   const startedAt = performance.now();
   const platform = await startStandInPlatform();
   const key = 'k1';
   publishConfig(platform.store, 1, [key]);
-  const servers = await startServers(platform);
+  const servers = await startServers(platform, serverSet);
   const vmNames = Array.from({ length: vmCount }, (_, n) => `vm-${n + 1}`);
   const vms = await Promise.all(vmNames.map((name) => startVm(platform, name)));
   await Promise.all(vms.map((vm) => waitUntilReady(platform, vm.process)));
@@ -126,7 +140,6 @@
     key,
     changes: [],
     storeOutages: [],
-    serverFaultSpans: [],
     stops: [],
     now: () => performance.now() - startedAt,
     listRuns: () =>
