A stream without framing that ends before its first event is broken off

Callers got an empty 200 that looked complete when an engine ended such a stream right after its head, as one that crashes does. It also counted as a sign that the engine survived the prompt, and an end inside an event did not count as a crash. Both are breaks now; the regular end of such a stream says nothing about its engine, since one that crashes between two events ends it in the same way.

The new test in unframed-responses.test.ts failed before (200).

--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -419,15 +419,16 @@
             resumeOrFail(server, resumedStreamFault);
             return;
           }
-          if (splitter.hasIncompleteEvent()) {
+          const isFramed = head?.isFramed ?? false;
+          const isEmpty = isFirstChunk && !isFramed && !isErrorHead();
+          if (splitter.hasIncompleteEvent() || isEmpty) {
             mayHaveRun = true;
-            continueOrResume(server, {
-              kind: 'unknown',
-              reason: 'the stream ended inside an event',
-            });
+            const where = isEmpty ? 'before its first event' : 'inside an event';
+            handleBreak({ kind: 'unknown', reason: `the stream ended ${where}` });
             return;
           }
-          runWatch.recordEnd();
+          // An engine that crashes between two events ends a stream without framing in the same way.
+          if (isFramed) runWatch.recordEnd();
           if (!responder.hasSentHead() && head) responder.sendHead(head);
           responder.end();
         },
@@ -439,25 +440,25 @@
           if (!tryFinish()) return;
           if (fault.kind === 'unknown') mayHaveRun = true;
           if (fault.kind === 'rejected') deps.engineLedger.recordFull(server.id, deps.now());
-          const mayCrashOthers = fault.kind === 'unknown' && runWatch.recordBreak();
           if (runToLeave) {
+            if (fault.kind === 'unknown') runWatch.recordBreak();
             handleUnusedPrefill(fault, prefilled);
             runToLeave.keep(fault);
-            return;
-          }
-          if (isForwardingError) {
-            responder.fail(502, fault.reason);
-            return;
-          }
-          if (mayCrashOthers) {
-            recordFault(server, 'decode', fault);
-            failOrRefuse(fault.reason, noEngineRetryAfterMs);
-            return;
-          }
-          continueOrResume(server, fault, prefilled);
+          } else if (isForwardingError) responder.fail(502, fault.reason);
+          else handleBreak(fault);
         },
       },
     );
+    /** Continues a stream that broke, unless another engine would probably crash on it, too. */
+    const handleBreak = (fault: CallFault): void => {
+      const isCrashing = fault.kind === 'unknown' && runWatch.recordBreak();
+      if (!isCrashing) {
+        continueOrResume(server, fault, prefilled);
+        return;
+      }
+      recordFault(server, 'decode', fault);
+      failOrRefuse(fault.reason, noEngineRetryAfterMs);
+    };
     const forwardErrorResponse = (errorHead: ResponseHead, chunk: Buffer): void => {
       if (runToLeave) {
         if (!tryFinish()) return;
