An event of a stream is bounded in size

Cause: the bytes of an incomplete event were kept without a limit, joined anew with each chunk and scanned whole.

Change: an incomplete event larger than 256 KiB breaks the stream off as if it had ended there: it is continued at the same engine once, else resumed elsewhere or failed. The bytes are kept in a buffer that doubles, and only new bytes are scanned.

--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -400,6 +400,10 @@
             if (prefilled) deps.health.record(prefilled.server.id, 'answered', deps.now());
           }
           const events = splitter.push(chunk);
+          if (splitter.hasOversizedEvent()) {
+            breakOff('an event of the stream is too large');
+            return;
+          }
           if (!events) return;
           runWatch.recordEvent();
           allocation.grow(engine?.tokensPerEvent ?? 1);
@@ -459,6 +463,17 @@
       recordFault(server, 'decode', fault);
       failOrRefuse(fault.reason, noEngineRetryAfterMs);
     };
+    /** Treats a response that is not valid as a broken connection. */
+    const breakOff = (reason: string): void => {
+      if (isRunning && nextRun) {
+        nextRun.takeOver();
+        return;
+      }
+      if (!tryFinish()) return;
+      cancelSend();
+      mayHaveRun = true;
+      handleBreak({ kind: 'unknown', reason });
+    };
     const forwardErrorResponse = (errorHead: ResponseHead, chunk: Buffer): void => {
       if (runToLeave) {
         if (!tryFinish()) return;
--- a/packages/router/src/sse-events.test.ts
+++ b/packages/router/src/sse-events.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import fc from 'fast-check';
-import { makeEventSplitter } from './sse-events.js';
+import { makeEventSplitter, maxEventBytes } from './sse-events.js';
 
 test('complete events are returned in order, however the bytes are split into chunks', (t) => {
   const event = fc.record({ data: fc.stringMatching(/^[a-z]{0,8}$/), crlf: fc.boolean() });
@@ -33,3 +33,25 @@
   t.is(splitter.getLastId(), '4');
   t.false(splitter.hasIncompleteEvent());
 });
+
+test('an event without an end is reported before it takes more memory than allowed', (t) => {
+  const splitter = makeEventSplitter();
+  t.is(splitter.push(Buffer.from('id: 1\ndata: a\n\n'))?.length, 15);
+  const chunk = Buffer.alloc(1_000, 'x');
+  let bytes = 0;
+  while (!splitter.hasOversizedEvent() && bytes < 10 * maxEventBytes) {
+    t.is(splitter.push(chunk), undefined);
+    bytes += chunk.length;
+  }
+  t.true(bytes > maxEventBytes && bytes <= maxEventBytes + chunk.length);
+  t.true(splitter.hasIncompleteEvent());
+  t.is(splitter.getLastId(), '1');
+});
+
+test('an event that was returned does not change when more bytes arrive', (t) => {
+  const splitter = makeEventSplitter();
+  splitter.push(Buffer.from('id: 1\nda'));
+  const events = splitter.push(Buffer.from('ta: a\n\nid: 2\n'));
+  splitter.push(Buffer.from('data: b\n\n'));
+  t.is(events?.toString(), 'id: 1\ndata: a\n\n');
+});
--- a/packages/router/src/sse-events.ts
+++ b/packages/router/src/sse-events.ts
@@ -6,13 +6,20 @@
   readonly getLastId: () => string | undefined;
   /** Whether bytes of an incomplete event are buffered. */
   readonly hasIncompleteEvent: () => boolean;
+  /** Whether the incomplete event is larger than `maxEventBytes`; nothing may be added then. */
+  readonly hasOversizedEvent: () => boolean;
 }
 
+/** Maximum size of an incomplete event. */
+export const maxEventBytes = 256 * 1_024;
+
+const initialBufferBytes = 1_024;
+
 const newline = 0x0a;
 
-/** Returns the position after the last empty line, or 0. */
-const findEventsEnd = (data: Buffer): number => {
-  for (let index = data.length - 1; index > 0; index -= 1) {
+/** Returns the position after the last empty line that ends after `from`, or 0. */
+const findEventsEnd = (data: Buffer, from: number): number => {
+  for (let index = data.length - 1; index > 0 && index >= from; index -= 1) {
     if (data[index] !== newline) continue;
     if (data[index - 1] === newline) return index + 1;
     if (data[index - 1] === 0x0d && data[index - 2] === newline) return index + 1;
@@ -36,19 +43,45 @@
  * makeEventSplitter().push(Buffer.from('id: 1\ndata: a\n\nid: 2\n'))?.toString(); // 'id: 1\ndata: a\n\n'
  */
 export const makeEventSplitter = (): EventSplitter => {
-  let remainder: Buffer = Buffer.alloc(0);
+  /** Holds the incomplete event in its first bytes. */
+  let buffer: Buffer = Buffer.alloc(0);
+  let bufferedBytes = 0;
   let lastId: string | undefined;
+
+  const append = (chunk: Buffer): void => {
+    if (chunk.length === 0) return;
+    const neededBytes = bufferedBytes + chunk.length;
+    if (neededBytes > buffer.length) {
+      const grown = Buffer.allocUnsafe(
+        Math.max(neededBytes, 2 * buffer.length, initialBufferBytes),
+      );
+      buffer.copy(grown, 0, 0, bufferedBytes);
+      buffer = grown;
+    }
+    chunk.copy(buffer, bufferedBytes);
+    bufferedBytes = neededBytes;
+  };
+
   return {
     push: (chunk) => {
-      const data = remainder.length === 0 ? chunk : Buffer.concat([remainder, chunk]);
-      const end = findEventsEnd(data);
-      remainder = data.subarray(end);
-      if (end === 0) return undefined;
+      const scanFrom = bufferedBytes;
+      if (scanFrom > 0) append(chunk);
+      const data = scanFrom > 0 ? buffer.subarray(0, bufferedBytes) : chunk;
+      const end = findEventsEnd(data, scanFrom);
+      if (end === 0) {
+        if (scanFrom === 0) append(chunk);
+        return undefined;
+      }
       const events = data.subarray(0, end);
+      // The events are passed on without a copy, so their buffer is not used again.
+      buffer = Buffer.alloc(0);
+      bufferedBytes = 0;
+      append(data.subarray(end));
       lastId = readLastId(events) ?? lastId;
       return events;
     },
     getLastId: () => lastId,
-    hasIncompleteEvent: () => remainder.length > 0,
+    hasIncompleteEvent: () => bufferedBytes > 0,
+    hasOversizedEvent: () => bufferedBytes > maxEventBytes,
   };
 };
