A plain response over its maximum size is cancelled at once

What callers saw: a response larger than 4 MiB was counted on until the request's timeout, then failed as 504, with the server's slot and a connection taken until then.

Cause: the bytes over the limit were dropped, but the call went on.

Change: the attempt is cancelled as a broken answer: an idempotent request goes on to another server, any other is failed with 502 (outcome unknown).

--- a/packages/router/src/run-plain.ts
+++ b/packages/router/src/run-plain.ts
@@ -128,6 +128,11 @@
       allocation.release();
       action();
     };
+    const failAttempt = (reason: string): void =>
+      finishOnce(() => {
+        cancelSend();
+        onFault(server, { kind: 'unknown', reason });
+      });
     const cancelSend = deps.backends.send(
       server,
       call,
@@ -139,12 +144,12 @@
         data: (chunk) => {
           bufferedBytes += chunk.length;
           if (bufferedBytes <= maxBufferedBytes) bufferedChunks.push(chunk);
+          else failAttempt('answer too large');
         },
         end: () =>
           finishOnce(() => {
-            if (head && bufferedBytes <= maxBufferedBytes)
-              onResponse(server, head, Buffer.concat(bufferedChunks));
-            else onFault(server, { kind: 'unknown', reason: 'answer too large' });
+            if (head) onResponse(server, head, Buffer.concat(bufferedChunks));
+            else onFault(server, { kind: 'unknown', reason: 'answer without a head' });
           }),
         fault: (fault) =>
           finishOnce(() => {
