An error response of an engine is broken off above a maximum size

What callers saw: an error response without an end, to a stream request, was forwarded until the route's timeout.

Change: it is broken off above 256 KiB: the call is cancelled and the caller's connection closed, so that the response does not look complete. The head has been sent, so no other engine is tried.

The new test over a real router read more than 4 MiB from the engine on the old code.

--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -41,6 +41,9 @@
 /** Part of a caller's remaining time that it waits at most before it comes back. */
 const maxRetryShare = 1 / 3;
 
+/** Size of an error response above which it is broken off. */
+const maxErrorBytes = 256 * 1_024;
+
 /** Delay before another placement is tried after a failed one. */
 const placementRetryDelayMs = 20;
 
@@ -341,6 +344,7 @@
     let isForwardingError = false;
     /** Set until this run has taken the stream over. */
     let runToLeave = previousRun;
+    let errorBytes = 0;
     let isRunning = true;
     let idleTimer: NodeJS.Timeout | undefined;
     let cancelPreparation: CancelCall = () => {};
@@ -494,7 +498,12 @@
         nextRun = undefined;
         responder.sendHead(errorHead);
       }
-      responder.write(chunk);
+      errorBytes += chunk.length;
+      if (errorBytes <= maxErrorBytes) responder.write(chunk);
+      else if (tryFinish()) {
+        cancelSend();
+        responder.fail(502, 'the error response is too large');
+      }
     };
     const restartIdleTimer = (): void => {
       clearTimeout(idleTimer);
