The view of a peer is bounded in size

Fault: a view was read whole for as long as its time limit lets it. It may have 16 MiB now; the new test ran into the time limit on the old code.

--- /dev/null
+++ b/packages/router/src/peer-views.test.ts
@@ -0,0 +1,26 @@
+import { createServer } from 'node:net';
+import test from 'ava';
+import { fetchPeerView } from './peer-views.js';
+
+test('a view without an end is a fault before its time limit', async (t) => {
+  const block = Buffer.alloc(64 * 1_024, ' ');
+  const listener = createServer((socket) => {
+    const send = (): void => {
+      while (!socket.destroyed && socket.write(block));
+    };
+    socket.on('error', () => {});
+    socket.on('drain', send);
+    socket.once('data', () => {
+      socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n');
+      send();
+    });
+  });
+  await new Promise<void>((resolve) => {
+    listener.listen(0, '127.0.0.1', resolve);
+  });
+  t.teardown(() => listener.close());
+  const address = listener.address();
+  const port = typeof address === 'object' && address ? address.port : 0;
+  const view = await fetchPeerView(`127.0.0.1:${port}`, { config: 0, servers: 0 });
+  t.regex(view._unsafeUnwrapErr(), /max size/);
+});
--- a/packages/router/src/peer-views.ts
+++ b/packages/router/src/peer-views.ts
@@ -10,6 +10,9 @@
 /** Timeout of a call to a peer. */
 const callTimeoutMs = 800;
 
+/** Maximum size of a response: the configuration and the changed entries of backend servers. */
+const maxViewBytes = 16 * 1_024 * 1_024;
+
 const rpcPath = '/rpc';
 
 const parseSeenRevisions = (params: unknown): SeenRevisions => {
@@ -44,7 +47,7 @@
   address: string,
   seen: SeenRevisions,
 ): Promise<Result<RawView, string>> => {
-  const client = new Client(`http://${address}`);
+  const client = new Client(`http://${address}`, { maxResponseSize: maxViewBytes });
   try {
     const res = await client.request({
       method: 'POST',
