Requests to the auxiliary endpoints are bounded in bytes and time

Fault: a request to the readiness, metrics or peers endpoint with an endless body held its connection for five minutes (the default of node:http), its bytes over 64 KiB dropped; a truncated body was handled as if it were whole.

Change: such a request is refused with 413 and its connection closed; a request must be received within 5 s.

The new test saw an open connection after 3 s on the old code.

--- a/packages/router/src/simple-http-server.ts
+++ b/packages/router/src/simple-http-server.ts
@@ -15,9 +15,13 @@
   readonly body: string;
 }
 
-/** Maximum size of a request body; the chunks beyond it are dropped. */
+/** Maximum size of a request body; a larger request is refused. */
 const maxBodyBytes = 64 * 1_024;
 
+/** Time within which a request must be received, and interval of the checks. */
+const requestTimeoutMs = 5_000;
+const timeoutCheckIntervalMs = 1_000;
+
 /** Makes a plain-text response. */
 export const textResponse = (status: number, body: string): SimpleResponse => ({
   status,
@@ -44,23 +48,35 @@
   endpoint: Endpoint,
   handle: (request: SimpleRequest) => Promise<SimpleResponse>,
 ): Server => {
-  const server = createServer((req, res) => {
+  const options = {
+    requestTimeout: requestTimeoutMs,
+    headersTimeout: requestTimeoutMs,
+    connectionsCheckingInterval: timeoutCheckIntervalMs,
+  };
+  const server = createServer(options, (req, res) => {
     const chunks: Buffer[] = [];
     let bytes = 0;
+    const send = (response: SimpleResponse, isClosing = false): void => {
+      res.writeHead(response.status, {
+        'content-type': response.contentType,
+        'content-length': String(Buffer.byteLength(response.body)),
+        ...(isClosing ? { connection: 'close' } : {}),
+      });
+      res.end(response.body);
+    };
     req.on('data', (chunk: Buffer) => {
       bytes += chunk.length;
       if (bytes <= maxBodyBytes) chunks.push(chunk);
+      else if (!res.headersSent) {
+        send(textResponse(413, 'the body is too large'), true);
+        res.on('finish', () => req.destroy());
+      }
     });
     req.on('end', () => {
+      if (res.headersSent) return;
       const body = Buffer.concat(chunks).toString('utf8');
       const path = (req.url ?? '/').replace(/\?.*$/, '');
-      void handle({ method: req.method ?? 'GET', path, body }).then((response) => {
-        res.writeHead(response.status, {
-          'content-type': response.contentType,
-          'content-length': String(Buffer.byteLength(response.body)),
-        });
-        res.end(response.body);
-      });
+      void handle({ method: req.method ?? 'GET', path, body }).then((response) => send(response));
     });
   });
   server.listen(endpoint.port, endpoint.host);
