Answers of engines to the entry are bounded in bytes and time

Fault: the time limit of a call covered the head only, and started anew at each informational response; a body, that of an error too, was read whole for as long as it came.

Change: the time limit covers the whole answer, and a body may have 4 MiB; a larger one is a bad answer. Streams are handed on at their head, as before.

--- /dev/null
+++ b/packages/entry/src/endless-responses.test.ts
@@ -0,0 +1,69 @@
+import { createServer } from 'node:net';
+import test, { type ExecutionContext } from 'ava';
+import { makeEngineClient } from './engine-client.js';
+
+const observationMs = 4_000;
+
+/** Starts a server that sends `filler` after `head` until the client closes. */
+const startServer = async (t: ExecutionContext, head: string, filler: string): Promise<string> => {
+  const block = filler.repeat(Math.ceil((64 * 1_024) / Math.max(1, filler.length)));
+  const listener = createServer((socket) => {
+    socket.on('error', () => {});
+    socket.once('data', () => {
+      socket.write(head);
+      const timer = setInterval(() => {
+        if (!socket.writableNeedDrain) socket.write(block);
+      }, 2);
+      const limit = setTimeout(() => socket.destroy(), observationMs + 1_000);
+      socket.on('close', () => {
+        clearInterval(timer);
+        clearTimeout(limit);
+      });
+    });
+  });
+  await new Promise<void>((resolve) => {
+    listener.listen(0, '127.0.0.1', resolve);
+  });
+  t.teardown(() => listener.close());
+  const address = listener.address();
+  return `http://127.0.0.1:${typeof address === 'object' && address ? address.port : 0}`;
+};
+
+const observe = <T>(result: Promise<T>): Promise<T | 'pending'> =>
+  Promise.race([
+    result,
+    new Promise<'pending'>((resolve) => {
+      setTimeout(resolve, observationMs, 'pending');
+    }),
+  ]);
+
+const chunked = 'Transfer-Encoding: chunked\r\n\r\n';
+const chunk = `400\r\n${'x'.repeat(1_024)}\r\n`;
+
+const readLoad = async (t: ExecutionContext, head: string, filler: string): Promise<string> => {
+  const engines = makeEngineClient();
+  t.teardown(engines.close);
+  const load = await observe(engines.readLoad(await startServer(t, head, filler)));
+  return load === 'pending'
+    ? load
+    : load.match(
+        () => 'ok',
+        (fault) => fault,
+      );
+};
+
+test('an answer of an engine without an end is a fault', async (t) => {
+  t.is(await readLoad(t, `HTTP/1.1 200 OK\r\n${chunked}`, chunk), 'bad-answer');
+});
+
+test('an error of an engine without an end is a fault', async (t) => {
+  t.is(await readLoad(t, `HTTP/1.1 409 Conflict\r\n${chunked}`, chunk), 'bad-answer');
+});
+
+test('an answer of an engine that stops in its body is a fault', async (t) => {
+  t.is(await readLoad(t, `HTTP/1.1 200 OK\r\n${chunked}`, ''), 'lost');
+});
+
+test('informational responses of an engine without an end are a fault', async (t) => {
+  t.is(await readLoad(t, '', 'HTTP/1.1 103 Early Hints\r\n\r\n'), 'lost');
+});
--- a/packages/entry/src/engine-client.ts
+++ b/packages/entry/src/engine-client.ts
@@ -1,11 +1,14 @@
 import type { Readable } from 'node:stream';
 import { err, ok, type Result } from 'neverthrow';
-import { Agent, request, type Dispatcher } from 'undici';
+import { Agent, request } from 'undici';
 import { z } from 'zod';
 import type { DecodeStart, EngineStart } from '@hemlocksill/types/engine-protocol.js';
 
 const defaultTimeoutMs = 2_000;
 
+/** Maximum size of a response other than a stream. */
+const maxResponseBytes = 4 * 1_024 * 1_024;
+
 /**
  * Why a call to an engine returned no usable response.
  *
@@ -112,15 +115,29 @@
   unknown: 'unknown-stream',
 };
 
-const parseFault = async (body: Dispatcher.ResponseData['body']): Promise<EngineFault> => {
+/** Reads a JSON body; undefined if it is too large or not valid. */
+const readJson = async (body: Readable): Promise<unknown> => {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of body as AsyncIterable<Buffer>) {
+    bytes += chunk.length;
+    if (bytes > maxResponseBytes) return undefined;
+    chunks.push(chunk);
+  }
   try {
-    const { code } = (await body.json()) as { code?: string };
-    return faultByCode[code ?? ''] ?? 'refused';
+    return JSON.parse(Buffer.concat(chunks).toString('utf8')) as unknown;
   } catch {
-    return 'bad-answer';
+    return undefined;
   }
 };
 
+const faultSchema = z.object({ code: z.string().default('') });
+
+const readFault = async (body: Readable): Promise<EngineFault> => {
+  const parsed = faultSchema.safeParse(await readJson(body));
+  return parsed.success ? (faultByCode[parsed.data.code] ?? 'refused') : 'bad-answer';
+};
+
 /**
  * Creates a client of the engine protocol.
  *
@@ -131,56 +148,63 @@
 export const makeEngineClient = (): EngineClient => {
   const agent = new Agent({ connect: { timeout: 1_000 }, keepAliveTimeout: 30_000 });
 
-  const sendRequest = async (
+  /** Sends a request; its response must be read by `readResponse` within the time limit. */
+  const sendRequest = async <T>(
     url: string,
     body: unknown,
     timeoutMs: number,
-    signal?: AbortSignal,
-  ): Promise<Result<Dispatcher.ResponseData, EngineFault>> => {
+    signal: AbortSignal | undefined,
+    readResponse: (body: Readable) => Promise<Result<T, EngineFault>>,
+  ): Promise<Result<T, EngineFault>> => {
+    const timeout = new AbortController();
+    const timer = setTimeout(() => timeout.abort(new Error('no answer in time')), timeoutMs);
     try {
       const response = await request(url, {
         method: body === undefined ? 'GET' : 'POST',
         headers: { 'content-type': 'application/json' },
         body: body === undefined ? null : JSON.stringify(body),
         dispatcher: agent,
-        headersTimeout: timeoutMs,
+        headersTimeout: 0,
         bodyTimeout: 0,
-        signal,
+        signal: signal ? AbortSignal.any([signal, timeout.signal]) : timeout.signal,
       });
-      return response.statusCode === 200 ? ok(response) : err(await parseFault(response.body));
+      return response.statusCode === 200
+        ? await readResponse(response.body)
+        : err(await readFault(response.body));
     } catch (error) {
       return err(classifyHttpError(error));
+    } finally {
+      clearTimeout(timer);
     }
   };
 
-  const requestJson = async <T>(
+  const requestJson = <T>(
     url: string,
     body: unknown,
     schema: z.ZodType<T>,
     timeoutMs = defaultTimeoutMs,
     signal?: AbortSignal,
-  ): Promise<Result<T, EngineFault>> => {
-    const response = await sendRequest(url, body, timeoutMs, signal);
-    if (response.isErr()) return err(response.error);
-    try {
-      const parsed = schema.safeParse(await response.value.body.json());
+  ): Promise<Result<T, EngineFault>> =>
+    sendRequest(url, body, timeoutMs, signal, async (response) => {
+      const parsed = schema.safeParse(await readJson(response));
       return parsed.success ? ok(parsed.data) : err('bad-answer');
-    } catch (error) {
-      return err(error instanceof SyntaxError ? 'bad-answer' : classifyHttpError(error));
-    }
-  };
+    });
+
+  const requestStream = (
+    url: string,
+    body: unknown,
+    timeoutMs: number,
+    signal: AbortSignal,
+  ): Promise<Result<Readable, EngineFault>> =>
+    sendRequest(url, body, timeoutMs, signal, (response) => Promise.resolve(ok(response)));
 
   return {
     prefill: (url, start, timeoutMs, signal) =>
       requestJson(`${url}/v1/prefill`, start, prefillSchema, timeoutMs, signal),
-    decode: async (url, start, timeoutMs, signal) =>
-      (await sendRequest(`${url}/v1/decode`, start, timeoutMs, signal)).map(
-        (response) => response.body,
-      ),
-    resume: async (url, id, from, owner, signal) =>
-      (await sendRequest(`${url}/v1/resume`, { id, from, owner }, defaultTimeoutMs, signal)).map(
-        (response) => response.body,
-      ),
+    decode: (url, start, timeoutMs, signal) =>
+      requestStream(`${url}/v1/decode`, start, timeoutMs, signal),
+    resume: (url, id, from, owner, signal) =>
+      requestStream(`${url}/v1/resume`, { id, from, owner }, defaultTimeoutMs, signal),
     cancel: async (url, id) =>
       (await requestJson(`${url}/v1/cancel`, { id }, z.object({ held: z.boolean() }))).map(
         () => undefined,
