A line of a token stream is bounded in size

Fault: a line without an end was kept without a limit, split anew at each chunk, and counted as data, so that the stream was never taken for stalled.

Change: a line over 256 KiB is a cut stream, which is resumed or failed; it is split only when a line is complete.

The new test read all 2 MB on the old code.

--- a/packages/entry/src/endless-responses.test.ts
+++ b/packages/entry/src/endless-responses.test.ts
@@ -1,6 +1,8 @@
 import { createServer } from 'node:net';
+import { Readable } from 'node:stream';
 import test, { type ExecutionContext } from 'ava';
 import { makeEngineClient } from './engine-client.js';
+import { readTokens } from './token-stream.js';
 
 const observationMs = 4_000;
 
@@ -67,3 +69,18 @@
 test('informational responses of an engine without an end are a fault', async (t) => {
   t.is(await readLoad(t, '', 'HTTP/1.1 103 Early Hints\r\n\r\n'), 'lost');
 });
+
+test('a token line without an end is a cut stream', async (t) => {
+  const chunks = Array.from({ length: 2_000 }, () => 'x'.repeat(1_024));
+  const body = Readable.from([`{"i":0,"text":"a"}\n`, ...chunks]);
+  let readCount = 0;
+  body.on('data', () => {
+    readCount += 1;
+  });
+  const tokens: number[] = [];
+  const end = await readTokens(body, 0, 1_000, new AbortController().signal, (index) =>
+    tokens.push(index),
+  );
+  t.deepEqual([end.isErr() && end.error, tokens], ['cut', [0]]);
+  t.true(readCount < 1_000);
+});
--- a/packages/entry/src/token-stream.ts
+++ b/packages/entry/src/token-stream.ts
@@ -12,6 +12,9 @@
   readonly reason: string;
 }
 
+/** Maximum length of a line, in UTF-16 code units. */
+const maxLineLength = 256 * 1_024;
+
 /** Validates a line without a schema library, because this runs once per token. */
 const parseLine = (text: string): TokenLine | EndLine | undefined => {
   let value: Partial<TokenLine & EndLine> | null;
@@ -100,7 +103,12 @@
     body.setEncoding('utf8');
     body.on('data', (chunk: string) => {
       lastChunkAt = performance.now();
-      const lines = (partialLine + chunk).split('\n');
+      partialLine += chunk;
+      if (!chunk.includes('\n')) {
+        if (partialLine.length > maxLineLength) settle(err('cut'));
+        return;
+      }
+      const lines = partialLine.split('\n');
       partialLine = lines.pop() ?? '';
       for (const line of lines) {
         if (!progress.fault && line !== '') processLine(line, progress, onToken);
