A response of a service is bounded in bytes and time

Fault: a response was read whole for as long as it came; the time limit of the body started anew at each chunk.

Change: a response may have 16 MiB, and twice the route's timeout for head and body together; else the outcome is unknown, as after a broken connection.

--- a/packages/entry/src/call-service.ts
+++ b/packages/entry/src/call-service.ts
@@ -16,6 +16,9 @@
 
 const connectTimeoutMs = 500;
 const retryAfterMs = 1_000;
+
+/** Maximum size of a response. */
+const maxResponseBytes = 16 * 1_024 * 1_024;
 const retriableStatuses = [502, 503, 504];
 
 /** Time in milliseconds for which a server is avoided after a failed connection attempt. */
@@ -54,7 +57,10 @@
 export const makeCallService = (
   opts: CallServiceOptions,
 ): { handler: Handler; close: () => void } => {
-  const agent = new Agent({ connect: { timeout: connectTimeoutMs } });
+  const agent = new Agent({
+    connect: { timeout: connectTimeoutMs },
+    maxResponseSize: maxResponseBytes,
+  });
   const openRequests = new Map<string, number>();
   const avoidUntil = new Map<string, number>();
   const retryBudget = makeRetryBudget();
@@ -84,6 +90,8 @@
     server: BackendServer,
   ): Promise<CallResult> => {
     openRequests.set(server.name, (openRequests.get(server.name) ?? 0) + 1);
+    // The head and the body may take the route's timeout each.
+    const timeout = AbortSignal.timeout(2 * route.timeoutMs);
     try {
       const response = await request(`${server.url}${ctx.path}${ctx.query}`, {
         method: route.method,
@@ -93,7 +101,7 @@
         headersTimeout: route.timeoutMs,
         bodyTimeout: route.timeoutMs,
         // A non-idempotent call runs to its end even if the client disconnects.
-        signal: route.idempotent ? ctx.abort.signal : undefined,
+        signal: route.idempotent ? AbortSignal.any([ctx.abort.signal, timeout]) : timeout,
       });
       const body = Buffer.from(await response.body.arrayBuffer());
       const headers: Record<string, string> = {};
--- a/packages/entry/src/endless-responses.test.ts
+++ b/packages/entry/src/endless-responses.test.ts
@@ -1,7 +1,9 @@
 import { createServer } from 'node:net';
 import { Readable } from 'node:stream';
 import test, { type ExecutionContext } from 'ava';
+import { makeCallService } from './call-service.js';
 import { makeEngineClient } from './engine-client.js';
+import type { RequestContext } from './request-context.js';
 import { readTokens } from './token-stream.js';
 
 const observationMs = 4_000;
@@ -84,3 +86,23 @@
   t.deepEqual([end.isErr() && end.error, tokens], ['cut', [0]]);
   t.true(readCount < 1_000);
 });
+
+test('a response of a service without an end is a failure', async (t) => {
+  const url = await startServer(t, `HTTP/1.1 200 OK\r\n${chunked}`, chunk);
+  const { handler, close } = makeCallService({ serverStates: () => ({}), random: Math.random });
+  t.teardown(close);
+  const ctx = {
+    id: 'r1',
+    headers: {},
+    path: '/orders',
+    query: '',
+    body: '',
+    abort: new AbortController(),
+    route: { method: 'POST', service: 'desk', timeoutMs: 10_000, idempotent: false },
+    snapshot: {
+      document: { backendServers: new Map([['s1', { name: 's1', service: 'desk', url }]]) },
+    },
+  } as unknown as RequestContext;
+  const result = await observe(Promise.resolve(handler(ctx)));
+  t.is(result === 'pending' ? result : result._unsafeUnwrapErr().outcome, 'outcome-unknown');
+});
