Bytes that are no request don't cost the request before them its answer

A caller whose connection carried something else than a request behind one in progress got 400 for that one, or a closed connection if its response had begun; its run was aborted. That is what Node does with bytes that it can't parse and with a head that doesn't arrive in time.

The connection is now closed with 400, 408, 413 or 431 after the responses to the requests before. A caller that ends its side inside a request has left, and its run still ends at once.

The head that doesn't arrive in time is not tested behind a request: Node looks every 30 s.

--- /dev/null
+++ b/packages/router/src/client-errors.ts
@@ -0,0 +1,41 @@
+import type { Duplex } from 'node:stream';
+import type { LogRouterEvent } from './events.js';
+import type { RequestOrder } from './request-order.js';
+
+/** Statuses for errors of the HTTP parser; 400 for all others. */
+const statusLines: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+
+/**
+ * Makes the handler of bytes that are no request, and of requests that don't arrive in time. Their
+ * connection is closed, but not before the requests that it carried earlier are answered.
+ *
+ * @example
+ * server.on('clientError', makeClientErrorHandler(order, log));
+ */
+export const makeClientErrorHandler = (order: RequestOrder, log: LogRouterEvent) => {
+  const closing = new WeakSet<Duplex>();
+  return (error: NodeJS.ErrnoException, socket: Duplex): void => {
+    if (closing.has(socket)) return;
+    closing.add(socket);
+    const close = (): void => {
+      if (!socket.writable) {
+        socket.destroy();
+        return;
+      }
+      const status = statusLines[error.code ?? ''] ?? '400 Bad Request';
+      log(2308, { status: Number.parseInt(status, 10), reason: error.message });
+      socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`, () =>
+        socket.destroy(),
+      );
+    };
+    // A caller that ended its side inside a request has left.
+    const hasLeft = error.code === 'HPE_INVALID_EOF_STATE';
+    const openResponse = order.findOpenResponse(socket);
+    if (openResponse && socket.writable && !hasLeft) openResponse.once('close', close);
+    else close();
+  };
+};
--- a/packages/router/src/handle-call.ts
+++ b/packages/router/src/handle-call.ts
@@ -10,7 +10,7 @@
 import type { FleetQuota } from '@hemlocksill/routing/fleet-quota.js';
 import { chooseService, type RouteTable } from '@hemlocksill/routing/route-table.js';
 import { blockedReason, blockedRetryAfterMs, type CrashWatch } from './crash-watch.js';
-import { makeRequestOrder } from './request-order.js';
+import type { RequestOrder } from './request-order.js';
 import {
   makeResponder,
   sendRouterResponse,
@@ -57,6 +57,7 @@
   readonly readMetadata: ReadCallMetadata;
   readonly quota: FleetQuota;
   readonly hooks: ResponderHooks;
+  readonly order: RequestOrder;
   /** False late in the shutdown, when a new request might not finish. */
   readonly acceptsRequests: () => boolean;
   readonly recordRequest: (service: string) => void;
@@ -273,7 +274,7 @@
  * createServer(makeCallHandler(deps));
  */
 export const makeCallHandler = (deps: CallDeps) => {
-  const order = makeRequestOrder();
+  const { order } = deps;
   return (req: IncomingMessage, res: ServerResponse): void => {
     const arrivedAt = deps.hooks.now();
     // No response can be sent any more; the caller may repeat a request that was not run.
--- a/packages/router/src/request-order.ts
+++ b/packages/router/src/request-order.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 
 /** Calls `start` in turn, or `onClosed` if the connection closed before and can carry no response. */
 export type AwaitTurn = (start: () => void, onClosed: () => void) => void;
@@ -10,6 +10,8 @@
   readonly add: (req: IncomingMessage, res: ServerResponse) => AwaitTurn;
   /** Whether no request has arrived behind this one. */
   readonly isLast: (req: IncomingMessage, res: ServerResponse) => boolean;
+  /** Returns the response to the last request on a connection that was read whole, if it is open. */
+  readonly findOpenResponse: (socket: Duplex) => ServerResponse | undefined;
 }
 
 /**
@@ -20,18 +22,23 @@
  * makeRequestOrder().add(req, res)(() => run(req, res), () => {});
  */
 export const makeRequestOrder = (): RequestOrder => {
-  const lastResponses = new WeakMap<Socket, ServerResponse>();
+  const openResponses = new WeakMap<Duplex, Set<ServerResponse>>();
   return {
     add: (req, res) => {
       const { socket } = req;
-      const previous = lastResponses.get(socket);
-      lastResponses.set(socket, res);
+      const responses = openResponses.get(socket) ?? new Set();
+      openResponses.set(socket, responses);
+      const previous = [...responses].pop();
+      responses.add(res);
+      res.on('close', () => responses.delete(res));
       return (start, onClosed) => {
         const startIfOpen = (): void => (socket.writable ? start() : onClosed());
         if (!previous || previous.closed) startIfOpen();
         else previous.once('close', startIfOpen);
       };
     },
-    isLast: (req, res) => lastResponses.get(req.socket) === res,
+    isLast: (req, res) => [...(openResponses.get(req.socket) ?? [])].pop() === res,
+    findOpenResponse: (socket) =>
+      [...(openResponses.get(socket) ?? [])].filter(({ req }) => req.complete).pop(),
   };
 };
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -20,7 +20,9 @@
 import { makeStreamTiming } from '@hemlocksill/routing/stream-timing.js';
 import { makeStreamQueue } from '@hemlocksill/routing/stream-queue.js';
 import type { LogRouterEvent } from './events.js';
+import { makeClientErrorHandler } from './client-errors.js';
 import { makeCallHandler } from './handle-call.js';
+import { makeRequestOrder } from './request-order.js';
 import { sleep } from './sleep.js';
 import { makePeersController } from './peers-controller.js';
 import { servePeerViews } from './peer-views.js';
@@ -288,6 +290,8 @@
     getPlacementView: () => ({ ...getPlacementView(), ledger: plainLedger }),
   };
 
+  const order = makeRequestOrder();
+
   const callerServer = createServer(
     { maxHeaderSize: maxParsedHeaderBytes, requestTimeout: 0, keepAlive: true },
     makeCallHandler({
@@ -302,6 +306,7 @@
         isShuttingDown: () => isShuttingDown,
         abandonAtStop,
       },
+      order,
       acceptsRequests: () => !isRefusing,
       recordRequest: (service) => getRetryBudget(service).recordRequest(now()),
       crashWatch,
@@ -310,6 +315,7 @@
       runStream: (ctx, responder) => runStream(runDeps, ctx, responder),
     }),
   );
+  callerServer.on('clientError', makeClientErrorHandler(order, log));
   callerServer.headersTimeout = defaultHeaderTimeoutMs;
   callerServer.keepAliveTimeout = defaultIdleTimeoutMs;
 
