Soak: one bad part of a prompt crashes each engine that begins to answer

The soak had no crashing engines, and its streams stated no parts.

Change: new fault `crashing-part` in version 3 of the schedule: every 0.2 s a request with the bad part arrives at the next VM; an engine that runs one crashes and is back after 0.4 s as a new instance. All streams share the first part of their prompt with it. New promise `bounded-crashes`: one part crashes at most five instances; that sound requests go on is checked by `ends-with-answer` and `recovers`. The time from a crash to the new instance counts as a fault of the engine's service.

Changed test: all of 12 kinds occur, instead of 11.

--- a/packages/soak/src/check-promises.test.ts
+++ b/packages/soak/src/check-promises.test.ts
@@ -35,6 +35,7 @@
   vmFaultSpans: new Map(),
   serverFaultSpans: [],
   stops: [],
+  crashingParts: [],
   endedAt: 60_000,
   faultsEndedAt: 20_000,
   ...overrides,
@@ -206,6 +207,19 @@
   t.deepEqual(listWith({ serverFaultSpans: [{ ...before, service: 'desk' }] }), reported);
 });
 
+test('a part of prompts that crashes more than five engines is reported', (t) => {
+  const makeRuns = (count: number): RunRecord[] =>
+    Array.from({ length: count }, (_, n) => makeRun({ id: `1bad-${n}`, server: `d${n}` }));
+  const crashingParts = ['1bad', '2bad'];
+  const prefills = makeRuns(20).map((run) => ({ ...run, isPrefill: true }));
+  const others = makeRuns(5).map((run) => ({ ...run, id: run.id.replace('1bad', '2bad') }));
+  const runs = [...prefills, ...others, ...makeRuns(5)];
+  t.deepEqual(listViolatedPromises({ runs, crashingParts }), []);
+  // Two requests that crash the same instance crash it once.
+  t.deepEqual(listViolatedPromises({ runs: [...runs, ...makeRuns(1)], crashingParts }), []);
+  t.deepEqual(listViolatedPromises({ runs: makeRuns(6), crashingParts }), ['bounded-crashes']);
+});
+
 test('a fleet that does not recover is reported', (t) => {
   const calls = Array.from({ length: 20 }, (_, n) =>
     makeCall({ id: `c${n}`, status: 503, startedAt: 40_000, endedAt: 40_010 }),
--- a/packages/soak/src/check-promises.ts
+++ b/packages/soak/src/check-promises.ts
@@ -43,6 +43,7 @@
     | 'final-answer'
     | 'ends-with-answer'
     | 'graceful-stop'
+    | 'bounded-crashes'
     | 'recovers';
   readonly detail: string;
 }
@@ -57,6 +58,9 @@
   read: 1_000,
 };
 
+/** Engines that one part of a prompt may crash. */
+const maxCrashesByPart = 5;
+
 /** A request that ends this long before its timeout has used its time. */
 const timeoutMarginMs = 100;
 
@@ -237,6 +241,16 @@
       detail: `${call.id} at ${call.vm}: ${call.kind} ended after ${Math.round((call.endedAt ?? 0) - call.startedAt)} ms with ${call.status ?? 'a closed connection'}, ${call.isComplete ? 'complete' : 'incomplete'}`,
     }));
 
+/** A request with a crashing part ends the engine instance that runs it. */
+const checkCrashes = (record: SoakRecord): Violation[] =>
+  record.crashingParts.flatMap((part) => {
+    const runs = record.runs.filter(({ id, isPrefill }) => !isPrefill && id.startsWith(`${part}-`));
+    const crashed = new Set(runs.map(({ server }) => server));
+    if (crashed.size <= maxCrashesByPart) return [];
+    const ids = runs.map(({ id, server }) => `${id} at ${server}`).join(', ');
+    return [{ promise: 'bounded-crashes' as const, detail: `${crashed.size} crashes: ${ids}` }];
+  });
+
 const checkRecovery = (record: SoakRecord): Violation[] => {
   const callsAfterRecovery = record.calls.filter(
     (call) =>
@@ -270,6 +284,7 @@
     ...checkChanges(record, runs),
     ...checkStops(record),
     ...checkAnswers(record),
+    ...checkCrashes(record),
     ...checkRecovery(record),
   ];
 };
--- a/packages/soak/src/drive-callers.ts
+++ b/packages/soak/src/drive-callers.ts
@@ -34,6 +34,8 @@
 export interface CallerDeps {
   readonly vms: readonly { readonly process: RouterProcess; readonly isDown: boolean }[];
   readonly getKey: () => string;
+  /** Parts of the prompts of a caller's streams, if requests state them. */
+  readonly listParts: (caller: number) => readonly string[] | undefined;
   readonly random: SeededRandom;
   readonly now: () => number;
 }
@@ -44,6 +46,7 @@
   record: CallRecord,
   agent: Agent,
   shouldDisconnectEarly: boolean,
+  parts: readonly string[] | undefined,
 ): Promise<number> => {
   const timeoutSignal = AbortSignal.timeout(2 * callerTimeoutMs[record.kind]);
   const pendingResponse = sendRequest(router.callersPort, {
@@ -54,6 +57,7 @@
     timeoutMs: callerTimeoutMs[record.kind],
     agent,
     ...(record.kind === 'stream' ? { tokens: [3_000, 60] as const, body: 'summarise' } : {}),
+    ...(record.kind === 'stream' && parts !== undefined ? { parts } : {}),
     onData: (text, disconnect) => {
       record.body = text;
       if (
@@ -117,7 +121,15 @@
       };
       records.push(record);
       const shouldDisconnectEarly = kind === 'stream' && random.next() < disconnectShare;
-      const retryDelayMs = await sendCall(deps, router, record, agent, shouldDisconnectEarly);
+      const parts = deps.listParts(caller);
+      const retryDelayMs = await sendCall(
+        deps,
+        router,
+        record,
+        agent,
+        shouldDisconnectEarly,
+        parts,
+      );
       if (record.endedAt === undefined) {
         agent.destroy();
         agent = new Agent({ keepAlive: true, maxSockets: 1 });
--- a/packages/soak/src/generate-faults.test.ts
+++ b/packages/soak/src/generate-faults.test.ts
@@ -28,7 +28,7 @@
 
 test('the schedules of many seeds contain every kind of fault, and faults overlap', (t) => {
   const schedules = Array.from({ length: 30 }, (_, seed) => generateFaults(seed, options));
-  t.is(new Set(schedules.flat().map(({ kind }) => kind)).size, 11);
+  t.is(new Set(schedules.flat().map(({ kind }) => kind)).size, 12);
   const overlaps = schedules.map((schedule) =>
     schedule.some(
       (fault, n) => n > 0 && (schedule[n - 1]?.at ?? 0) + (schedule[n - 1]?.forMs ?? 0) > fault.at,
--- a/packages/soak/src/generate-faults.ts
+++ b/packages/soak/src/generate-faults.ts
@@ -10,6 +10,8 @@
   | { readonly kind: 'server-leaves'; readonly server: number }
   | { readonly kind: 'server-full'; readonly server: number }
   | { readonly kind: 'server-silent'; readonly server: number }
+  /** Requests with one bad part in their prompt; `vm` gets the first of them. */
+  | { readonly kind: 'crashing-part'; readonly vm: number }
   | { readonly kind: 'key-withdrawn' }
   | { readonly kind: 'config-storm' }
 );
@@ -18,12 +20,12 @@
  * Versions of the list from which kinds of faults are drawn. A new kind comes with a new version, since a
  * longer list changes the schedule of every seed.
  */
-export const scheduleVersions = ['v1', 'v2'] as const;
+export const scheduleVersions = ['v1', 'v2', 'v3'] as const;
 
 export type ScheduleVersion = (typeof scheduleVersions)[number];
 
 /** Version with all kinds of faults. */
-export const newestScheduleVersion: ScheduleVersion = 'v2';
+export const newestScheduleVersion: ScheduleVersion = 'v3';
 
 /** Options of a fault schedule. */
 export interface FaultGenerationOptions {
@@ -97,15 +99,26 @@
   (at, forMs) => ({ kind: 'config-storm', at, forMs }),
 ];
 
+const secondGenerators: readonly FaultGenerator[] = [
+  ...firstGenerators,
+  (at, _, random, options) => ({
+    kind: 'server-silent',
+    at,
+    forMs: random.integer(minSilenceMs, maxSilenceMs),
+    server: pickServer(random, options),
+  }),
+];
+
 const generatorsByVersion: Readonly<Record<ScheduleVersion, readonly FaultGenerator[]>> = {
   v1: firstGenerators,
-  v2: [
-    ...firstGenerators,
-    (at, _, random, options) => ({
-      kind: 'server-silent',
+  v2: secondGenerators,
+  v3: [
+    ...secondGenerators,
+    (at, forMs, random, options) => ({
+      kind: 'crashing-part',
       at,
-      forMs: random.integer(minSilenceMs, maxSilenceMs),
-      server: pickServer(random, options),
+      forMs,
+      vm: pickVm(random, options),
     }),
   ],
 };
--- a/packages/soak/src/inject-fault.ts
+++ b/packages/soak/src/inject-fault.ts
@@ -2,11 +2,18 @@
 import {
   registerBackendServer,
   publishConfig,
+  sendRequest,
   waitUntilReady,
 } from '@hemlocksill/platform/fakes/stand-in-platform.js';
 import type { SoakFault } from './generate-faults.js';
 import type { Span } from './records.js';
-import type { ProxiedServer, ProxiedVm, SoakEnvironment } from './start-environment.js';
+import {
+  crashingPartSuffix,
+  sharedPart,
+  type ProxiedServer,
+  type ProxiedVm,
+  type SoakEnvironment,
+} from './start-environment.js';
 
 /** Duration of the drain fault, in which the server completes its open requests. */
 const drainMs = 4_000;
@@ -15,6 +22,16 @@
 const stormVersionCount = 8;
 const stormGapMs = 60;
 
+/** Interval between two requests with the bad part of a prompt. */
+const crashingRequestGapMs = 200;
+
+const getItem = <T>(items: readonly T[], index: number): T => {
+  const item = items[index];
+  if (item === undefined)
+    throw new Error(`fault refers to index ${index}, but only ${items.length} items exist`);
+  return item;
+};
+
 /** Ends an active fault after `forMs` and records its span, which is infinite until the fault ends. */
 const recordAndEndFault = async (
   environment: SoakEnvironment,
@@ -100,6 +117,34 @@
   return sleep(drainMs);
 };
 
+/** Sends requests with one bad part in their prompt to one VM after the other. */
+const sendCrashingParts = async (
+  environment: SoakEnvironment,
+  firstVm: number,
+  forMs: number,
+): Promise<void> => {
+  const part = `${environment.crashingParts.length + 1}${crashingPartSuffix}`;
+  environment.crashingParts.push(part);
+  const endsAt = environment.now() + forMs;
+  const requests: Promise<unknown>[] = [];
+  for (let n = 0; environment.now() < endsAt; n += 1) {
+    const vm = getItem(environment.vms, (firstVm + n) % environment.vms.length);
+    const request = sendRequest(vm.process.callersPort, {
+      path: '/summary/1',
+      id: `${part}-${n}`,
+      method: 'POST',
+      key: environment.key,
+      tokens: [3_000, 60],
+      parts: [sharedPart, part, `b${n}`],
+      body: 'summarise',
+    });
+    // Only the runs at engines are checked; a VM that is down resets the connection.
+    requests.push(request.catch(() => undefined));
+    await sleep(crashingRequestGapMs);
+  }
+  await Promise.all(requests);
+};
+
 const injectStoreFault = (
   environment: SoakEnvironment,
   mode: 'silent' | 'refusing' | 'forget',
@@ -116,13 +161,6 @@
   );
 };
 
-const getItem = <T>(items: readonly T[], index: number): T => {
-  const item = items[index];
-  if (item === undefined)
-    throw new Error(`fault refers to index ${index}, but only ${items.length} items exist`);
-  return item;
-};
-
 /**
  * Injects one fault; resolves when the fault has ended.
  *
@@ -175,6 +213,8 @@
     }
     case 'server-leaves':
       return drainServer(environment, getItem(environment.servers, fault.server));
+    case 'crashing-part':
+      return sendCrashingParts(environment, fault.vm, forMs);
     case 'config-storm':
       return publishStorm(environment);
     default:
--- a/packages/soak/src/records.ts
+++ b/packages/soak/src/records.ts
@@ -63,10 +63,12 @@
   readonly storeOutages: readonly Span[];
   /** Intervals in which a VM was paused, stopped, starting or cut off from the store, by VM. */
   readonly vmFaultSpans: ReadonlyMap<string, readonly Span[]>;
-  /** Intervals in which the connections to a backend server had a fault. */
+  /** Intervals in which the connections to a backend server had a fault, or it had crashed. */
   readonly serverFaultSpans: readonly ServerFaultSpan[];
   /** VMs that received SIGTERM, from the signal to the exit of the process. */
   readonly stops: readonly (Span & { readonly vm: string })[];
+  /** Parts of prompts on which engines crash; the ids of requests with one begin with it. */
+  readonly crashingParts: readonly string[];
   readonly endedAt: number;
   /** Time at which the last fault ended. */
   readonly faultsEndedAt: number;
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -6,6 +6,7 @@
 import type { CallRecord, SoakRecord } from './records.js';
 import {
   countServers,
+  sharedPart,
   startEnvironment,
   streamEvents,
   type ServerSet,
@@ -69,6 +70,7 @@
     faultSpans.map((span) => ({ ...span, service })),
   ),
   stops: environment.stops,
+  crashingParts: environment.crashingParts,
   endedAt: environment.now(),
   faultsEndedAt,
 });
@@ -87,12 +89,14 @@
   const { seed, version, faultMs, vms } = options;
   const serverSet = chooseServerSet(seed, version);
   const servers = countServers(serverSet);
+  const hasPromptParts = version !== 'v1' && version !== 'v2';
   const faults = generateFaults(seed, { version, vms, servers, faultMs });
   const environment = await startEnvironment(vms, serverSet);
   const callers = driveCallers(
     {
       vms: environment.vms,
       getKey: () => environment.key,
+      listParts: (caller) => (hasPromptParts ? [sharedPart, `c${caller}`] : undefined),
       random: makeSeededRandom(seed + callerSeedOffset),
       now: environment.now,
     },
--- a/packages/soak/src/start-environment.ts
+++ b/packages/soak/src/start-environment.ts
@@ -1,5 +1,7 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import {
   registerBackendServer,
+  removeBackendServer,
   publishConfig,
   startStandInPlatform,
   waitUntilReady,
@@ -22,14 +24,26 @@
 /** Processing time of a plain request or a prefill. */
 const workMs = 15;
 
+/** Part at the start of the prompts of all callers. */
+export const sharedPart = 'a1';
+
+/** Suffix of the parts on which engines crash. */
+export const crashingPartSuffix = 'bad';
+
+/** Time until a crashed engine is back as a new instance. */
+const restartDelayMs = 400;
+
 /** Grace period of a VM after SIGTERM. */
 const graceS = 4;
 
 /** A backend server and the proxy in front of it. */
 export interface ProxiedServer {
   readonly service: Service;
-  readonly backend: StandInBackendServer;
-  readonly proxy: TcpProxy;
+  /** The current instance and the proxy in front of it; a new one replaces it after a crash. */
+  backend: StandInBackendServer;
+  proxy: TcpProxy;
+  /** All instances, those that have crashed included. */
+  readonly instances: StandInBackendServer[];
   readonly faultSpans: Span[];
   /** Never drained, so that each service and stage keeps at least one server. */
   readonly isPermanent: boolean;
@@ -55,6 +69,7 @@
   readonly changes: AcknowledgedChange[];
   readonly storeOutages: Span[];
   readonly stops: (Span & { readonly vm: string })[];
+  readonly crashingParts: string[];
   /** Milliseconds since the start of the soak. */
   readonly now: () => number;
   readonly listRuns: () => RunRecord[];
@@ -86,20 +101,65 @@
  */
 export const countServers = (set: ServerSet): number => listDefinitions(set).length;
 
-const startServers = (platform: StandInPlatform, set: ServerSet): Promise<ProxiedServer[]> =>
+const startServer = async (
+  platform: StandInPlatform,
+  service: Service,
+  options: BackendServerOptions,
+): Promise<Pick<ProxiedServer, 'backend' | 'proxy'>> => {
+  const backend = await platform.addBackendServer(service, {
+    ...options,
+    events: streamEvents,
+    gapMs: eventGapMs,
+    workMs,
+    isEchoing: true,
+    crashingPart: crashingPartSuffix,
+  });
+  const proxy = await startTcpProxy(backend.port);
+  registerBackendServer(platform.store, service, backend, 'ready', proxy.port);
+  return { backend, proxy };
+};
+
+/** Replaces an engine that crashed by a new instance, unless it was to leave anyway. */
+const replaceCrashed = async (
+  platform: StandInPlatform,
+  server: ProxiedServer,
+  options: BackendServerOptions,
+  now: () => number,
+): Promise<void> => {
+  const span = { from: now(), to: Number.POSITIVE_INFINITY };
+  server.faultSpans.push(span);
+  removeBackendServer(platform.store, server.backend);
+  server.proxy.close();
+  await sleep(restartDelayMs);
+  if (!server.isLeaving) {
+    const id = `${options.id}-${server.instances.length + 1}`;
+    Object.assign(server, await startServer(platform, server.service, { ...options, id }));
+    server.instances.push(server.backend);
+  }
+  span.to = now();
+};
+
+const startServers = (
+  platform: StandInPlatform,
+  set: ServerSet,
+  now: () => number,
+): Promise<ProxiedServer[]> =>
   Promise.all(
-    listDefinitions(set).map(async ([service, options, isPermanent]) => {
-      const fullOptions = {
-        ...options,
-        events: streamEvents,
-        gapMs: eventGapMs,
-        workMs,
-        isEchoing: true,
+    listDefinitions(set).map(async ([service, definition, isPermanent]) => {
+      const options = {
+        ...definition,
+        onCrash: () => void replaceCrashed(platform, server, options, now),
+      };
+      const started = await startServer(platform, service, options);
+      const server: ProxiedServer = {
+        ...started,
+        service,
+        instances: [started.backend],
+        faultSpans: [],
+        isPermanent,
+        isLeaving: false,
       };
-      const backend = await platform.addBackendServer(service, fullOptions);
-      const proxy = await startTcpProxy(backend.port);
-      registerBackendServer(platform.store, service, backend, 'ready', proxy.port);
-      return { service, backend, proxy, faultSpans: [], isPermanent, isLeaving: false };
+      return server;
     }),
   );
 
@@ -125,10 +185,11 @@
   serverSet: ServerSet,
 ): Promise<SoakEnvironment> => {
   const startedAt = performance.now();
+  const now = (): number => performance.now() - startedAt;
   const platform = await startStandInPlatform();
   const key = 'k1';
   publishConfig(platform.store, 1, [key]);
-  const servers = await startServers(platform, serverSet);
+  const servers = await startServers(platform, serverSet, now);
   const vmNames = Array.from({ length: vmCount }, (_, n) => `vm-${n + 1}`);
   const vms = await Promise.all(vmNames.map((name) => startVm(platform, name)));
   await Promise.all(vms.map((vm) => waitUntilReady(platform, vm.process)));
@@ -141,19 +202,22 @@
     changes: [],
     storeOutages: [],
     stops: [],
-    now: () => performance.now() - startedAt,
+    crashingParts: [],
+    now,
     listRuns: () =>
-      servers.flatMap(({ backend }) =>
-        backend.receivedRequests.map((run) => ({
-          id: run.id,
-          server: backend.options.id,
-          isPrefill: run.isPrefill,
-          workspace: run.workspace,
-          hasKey: run.hasKey,
-          arrivedAt: run.arrivedAt - startedAt,
-          endedAt: run.endedAt === undefined ? undefined : run.endedAt - startedAt,
-        })),
-      ),
+      servers
+        .flatMap(({ instances }) => instances)
+        .flatMap(({ options, receivedRequests }) =>
+          receivedRequests.map((run) => ({
+            id: run.id,
+            server: options.id,
+            isPrefill: run.isPrefill,
+            workspace: run.workspace,
+            hasKey: run.hasKey,
+            arrivedAt: run.arrivedAt - startedAt,
+            endedAt: run.endedAt === undefined ? undefined : run.endedAt - startedAt,
+          })),
+        ),
     close: async () => {
       await platform.close();
       servers.forEach(({ proxy }) => proxy.close());
