A shared prompt part that is blocked by mistake is released, and rarely blocked at all

Cause: a message tells eight parts, those with most incidents first, so the newest crash of the second bad part was not told; its incidents then counted for the shared part alone. And a block could only end by itself.

Change: the newest incidents are told first; an incident that a rarer part with several incidents explains doesn't count for a common one; after a minute or two, then less and less often, one request with a blocked part is let through, and if an engine survives it the part is released at all VMs. Bound of harm: one engine each time.

Ruled out: never blocking common parts, as one of them may be bad.

--- a/packages/router/src/crash-watch.ts
+++ b/packages/router/src/crash-watch.ts
@@ -32,7 +32,7 @@
 export interface CrashWatch {
   readonly recordArrival: (parts: readonly string[]) => void;
   /** Returns the blocked part for which a request must be refused, and counts the refusal. */
-  readonly findBlocked: (parts: readonly string[]) => string | undefined;
+  readonly findBlocked: (parts: readonly string[], id: string) => string | undefined;
   readonly watchRun: (parts: readonly string[], server: BackendServer) => RunWatch;
   readonly listForPeers: () => readonly CrashRow[];
   readonly recordPeer: (rows: readonly CrashRow[]) => void;
@@ -46,6 +46,7 @@
   /** Notifies the other VMs of a crash, a survival or a decision. */
   readonly notifyPeers: () => void;
   readonly now: () => number;
+  readonly random: () => number;
 }
 
 const unwatchedRun: RunWatch = {
@@ -62,7 +63,13 @@
  * const run = makeCrashWatch(deps).watchRun(['9c4'], server);
  * run.recordBreak(); // false: no engine had crashed on this part before
  */
-export const makeCrashWatch = ({ log, metrics, notifyPeers, now }: CrashWatchDeps): CrashWatch => {
+export const makeCrashWatch = ({
+  log,
+  metrics,
+  notifyPeers,
+  now,
+  random,
+}: CrashWatchDeps): CrashWatch => {
   const logChange = (change: BlockChange): void => {
     if (change.kind === 'released') {
       log(2311, { part: change.part, reason: change.reason });
@@ -71,15 +78,15 @@
     const { part, instances } = change;
     log(2310, { part, incidents: instances.length, instances });
   };
-  const suspects = makeCrashSuspects(logChange);
+  const suspects = makeCrashSuspects(logChange, random);
   const notifyIf = (mustNotify: boolean): void => {
     if (mustNotify) notifyPeers();
   };
 
   return {
     recordArrival: suspects.recordArrival,
-    findBlocked: (parts) => {
-      const part = suspects.findBlocked(parts, now());
+    findBlocked: (parts, id) => {
+      const part = suspects.findBlocked(parts, id, now());
       if (part !== undefined) metrics.blockedRequests.inc();
       return part;
     },
--- a/packages/router/src/handle-call.ts
+++ b/packages/router/src/handle-call.ts
@@ -101,11 +101,11 @@
 const checkPromptParts = (
   deps: CallDeps,
   route: Route,
-  { promptParts }: CallMetadata,
+  { id, promptParts }: CallMetadata,
 ): Result<void, Rejection> => {
   if (route.kind !== 'stream') return ok(undefined);
   deps.crashWatch.recordArrival(promptParts);
-  const part = deps.crashWatch.findBlocked(promptParts);
+  const part = deps.crashWatch.findBlocked(promptParts, id);
   if (part === undefined) return ok(undefined);
   return err({ status: 503, reason: blockedReason, retryAfterMs: blockedRetryAfterMs, part });
 };
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -92,7 +92,7 @@
 
   /** Refuses the request if engines crash on a part of its prompt, as is known since it arrived. */
   const refuseIfBlocked = (): boolean => {
-    const part = deps.crashWatch.findBlocked(call.metadata.promptParts);
+    const part = deps.crashWatch.findBlocked(call.metadata.promptParts, id);
     if (part === undefined) return false;
     if (responder.hasSentHead() || mayHaveRun) responder.fail(502, blockedReason);
     else responder.refuse(503, blockedRetryAfterMs, blockedReason, { part });
@@ -524,7 +524,7 @@
      * may be sound and go on, while a stream that has left it can't go back.
      */
     const prepareResume = (): void => {
-      if (deps.crashWatch.findBlocked(call.metadata.promptParts) !== undefined) return;
+      if (deps.crashWatch.findBlocked(call.metadata.promptParts, id) !== undefined) return;
       cancelPreparation = prepareEngine(deps, engines, service.name, unusable, (prepared) => {
         if (prepared) moveTo(prepared);
         else idleTimer = setTimeout(prepareResume, preparationRetryDelayMs);
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -120,6 +120,7 @@
     metrics,
     notifyPeers: () => peers.notifyChange({ kind: 'crash' }),
     now,
+    random: Math.random,
   });
   const retryBudgets = new Map<string, RetryBudget>();
   const abandonAtStop = new Set<() => void>();
--- a/packages/routing/src/crash-suspects.ts
+++ b/packages/routing/src/crash-suspects.ts
@@ -24,6 +24,13 @@
 /** Time after the last request with a blocked part at any VM until the part is released. */
 const blockTtlMs = 600_000;
 
+/**
+ * Time until one request with a blocked part is tried again, plus up to as much at random, so that the VMs
+ * don't try at once; doubled at each crash.
+ */
+const firstProbeDelayMs = 60_000;
+const maxProbeDelayMs = 1_800_000;
+
 /** A block that ends within this time is not taken over from a peer. */
 const blockAdoptionMarginMs = 30_000;
 
@@ -59,8 +66,11 @@
   readonly recordCrash: (parts: readonly string[], instance: string, now: number) => boolean;
   /** Records that an engine survived these parts; returns whether the peers have to be told. */
   readonly recordSurvival: (parts: readonly string[], now: number) => boolean;
-  /** Returns the blocked part of a request, and renews its block. */
-  readonly findBlocked: (parts: readonly string[], now: number) => string | undefined;
+  /**
+   * Returns the blocked part of a request, and renews its block. From time to time one request is let
+   * through, since a part that is blocked by mistake has no other way to survive.
+   */
+  readonly findBlocked: (parts: readonly string[], id: string, now: number) => string | undefined;
   /** Whether engines have crashed on one of the parts, for no other reason that is known. */
   readonly isSuspect: (parts: readonly string[], now: number) => boolean;
   readonly listForPeers: (now: number) => readonly CrashRow[];
@@ -89,6 +99,10 @@
   isWitness: boolean;
   /** Time of the last survival here that cleared incidents. */
   clearedAt: number;
+  /** Time from which a request with the blocked part may be tried, and the id of the latest one. */
+  probeAt: number;
+  probeDelayMs: number;
+  probeId: string | undefined;
 }
 
 /**
@@ -99,9 +113,12 @@
  * of all VMs; a part is blocked on incidents that no blocked part explains, the rarest part first.
  *
  * @example
- * makeCrashSuspects(() => {}).findBlocked(['9c4'], now); // undefined
+ * makeCrashSuspects(() => {}, Math.random).findBlocked(['9c4'], 'r1', now); // undefined
  */
-export const makeCrashSuspects = (onChange: (change: BlockChange) => void): CrashSuspects => {
+export const makeCrashSuspects = (
+  onChange: (change: BlockChange) => void,
+  random: () => number,
+): CrashSuspects => {
   /** In order of use, the least recent first. */
   const statsByPart = new Map<string, PartStats>();
   const cases = new Map<string, PartCase>();
@@ -148,13 +165,24 @@
       isBlocked: false,
       isWitness: false,
       clearedAt: Number.NEGATIVE_INFINITY,
+      probeAt: Number.POSITIVE_INFINITY,
+      probeDelayMs: firstProbeDelayMs,
+      probeId: undefined,
     };
     cases.set(part, created);
     return created;
   };
 
+  const getLatestIncident = ({ incidents }: PartCase): number => Math.max(...incidents.values());
+
+  const scheduleProbe = (partCase: PartCase, now: number): void => {
+    partCase.probeAt = now + partCase.probeDelayMs * (1 + random());
+    partCase.probeDelayMs = Math.min(maxProbeDelayMs, partCase.probeDelayMs * 2);
+  };
+
   /** Adds an incident unless it is part of another one; returns whether it is new. */
-  const addIncident = ({ incidents }: PartCase, instance: string, at: number): boolean => {
+  const addIncident = (partCase: PartCase, instance: string, at: number): boolean => {
+    const { incidents } = partCase;
     const knownAt = incidents.get(instance);
     if (knownAt !== undefined) {
       incidents.set(instance, Math.min(knownAt, at));
@@ -163,6 +191,7 @@
     if ([...incidents.values()].some((other) => Math.abs(other - at) < incidentSpacingMs))
       return false;
     incidents.set(instance, at);
+    if (partCase.isBlocked) scheduleProbe(partCase, at);
     if (incidents.size <= maxIncidentsProtected) return true;
     const [oldest] = [...incidents].sort(([, first], [, second]) => first - second);
     if (oldest) incidents.delete(oldest[0]);
@@ -174,12 +203,27 @@
     other.incidents.has(instance) ||
     [...other.incidents.values()].some((otherAt) => Math.abs(otherAt - at) < incidentSpacingMs);
 
+  /** Orders parts by how likely they are the cause: rare ones, then those late in the prompt. */
+  const compareParts = (first: string, second: string): number => {
+    const firstStats = statsByPart.get(first);
+    const secondStats = statsByPart.get(second);
+    return (
+      (firstStats?.requests ?? 0) - (secondStats?.requests ?? 0) ||
+      (secondStats?.depth ?? -1) - (firstStats?.depth ?? -1)
+    );
+  };
+
+  /** Whether a part probably is the cause of its incidents: it is blocked, or rarer and met several. */
+  const isLikelierCause = (other: string, otherCase: PartCase, part: string): boolean =>
+    other !== part &&
+    (otherCase.isBlocked || (otherCase.incidents.size > 1 && compareParts(other, part) < 0));
+
   const countUnexplained = (part: string): number => {
-    const blocked = [...cases.entries()]
-      .filter(([other, { isBlocked }]) => isBlocked && other !== part)
-      .map(([, other]) => other);
+    const causes = [...cases]
+      .filter(([other, otherCase]) => isLikelierCause(other, otherCase, part))
+      .map(([, otherCase]) => otherCase);
     return [...(cases.get(part)?.incidents ?? [])].filter(
-      ([instance, at]) => !blocked.some((other) => isExplainedBy(other, instance, at)),
+      ([instance, at]) => !causes.some((cause) => isExplainedBy(cause, instance, at)),
     ).length;
   };
 
@@ -188,21 +232,13 @@
     return (cases.get(part)?.incidents.size ?? 0) >= limit && countUnexplained(part) >= limit;
   };
 
-  const block = (part: string, partCase: PartCase): void => {
+  const block = (part: string, partCase: PartCase, now: number): void => {
     partCase.isBlocked = true;
+    partCase.probeDelayMs = firstProbeDelayMs;
+    scheduleProbe(partCase, now);
     onChange({ kind: 'blocked', part, instances: [...partCase.incidents.keys()] });
   };
 
-  /** Orders parts by how likely they are the cause: rare ones, then those late in the prompt. */
-  const compareParts = (first: string, second: string): number => {
-    const firstStats = statsByPart.get(first);
-    const secondStats = statsByPart.get(second);
-    return (
-      (firstStats?.requests ?? 0) - (secondStats?.requests ?? 0) ||
-      (secondStats?.depth ?? -1) - (firstStats?.depth ?? -1)
-    );
-  };
-
   /**
    * Whether a rarer part may turn out to be the cause. A stream that breaks here adds to the incidents
    * of its own parts before the peers tell which part caused them.
@@ -234,7 +270,7 @@
         !statsByPart.get(part)?.requests &&
         (second === undefined || compareParts(part, second[0]) === 0);
       if (isUndecided || hasRarerSuspect(part, partCase, now)) return hasDecided;
-      block(part, partCase);
+      block(part, partCase, now);
       hasDecided ||= partCase.isWitness;
     }
   };
@@ -290,7 +326,7 @@
       !hasRarerSuspect(part, partCase, now);
     const seenAt = now - idleMs;
     if (isNew || seenAt > partCase.lastSeenAt + relayToleranceMs) partCase.lastSeenAt = seenAt;
-    if (isNew) block(part, partCase);
+    if (isNew) block(part, partCase, now);
   };
 
   return {
@@ -321,12 +357,18 @@
       });
       return hasCleared;
     },
-    findBlocked: (parts, now) => {
+    findBlocked: (parts, id, now) => {
       if (cases.size === 0) return undefined;
       expire(now);
       const blocked = parts.find((part) => cases.get(part)?.isBlocked);
-      if (blocked !== undefined) getCase(blocked, now).lastSeenAt = now;
-      return blocked;
+      if (blocked === undefined) return undefined;
+      const partCase = getCase(blocked, now);
+      partCase.lastSeenAt = now;
+      if (now >= partCase.probeAt) {
+        partCase.probeId = id;
+        scheduleProbe(partCase, now);
+      }
+      return partCase.probeId === id ? undefined : blocked;
     },
     isSuspect: (parts, now) => {
       expire(now);
@@ -342,7 +384,7 @@
         .sort(
           ([, first], [, second]) =>
             Number(second.isBlocked) - Number(first.isBlocked) ||
-            second.incidents.size - first.incidents.size,
+            getLatestIncident(second) - getLatestIncident(first),
         )
         .slice(0, maxRows)
         .map(([part, { incidents, lastSeenAt, isBlocked }]): CrashRow => {
