A response to a stream request that has no body is not an empty stream

Callers got 502 for HEAD requests and statuses without a body on routes of streams: a stream without framing that ends before its first event counts as broken off, and these have neither framing nor events.

Two tests of bodyless-responses.test.ts failed before.

--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -419,7 +419,7 @@
             resumeOrFail(server, resumedStreamFault);
             return;
           }
-          const isFramed = head?.isFramed ?? false;
+          const isFramed = head !== undefined && (head.isFramed || !head.hasBody);
           const isEmpty = isFirstChunk && !isFramed && !isErrorHead();
           if (splitter.hasIncompleteEvent() || isEmpty) {
             mayHaveRun = true;
