Crashes around a block don't postpone the request that is tried

Cause: each incident of a blocked part doubled the time until a request with it is tried, also those of requests that had been sent before the block, and old incidents that peers tell again after they were dropped here.

Change: only a crash ten seconds after the block doubles the time, and only an incident newer than all others counts. The statistics of parts move to part-stats.

--- a/packages/routing/src/crash-suspects.ts
+++ b/packages/routing/src/crash-suspects.ts
@@ -1,4 +1,5 @@
 import type { CrashRow, CrashRowState } from './crash-rows.js';
+import { makePartStats } from './part-stats.js';
 
 /** Incidents after which a part of a prompt is blocked; chance seldom ends that many engines on it. */
 const maxIncidents = 3;
@@ -31,6 +32,9 @@
 const firstProbeDelayMs = 60_000;
 const maxProbeDelayMs = 1_800_000;
 
+/** Time after a block in which crashes are those of requests that had been sent before. */
+const blockSettleMs = 10_000;
+
 /** A block that ends within this time is not taken over from a peer. */
 const blockAdoptionMarginMs = 30_000;
 
@@ -40,8 +44,7 @@
 /** Time for which peers are told that a part survived. */
 const survivalRepeatMs = 5_000;
 
-/** Parts whose requests are counted, and parts with incidents, in one VM's memory. */
-const maxCountedParts = 2_048;
+/** Parts with incidents in one VM's memory. */
 const maxSuspectedParts = 256;
 
 /** Rows of each kind in one message. */
@@ -83,13 +86,6 @@
   readonly tick: (now: number) => boolean;
 }
 
-interface PartStats {
-  requests: number;
-  /** Position in the prompt, -1 if no request was seen here. */
-  depth: number;
-  survivedAt: number;
-}
-
 interface PartCase {
   /** Time of each incident by engine instance, all of them after the last survival. */
   readonly incidents: Map<string, number>;
@@ -102,6 +98,7 @@
   /** Time from which a request with the blocked part may be tried, and the id of the latest one. */
   probeAt: number;
   probeDelayMs: number;
+  blockedAt: number;
   probeId: string | undefined;
 }
 
@@ -119,28 +116,11 @@
   onChange: (change: BlockChange) => void,
   random: () => number,
 ): CrashSuspects => {
-  /** In order of use, the least recent first. */
-  const statsByPart = new Map<string, PartStats>();
+  const stats = makePartStats();
   const cases = new Map<string, PartCase>();
 
-  const touchStats = (part: string): PartStats => {
-    const stats = statsByPart.get(part) ?? {
-      requests: 0,
-      depth: -1,
-      survivedAt: Number.NEGATIVE_INFINITY,
-    };
-    statsByPart.delete(part);
-    statsByPart.set(part, stats);
-    const [oldest] = statsByPart.keys();
-    if (statsByPart.size > maxCountedParts && oldest !== undefined) statsByPart.delete(oldest);
-    return stats;
-  };
-
-  const getSurvivedAt = (part: string): number =>
-    statsByPart.get(part)?.survivedAt ?? Number.NEGATIVE_INFINITY;
-
   const isProtected = (part: string, now: number): boolean =>
-    now - getSurvivedAt(part) < protectionMs;
+    now - stats.getSurvivedAt(part) < protectionMs;
 
   const getMaxIncidents = (part: string, now: number): number =>
     isProtected(part, now) ? maxIncidentsProtected : maxIncidents;
@@ -167,6 +147,7 @@
       clearedAt: Number.NEGATIVE_INFINITY,
       probeAt: Number.POSITIVE_INFINITY,
       probeDelayMs: firstProbeDelayMs,
+      blockedAt: Number.POSITIVE_INFINITY,
       probeId: undefined,
     };
     cases.set(part, created);
@@ -177,7 +158,12 @@
 
   const scheduleProbe = (partCase: PartCase, now: number): void => {
     partCase.probeAt = now + partCase.probeDelayMs * (1 + random());
-    partCase.probeDelayMs = Math.min(maxProbeDelayMs, partCase.probeDelayMs * 2);
+  };
+
+  const postponeProbe = (partCase: PartCase, crashedAt: number): void => {
+    if (crashedAt - partCase.blockedAt > blockSettleMs)
+      partCase.probeDelayMs = Math.min(maxProbeDelayMs, partCase.probeDelayMs * 2);
+    scheduleProbe(partCase, crashedAt);
   };
 
   /** Adds an incident unless it is part of another one; returns whether it is new. */
@@ -190,8 +176,9 @@
     }
     if ([...incidents.values()].some((other) => Math.abs(other - at) < incidentSpacingMs))
       return false;
+    // Peers tell old incidents again that were dropped here.
+    if (partCase.isBlocked && at > getLatestIncident(partCase)) postponeProbe(partCase, at);
     incidents.set(instance, at);
-    if (partCase.isBlocked) scheduleProbe(partCase, at);
     if (incidents.size <= maxIncidentsProtected) return true;
     const [oldest] = [...incidents].sort(([, first], [, second]) => first - second);
     if (oldest) incidents.delete(oldest[0]);
@@ -203,20 +190,10 @@
     other.incidents.has(instance) ||
     [...other.incidents.values()].some((otherAt) => Math.abs(otherAt - at) < incidentSpacingMs);
 
-  /** Orders parts by how likely they are the cause: rare ones, then those late in the prompt. */
-  const compareParts = (first: string, second: string): number => {
-    const firstStats = statsByPart.get(first);
-    const secondStats = statsByPart.get(second);
-    return (
-      (firstStats?.requests ?? 0) - (secondStats?.requests ?? 0) ||
-      (secondStats?.depth ?? -1) - (firstStats?.depth ?? -1)
-    );
-  };
-
   /** Whether a part probably is the cause of its incidents: it is blocked, or rarer and met several. */
   const isLikelierCause = (other: string, otherCase: PartCase, part: string): boolean =>
     other !== part &&
-    (otherCase.isBlocked || (otherCase.incidents.size > 1 && compareParts(other, part) < 0));
+    (otherCase.isBlocked || (otherCase.incidents.size > 1 && stats.compare(other, part) < 0));
 
   const countUnexplained = (part: string): number => {
     const causes = [...cases]
@@ -234,6 +211,7 @@
 
   const block = (part: string, partCase: PartCase, now: number): void => {
     partCase.isBlocked = true;
+    partCase.blockedAt = now;
     partCase.probeDelayMs = firstProbeDelayMs;
     scheduleProbe(partCase, now);
     onChange({ kind: 'blocked', part, instances: [...partCase.incidents.keys()] });
@@ -248,7 +226,7 @@
     const reachedAt = times[getMaxIncidents(part, now) - 1] ?? now;
     if (now - reachedAt >= incidentRelayMs) return false;
     return [...cases].some(([other, otherCase]) => {
-      if (otherCase.isBlocked || compareParts(other, part) >= 0) return false;
+      if (otherCase.isBlocked || stats.compare(other, part) >= 0) return false;
       const shared = [...incidents].filter(([instance, at]) =>
         isExplainedBy(otherCase, instance, at),
       );
@@ -262,13 +240,12 @@
     for (;;) {
       const [first, second] = [...cases]
         .filter(([part, { isBlocked }]) => !isBlocked && mustBlock(part, now))
-        .sort(([part], [otherPart]) => compareParts(part, otherPart));
+        .sort(([part], [otherPart]) => stats.compare(part, otherPart));
       if (!first) return hasDecided;
       const [part, partCase] = first;
       // A VM without requests with these parts can't tell which one is rarer; it waits for one that can.
       const isUndecided =
-        !statsByPart.get(part)?.requests &&
-        (second === undefined || compareParts(part, second[0]) === 0);
+        !stats.isKnown(part) && (second === undefined || stats.compare(part, second[0]) === 0);
       if (isUndecided || hasRarerSuspect(part, partCase, now)) return hasDecided;
       block(part, partCase, now);
       hasDecided ||= partCase.isWitness;
@@ -277,9 +254,7 @@
 
   /** Applies a survival; returns whether it cleared incidents. */
   const applySurvival = (part: string, at: number, now: number): boolean => {
-    const stats = touchStats(part);
-    if (at <= stats.survivedAt) return false;
-    stats.survivedAt = at;
+    if (!stats.recordSurvival(part, at)) return false;
     const partCase = cases.get(part);
     if (!partCase) return false;
     const { incidents } = partCase;
@@ -314,7 +289,7 @@
     const known = incidents
       .slice(0, maxIncidentsProtected)
       .map(([instance, ageMs]) => [instance, now - ageMs] as const)
-      .filter(([, at]) => at > getSurvivedAt(part))
+      .filter(([, at]) => at > stats.getSurvivedAt(part))
       .filter(([, at]) => state === 'blocked' || now - at < incidentTtlMs);
     if (known.length === 0) return;
     const partCase = getCase(part, now);
@@ -330,12 +305,7 @@
   };
 
   return {
-    recordArrival: (parts) =>
-      parts.forEach((part, depth) => {
-        const stats = touchStats(part);
-        stats.requests += 1;
-        stats.depth = Math.max(stats.depth, depth);
-      }),
+    recordArrival: stats.recordArrival,
     recordCrash: (parts, instance, now) => {
       expire(now);
       const blocked = parts.find((part) => cases.get(part)?.isBlocked);
