VMs of the release before read messages that tell of no crash

During an upgrade the two halves of a fleet would not have read each other's messages at all, since the field of crashes made each longer, and would have counted the other half's load and admissions as none. The field now comes last and only while there are crashes; messages without it are read as before.

The new test failed before (12 and 17 fields). Changed test: the malformed field is put into the encoded message, since the encoder leaves an empty one out; it holds the same cases.

--- a/packages/router/src/gossip-message.test.ts
+++ b/packages/router/src/gossip-message.test.ts
@@ -51,6 +51,14 @@
   });
 });
 
+test('messages without crashes have the fields of the release before, and are read from it', (t) => {
+  const countFields = (bytes: Buffer): number => (JSON.parse(bytes.toString()) as unknown[]).length;
+  const quiet = { ...message, crashes: [] };
+  t.deepEqual([countFields(encodeUpdate(quiet)), countFields(encodeFullMessage(quiet))], [11, 16]);
+  t.deepEqual(decodeMessage(encodeFullMessage(quiet)), { kind: 'full', message: quiet });
+  t.is(decodeMessage(encodeUpdate(quiet))?.kind, 'update');
+});
+
 test('invalid bytes are rejected or decode to a well-formed message', (t) => {
   const encoded = encodeFullMessage(message).toString();
   const mutated = fc
@@ -74,8 +82,9 @@
 });
 
 test('a message whose crashes are not well formed is not readable', (t) => {
+  const fields = JSON.parse(encodeFullMessage(message).toString()) as unknown[];
   const encode = (crashes: unknown): Buffer =>
-    encodeFullMessage({ ...message, crashes: crashes as FullMessage['crashes'] });
+    Buffer.from(JSON.stringify([...fields.slice(0, -1), crashes]));
   [
     null,
     'x',
--- a/packages/router/src/gossip-message.ts
+++ b/packages/router/src/gossip-message.ts
@@ -61,8 +61,8 @@
 const watcherFlag = 2;
 const reachableFlag = 4;
 
-const updateFieldCount = 12;
-const fullFieldCount = 17;
+const updateFieldCount = 11;
+const fullFieldCount = 16;
 
 const encodeFlags = (update: LoadUpdate): number =>
   (update.isShuttingDown ? shuttingDownFlag : 0) +
@@ -81,12 +81,14 @@
   update.serverChanges ?? null,
   update.changing,
   update.failing,
-  update.crashes,
 ];
 
+/** A last field only while there are crashes, so that VMs of the release before read all other messages. */
+const encodeCrashes = ({ crashes }: LoadUpdate): unknown[] => (crashes.length > 0 ? [crashes] : []);
+
 /** Encodes an update; fields are positional because updates are sent many times a second. */
 export const encodeUpdate = (update: LoadUpdate): Buffer =>
-  Buffer.from(JSON.stringify(encodeRow(update)));
+  Buffer.from(JSON.stringify([...encodeRow(update), ...encodeCrashes(update)]));
 
 /** Encodes a full message. */
 export const encodeFullMessage = (message: FullMessage): Buffer =>
@@ -98,6 +100,7 @@
       message.dataCentre,
       message.ageMs,
       message.quotaLevels ?? null,
+      ...encodeCrashes(message),
     ]),
   );
 
@@ -184,7 +187,7 @@
 
 const hasFlag = (flags: number, flag: number): boolean => Math.floor(flags / flag) % 2 === 1;
 
-const decodeUpdate = (row: readonly unknown[]): LoadUpdate | undefined => {
+const decodeUpdate = (row: readonly unknown[], crashes: unknown): LoadUpdate | undefined => {
   const [
     incarnation,
     sequence,
@@ -197,7 +200,6 @@
     serverChanges,
     changing,
     failing,
-    crashes,
   ] = row;
   if (typeof incarnation !== 'string') return undefined;
   if (![sequence, config, servers, flags].every((n) => Number.isFinite(n))) return undefined;
@@ -236,12 +238,14 @@
     return undefined;
   }
   if (!Array.isArray(row)) return undefined;
-  const update = decodeUpdate(row);
+  const isFull = row.length >= fullFieldCount;
+  const fieldCount = isFull ? fullFieldCount : updateFieldCount;
+  if (row.length > fieldCount + 1) return undefined;
+  const update = decodeUpdate(row, row.length > fieldCount ? row[fieldCount] : []);
   if (!update) return undefined;
-  if (row.length === updateFieldCount) return { kind: 'update', update };
+  if (!isFull) return { kind: 'update', update };
   const [vm, address, dataCentre, ageMs, quotaLevels] = row.slice(updateFieldCount) as unknown[];
-  if (row.length !== fullFieldCount || typeof vm !== 'string' || !isAddress(address))
-    return undefined;
+  if (typeof vm !== 'string' || !isAddress(address)) return undefined;
   if (typeof dataCentre !== 'string') return undefined;
   if (typeof ageMs !== 'number' || !Number.isFinite(ageMs)) return undefined;
   if (quotaLevels !== null && !isQuotaLevels(quotaLevels)) return undefined;
