Tests of the outbox run one after the other

Trace: Node runs all due timers of one duration before those of another, whatever their order. When the process stood still for 30 ms, the waits of other tests of the file were due, and this test's wait, in the same list, ended with them before the timer of 12 ms that sends the message. Run one after the other, only one wait is in the list, and the shorter timer always comes first. No assertion or time is changed.

--- a/packages/router/src/peer-outbox.test.ts
+++ b/packages/router/src/peer-outbox.test.ts
@@ -5,7 +5,11 @@
 import { sleep } from './sleep.js';
 import { makePeerOutbox } from './peer-outbox.js';
 
-/** Longer than the time for which changes are collected into one message. */
+/**
+ * Longer than the time for which changes are collected into one message. The tests run one after the other:
+ * Node runs all due timers of the same duration first, so the wait of one test could end the wait of another
+ * before its message is sent.
+ */
 const waitForBatchMs = 30;
 
 const addresses = Array.from({ length: 40 }, (_, n) => `10.0.${n % 4}.${n}:80`);
@@ -65,61 +69,73 @@
   return { outbox, takeSentMessages, entries, admitted };
 };
 
-test('the first message goes to all VMs, a load change to two data centres, a full message for a new peer only to that peer', async (t) => {
-  const { outbox, takeSentMessages } = makeOutbox();
-  outbox.sendFullToAll();
-  t.is((await takeSentMessages()).filter(({ decoded }) => decoded.kind === 'full').length, 40);
-  outbox.notifyChange({ kind: 'load', dataCentre: '2' });
-  const sent = await takeSentMessages();
-  t.deepEqual([...new Set(sent.map(({ address }) => address.split('.')[2]))].sort(), ['0', '2']);
-  t.true(sent.every(({ decoded }) => decoded.kind === 'update'));
-  outbox.sendFullTo(addresses[3] ?? '');
-  const sentToNew = await takeSentMessages();
-  t.deepEqual(
-    sentToNew.map(({ address, decoded }) => [address, decoded.kind]),
-    [[addresses[3], 'full']],
-  );
-});
+test.serial(
+  'the first message goes to all VMs, a load change to two data centres, a full message for a new peer only to that peer',
+  async (t) => {
+    const { outbox, takeSentMessages } = makeOutbox();
+    outbox.sendFullToAll();
+    t.is((await takeSentMessages()).filter(({ decoded }) => decoded.kind === 'full').length, 40);
+    outbox.notifyChange({ kind: 'load', dataCentre: '2' });
+    const sent = await takeSentMessages();
+    t.deepEqual([...new Set(sent.map(({ address }) => address.split('.')[2]))].sort(), ['0', '2']);
+    t.true(sent.every(({ decoded }) => decoded.kind === 'update'));
+    outbox.sendFullTo(addresses[3] ?? '');
+    const sentToNew = await takeSentMessages();
+    t.deepEqual(
+      sentToNew.map(({ address, decoded }) => [address, decoded.kind]),
+      [[addresses[3], 'full']],
+    );
+  },
+);
 
-test('a crash goes to all VMs at once; earlier ones are part of full messages only', async (t) => {
-  const recent: CrashRow = ['9c4', [['i-1@17', 20]], 20, 'suspect'];
-  const earlier: CrashRow = ['b7', [['i-2@17', 90_000]], 20, 'blocked'];
-  const { outbox, takeSentMessages } = makeOutbox('watcher', 60_000, [recent, earlier]);
-  outbox.sendFullToAll();
-  const [full] = await takeSentMessages();
-  t.like(full?.decoded, { kind: 'full', message: { crashes: [recent, earlier] } });
-  outbox.notifyChange({ kind: 'crash' });
-  const sent = await takeSentMessages();
-  t.is(sent.length, 40);
-  t.like(sent[0]?.decoded, { kind: 'update', update: { crashes: [recent] } });
-});
+test.serial(
+  'a crash goes to all VMs at once; earlier ones are part of full messages only',
+  async (t) => {
+    const recent: CrashRow = ['9c4', [['i-1@17', 20]], 20, 'suspect'];
+    const earlier: CrashRow = ['b7', [['i-2@17', 90_000]], 20, 'blocked'];
+    const { outbox, takeSentMessages } = makeOutbox('watcher', 60_000, [recent, earlier]);
+    outbox.sendFullToAll();
+    const [full] = await takeSentMessages();
+    t.like(full?.decoded, { kind: 'full', message: { crashes: [recent, earlier] } });
+    outbox.notifyChange({ kind: 'crash' });
+    const sent = await takeSentMessages();
+    t.is(sent.length, 40);
+    t.like(sent[0]?.decoded, { kind: 'update', update: { crashes: [recent] } });
+  },
+);
 
-test('forty new peers get one full message each, not a full message to all VMs for each of them', async (t) => {
-  const { outbox, takeSentMessages } = makeOutbox();
-  outbox.sendFullToAll();
-  await takeSentMessages();
-  addresses.forEach((address) => outbox.sendFullTo(address));
-  t.is((await takeSentMessages()).length, 40);
-});
+test.serial(
+  'forty new peers get one full message each, not a full message to all VMs for each of them',
+  async (t) => {
+    const { outbox, takeSentMessages } = makeOutbox();
+    outbox.sendFullToAll();
+    await takeSentMessages();
+    addresses.forEach((address) => outbox.sendFullTo(address));
+    t.is((await takeSentMessages()).length, 40);
+  },
+);
 
-test('changed totals are repeated in updates until all VMs have received them', async (t) => {
-  const { outbox, takeSentMessages, admitted } = makeOutbox();
-  outbox.sendFullToAll();
-  await takeSentMessages();
-  admitted.forge = 30;
-  const readTotals = ({ decoded }: { decoded: PeerMessage }): unknown =>
-    decoded.kind === 'update' ? decoded.update.admitted : undefined;
-  for (const expected of [{ forge: 30 }, { forge: 30 }]) {
+test.serial(
+  'changed totals are repeated in updates until all VMs have received them',
+  async (t) => {
+    const { outbox, takeSentMessages, admitted } = makeOutbox();
+    outbox.sendFullToAll();
+    await takeSentMessages();
+    admitted.forge = 30;
+    const readTotals = ({ decoded }: { decoded: PeerMessage }): unknown =>
+      decoded.kind === 'update' ? decoded.update.admitted : undefined;
+    for (const expected of [{ forge: 30 }, { forge: 30 }]) {
+      outbox.notifyChange({ kind: 'load', dataCentre: '0' });
+      t.deepEqual((await takeSentMessages()).map(readTotals)[0], expected);
+    }
+    outbox.notifyChange({ kind: 'low-rate' });
+    t.is((await takeSentMessages()).length, 40);
     outbox.notifyChange({ kind: 'load', dataCentre: '0' });
-    t.deepEqual((await takeSentMessages()).map(readTotals)[0], expected);
-  }
-  outbox.notifyChange({ kind: 'low-rate' });
-  t.is((await takeSentMessages()).length, 40);
-  outbox.notifyChange({ kind: 'load', dataCentre: '0' });
-  t.deepEqual((await takeSentMessages()).map(readTotals)[0], {});
-});
+    t.deepEqual((await takeSentMessages()).map(readTotals)[0], {});
+  },
+);
 
-test('a watcher sends small server changes with the revision they start from', async (t) => {
+test.serial('a watcher sends small server changes with the revision they start from', async (t) => {
   const { outbox, takeSentMessages, entries } = makeOutbox();
   outbox.sendFullToAll();
   await takeSentMessages();
@@ -145,7 +161,7 @@
   );
 });
 
-test('a reader sends its server revision to three VMs, but no server changes', async (t) => {
+test.serial('a reader sends its server revision to three VMs, but no server changes', async (t) => {
   const { outbox, takeSentMessages, entries } = makeOutbox('reader');
   outbox.sendFullToAll();
   await takeSentMessages();
@@ -161,7 +177,7 @@
   );
 });
 
-test('the last message announces the shutdown, and nothing is sent after it', async (t) => {
+test.serial('the last message announces the shutdown, and nothing is sent after it', async (t) => {
   const { outbox, takeSentMessages } = makeOutbox();
   outbox.notifyChange({ kind: 'low-rate' });
   outbox.sendShutdown();
@@ -171,22 +187,25 @@
   t.true(sent.every(({ decoded }) => decoded.kind === 'full' && decoded.message.isShuttingDown));
 });
 
-test('the heartbeat of a watcher is an update, and only a greeting carries quota levels', async (t) => {
-  const { outbox, takeSentMessages } = makeOutbox('watcher', 40);
-  outbox.sendFullToAll();
-  outbox.sendFullTo(addresses[3] ?? '');
-  const firstMessages = await takeSentMessages();
-  const withLevels = firstMessages.filter(
-    ({ decoded }) => decoded.kind === 'full' && decoded.message.quotaLevels !== undefined,
-  );
-  t.is(firstMessages.length, 40);
-  t.deepEqual(
-    withLevels.map(({ address }) => address),
-    [addresses[3]],
-  );
-  await sleep(40);
-  outbox.tick(performance.now());
-  const heartbeats = await takeSentMessages();
-  t.is(heartbeats.length, 40);
-  t.true(heartbeats.every(({ decoded }) => decoded.kind === 'update'));
-});
+test.serial(
+  'the heartbeat of a watcher is an update, and only a greeting carries quota levels',
+  async (t) => {
+    const { outbox, takeSentMessages } = makeOutbox('watcher', 40);
+    outbox.sendFullToAll();
+    outbox.sendFullTo(addresses[3] ?? '');
+    const firstMessages = await takeSentMessages();
+    const withLevels = firstMessages.filter(
+      ({ decoded }) => decoded.kind === 'full' && decoded.message.quotaLevels !== undefined,
+    );
+    t.is(firstMessages.length, 40);
+    t.deepEqual(
+      withLevels.map(({ address }) => address),
+      [addresses[3]],
+    );
+    await sleep(40);
+    outbox.tick(performance.now());
+    const heartbeats = await takeSentMessages();
+    t.is(heartbeats.length, 40);
+    t.true(heartbeats.every(({ decoded }) => decoded.kind === 'update'));
+  },
+);
