Log lines name a request by what it asks for

An id names one attempt of a client. The field request, a hash of method, target, caller and body, is the same when a request comes again, at any VM, so that the lines of an incident tell one request that ends several servers from several requests that share a server.

--- a/packages/router/src/call-context.ts
+++ b/packages/router/src/call-context.ts
@@ -36,6 +36,8 @@
   readonly service: ServiceInfo;
   readonly workspace: RoutedWorkspace | undefined;
   readonly call: ForwardedCall;
+  /** Identifies the request among others, see `fingerprintRequest`. */
+  readonly fingerprint: string;
   /**
    * Time by which the response must be complete: the earlier of the caller's deadline and the
    * route's timeout.
@@ -134,6 +136,7 @@
       route: route.name,
       kind: route.kind,
       workspace: ctx.workspace?.name,
+      request: ctx.fingerprint,
       cost: ctx.cost,
       ms: Math.round(hooks.now() - ctx.arrivedAt),
       firstMs,
--- a/packages/router/src/handle-call.ts
+++ b/packages/router/src/handle-call.ts
@@ -6,10 +6,11 @@
   RoutedWorkspace,
   ServiceInfo,
 } from '@hemlocksill/types/routing.js';
-import type { ReadCallMetadata } from '@hemlocksill/types/routing-ports.js';
+import type { ForwardedCall, ReadCallMetadata } from '@hemlocksill/types/routing-ports.js';
 import type { FleetQuota } from '@hemlocksill/routing/fleet-quota.js';
 import { chooseService, type RouteTable } from '@hemlocksill/routing/route-table.js';
 import { blockedReason, blockedRetryAfterMs, type CrashWatch } from './crash-watch.js';
+import { fingerprintRequest } from './request-fingerprint.js';
 import type { RequestOrder } from './request-order.js';
 import {
   makeResponder,
@@ -242,6 +243,14 @@
     return;
   }
   const { metadata, route, service, workspace, table } = state;
+  const call: ForwardedCall = {
+    method: req.method ?? 'GET',
+    target: req.url ?? '/',
+    rawHeaders: req.rawHeaders,
+    body,
+    metadata,
+    workspace: workspace?.name,
+  };
   const ctx: CallContext = {
     req,
     res,
@@ -250,14 +259,8 @@
     route,
     service,
     workspace,
-    call: {
-      method: req.method ?? 'GET',
-      target: req.url ?? '/',
-      rawHeaders: req.rawHeaders,
-      body,
-      metadata,
-      workspace: workspace?.name,
-    },
+    call,
+    fingerprint: fingerprintRequest(call),
     timeoutAt: arrivedAt + Math.min(route.timeoutMs, metadata.callerTimeoutMs ?? defaultTimeoutMs),
     cost: charged.value,
   };
--- a/packages/router/src/run-plain.ts
+++ b/packages/router/src/run-plain.ts
@@ -61,6 +61,7 @@
     excluded.add(server.id);
     deps.log(2306, {
       id: call.metadata.id,
+      request: ctx.fingerprint,
       server: server.id,
       fault: fault.kind,
       reason: fault.reason,
--- a/packages/router/src/stream-engines.ts
+++ b/packages/router/src/stream-engines.ts
@@ -90,7 +90,14 @@
   const { promptTokens } = requirement;
 
   const recordFault = (server: BackendServer, step: string, fault: CallFault): void => {
-    deps.log(2306, { id, server: server.id, step, fault: fault.kind, reason: fault.reason });
+    deps.log(2306, {
+      id,
+      request: ctx.fingerprint,
+      server: server.id,
+      step,
+      fault: fault.kind,
+      reason: fault.reason,
+    });
     if (fault.kind === 'not-sent') deps.health.record(server.id, 'unreachable', deps.now());
     if (fault.kind === 'unknown') deps.health.record(server.id, 'broken', deps.now());
     if (fault.kind === 'rejected' && fault.reason === 'other-instance')
