Soak: one request that comes again crashes each server that runs it

New fault crashing-request, in version 4 of the schedule: the same plain request or stream, with or without parts that sound prompts share, is sent to one VM after the other and now and then to all at once for 6 to 10 s. Its method, target and caller are those of sound requests; only the body differs. Each server that runs it crashes 60 ms later and is back as a new instance after 400 ms, plain servers, too.

bounded-crashes grows: from 3 s after the third crash under the request on, at most three more arrivals of it, prefills included, come from VMs without a fault in the 3 s before. Its calls are checked for all other promises as well: a request that runs at most once isn't sent again, and none that ran is refused.

--- a/packages/soak/src/check-promises.test.ts
+++ b/packages/soak/src/check-promises.test.ts
@@ -36,6 +36,8 @@
   serverFaultSpans: [],
   stops: [],
   crashingParts: [],
+  crashingRequests: [],
+  crashes: [],
   endedAt: 60_000,
   faultsEndedAt: 20_000,
   ...overrides,
@@ -220,6 +222,68 @@
   t.deepEqual(listViolatedPromises({ runs: makeRuns(6), crashingParts }), ['bounded-crashes']);
 });
 
+const crashingCalls = Array.from({ length: 12 }, (_, n) =>
+  makeCall({ id: `crash1-${n}`, kind: 'read', status: 502, body: '', vm: `vm-${(n % 2) + 1}` }),
+);
+
+/** Three crashes, the third at 12 s, then one arrival every 100 ms after `from`, as often as stated. */
+const makeCrashingRecord = (count: number, from: number): Partial<SoakRecord> => {
+  const times = [
+    11_000,
+    11_500,
+    11_950,
+    ...Array.from({ length: count }, (_, n) => from + n * 100),
+  ];
+  const runs = times.map((arrivedAt, n) =>
+    makeRun({ id: `crash1-${n}`, server: `s${n}`, arrivedAt, endedAt: arrivedAt + 50 }),
+  );
+  return {
+    calls: crashingCalls,
+    runs,
+    crashingRequests: ['crash1'],
+    crashes: runs.map(({ server, arrivedAt }) => ({ server, at: arrivedAt + 50 })),
+    // Servers that crash excuse answers, not arrivals.
+    serverFaultSpans: [{ from: 0, to: 60_000, service: 'desk' }],
+  };
+};
+
+test('a request that crashes servers and reaches more than three later than 3 s after its third crash is reported', (t) => {
+  const reported = ['bounded-crashes'];
+  t.deepEqual(listViolatedPromises(makeCrashingRecord(4, 15_010)), reported);
+  t.deepEqual(listViolatedPromises(makeCrashingRecord(3, 15_010)), []);
+  // One of the four arrives within the 3 s.
+  t.deepEqual(listViolatedPromises(makeCrashingRecord(4, 14_990)), []);
+  t.deepEqual(listViolatedPromises(makeCrashingRecord(9, 14_000)), []);
+
+  const { runs = [], crashes = [], ...others } = makeCrashingRecord(4, 15_010);
+  // The second crash has another cause.
+  const crashesOfOthers = crashes.map((crash, n) => (n === 0 ? { ...crash, server: 'd1' } : crash));
+  t.deepEqual(listViolatedPromises({ runs, crashes: crashesOfOthers, ...others }), []);
+  // A server that survives has not crashed, but was reached.
+  t.deepEqual(listViolatedPromises({ runs, crashes: crashes.slice(0, 3), ...others }), reported);
+});
+
+test('a prefill of a request that crashes servers counts as an arrival, not as a run under which one crashes', (t) => {
+  const { runs = [], ...others } = makeCrashingRecord(4, 15_010);
+  const withPrefills = (from: number, to: number): RunRecord[] =>
+    runs.map((run, n) => ({ ...run, isPrefill: n >= from && n < to }));
+  t.deepEqual(listViolatedPromises({ ...others, runs: withPrefills(3, 7) }), ['bounded-crashes']);
+  t.deepEqual(listViolatedPromises({ ...others, runs: withPrefills(0, 2) }), []);
+});
+
+test('arrivals of a request that crashes servers through a VM with a recent fault are not counted', (t) => {
+  const listWith = (overrides: Partial<SoakRecord>): string[] =>
+    listViolatedPromises({ ...makeCrashingRecord(6, 15_010), ...overrides });
+  const addFault = (from: number, to: number): Partial<SoakRecord> => ({
+    vmFaultSpans: new Map([['vm-1', [{ from, to }]]]),
+  });
+  // Three of the six arrive through vm-1.
+  t.deepEqual(listWith(addFault(12_500, 12_700)), []);
+  t.deepEqual(listWith(addFault(15_000, Number.POSITIVE_INFINITY)), []);
+  t.deepEqual(listWith(addFault(11_000, 12_000)), ['bounded-crashes']);
+  t.deepEqual(listWith({ storeOutages: [{ from: 10_000, to: 16_000 }] }), ['bounded-crashes']);
+});
+
 test('a fleet that does not recover is reported', (t) => {
   const calls = Array.from({ length: 20 }, (_, n) =>
     makeCall({ id: `c${n}`, status: 503, startedAt: 40_000, endedAt: 40_010 }),
--- a/packages/soak/src/check-promises.ts
+++ b/packages/soak/src/check-promises.ts
@@ -17,6 +17,11 @@
    * and the request, or if the VM had a fault within this time before the request.
    */
   faultWindowMs: 3_000,
+  /**
+   * From the third crash under one request until every VM keeps it from servers, and the time that a VM has
+   * to be without a fault for this.
+   */
+  contactMs: 3_000,
   /** From the disconnect of a caller until the backend server stops working for it. */
   runEndMs: 500,
   /** From the end of the caller's timeout until its final response. */
@@ -61,6 +66,12 @@
 /** Engines that one part of a prompt may crash. */
 const maxCrashesByPart = 5;
 
+/** Crashes of servers under one request after which it may reach only few servers. */
+const maxCrashesByRequest = 3;
+
+/** Arrivals of such a request at servers through VMs that have been without faults. */
+const maxArrivalsAfterCrashes = 3;
+
 /** A request that ends this long before its timeout has used its time. */
 const timeoutMarginMs = 100;
 
@@ -251,6 +262,39 @@
     return [{ promise: 'bounded-crashes' as const, detail: `${crashed.size} crashes: ${ids}` }];
   });
 
+/** Through VMs in touch, a request that has crashed three servers reaches at most three more times a server. */
+const checkCrashingRequests = (record: SoakRecord): Violation[] =>
+  record.crashingRequests.flatMap((request) => {
+    const calls = record.calls.filter(({ id }) => id.startsWith(`${request}-`));
+    const vmByCall = new Map(calls.map(({ id, vm }) => [id, vm]));
+    const arrivals = record.runs.filter(({ id }) => vmByCall.has(id));
+    const servers = new Set(arrivals.flatMap((run) => (run.isPrefill ? [] : [run.server])));
+    const crashes = record.crashes.filter(({ server }) => servers.has(server));
+    const crashTimes = crashes.map(({ at }) => at).sort((a, b) => a - b);
+    const lastAllowedCrashAt = crashTimes[maxCrashesByRequest - 1];
+    if (lastAllowedCrashAt === undefined) return [];
+    const boundAt = lastAllowedCrashAt + timeLimits.contactMs;
+    const lateArrivals = arrivals.filter(({ id, arrivedAt }) => {
+      const faultSpans = record.vmFaultSpans.get(vmByCall.get(id) ?? '') ?? [];
+      return (
+        arrivedAt > boundAt && !overlaps(faultSpans, arrivedAt - timeLimits.contactMs, arrivedAt)
+      );
+    });
+    if (lateArrivals.length <= maxArrivalsAfterCrashes) return [];
+    const list = lateArrivals
+      .map(
+        ({ id, server, arrivedAt, isPrefill }) =>
+          `${id} from ${vmByCall.get(id)} at ${server} at ${Math.round(arrivedAt)} ms${isPrefill ? ' (prefill)' : ''}`,
+      )
+      .join(', ');
+    return [
+      {
+        promise: 'bounded-crashes' as const,
+        detail: `${request} ended ${crashTimes.length} servers, the third at ${Math.round(lastAllowedCrashAt)} ms, and reached ${lateArrivals.length} times a server after ${Math.round(boundAt)} ms: ${list}`,
+      },
+    ];
+  });
+
 const checkRecovery = (record: SoakRecord): Violation[] => {
   const callsAfterRecovery = record.calls.filter(
     (call) =>
@@ -285,6 +329,7 @@
     ...checkStops(record),
     ...checkAnswers(record),
     ...checkCrashes(record),
+    ...checkCrashingRequests(record),
     ...checkRecovery(record),
   ];
 };
--- a/packages/soak/src/drive-callers.ts
+++ b/packages/soak/src/drive-callers.ts
@@ -4,6 +4,7 @@
 import type { SeededRandom } from '@hemlocksill/bench/seeded-random.js';
 import { callerTimeoutMs } from './check-promises.js';
 import type { CallKind, CallRecord } from './records.js';
+import { sharedPart } from './start-environment.js';
 
 const requestPaths: Readonly<Record<CallKind, string>> = {
   stream: '/summary/1',
@@ -34,20 +35,67 @@
 export interface CallerDeps {
   readonly vms: readonly { readonly process: RouterProcess; readonly isDown: boolean }[];
   readonly getKey: () => string;
-  /** Parts of the prompts of a caller's streams, if requests state them. */
-  readonly listParts: (caller: number) => readonly string[] | undefined;
+  /** Whether streams state the parts of their prompts. */
+  readonly hasPromptParts: boolean;
   readonly random: SeededRandom;
   readonly now: () => number;
 }
 
-const sendCall = async (
-  deps: CallerDeps,
+/** What a call sends, beside what its record says. */
+export interface CallOptions {
+  /** Undefined for a connection of its own. */
+  readonly agent?: Agent;
+  readonly shouldDisconnectEarly?: boolean;
+  readonly parts?: readonly string[] | undefined;
+  readonly body?: string | undefined;
+}
+
+/**
+ * Returns the parts of the prompts of a caller's streams.
+ *
+ * @example
+ * listCallerParts(3); // ['a1', 'c3']
+ */
+export const listCallerParts = (caller: number): readonly string[] => [sharedPart, `c${caller}`];
+
+/**
+ * Makes the record of a call that is about to be sent.
+ *
+ * @example
+ * makeCallRecord('c1-1', 'vm-1', 'read', 'k1', now());
+ */
+export const makeCallRecord = (
+  id: string,
+  vm: string,
+  kind: CallKind,
+  key: string,
+  startedAt: number,
+): CallRecord => ({
+  id,
+  vm,
+  kind,
+  key,
+  startedAt,
+  endedAt: undefined,
+  status: undefined,
+  body: '',
+  isComplete: false,
+  disconnectedAt: undefined,
+});
+
+/**
+ * Sends a call and completes its record; returns the delay that the response asks for, in milliseconds.
+ *
+ * @example
+ * await sendCall(router, record, now, { body: 'summarise' });
+ */
+export const sendCall = async (
   router: RouterProcess,
   record: CallRecord,
-  agent: Agent,
-  shouldDisconnectEarly: boolean,
-  parts: readonly string[] | undefined,
+  now: () => number,
+  options: CallOptions,
 ): Promise<number> => {
+  const { agent, shouldDisconnectEarly, parts, body } = options;
   const timeoutSignal = AbortSignal.timeout(2 * callerTimeoutMs[record.kind]);
   const pendingResponse = sendRequest(router.callersPort, {
     path: requestPaths[record.kind],
@@ -55,9 +103,11 @@
     method: record.kind === 'read' ? 'GET' : 'POST',
     key: record.key,
     timeoutMs: callerTimeoutMs[record.kind],
-    agent,
-    ...(record.kind === 'stream' ? { tokens: [3_000, 60] as const, body: 'summarise' } : {}),
+    ...(agent === undefined ? {} : { agent }),
+    ...(record.kind === 'stream' ? { tokens: [3_000, 60] as const } : {}),
     ...(record.kind === 'stream' && parts !== undefined ? { parts } : {}),
+    // Node.js sends the body of a GET request only with a stated length.
+    ...(body === undefined ? {} : { body, headers: { 'content-length': `${body.length}` } }),
     onData: (text, disconnect) => {
       record.body = text;
       if (
@@ -66,7 +116,7 @@
         !text.includes('id: 3\n')
       )
         return;
-      record.disconnectedAt = deps.now();
+      record.disconnectedAt = now();
       disconnect();
     },
   });
@@ -80,10 +130,10 @@
     // A response that completes after the disconnect does not count as received.
     record.isComplete = response.isComplete && record.disconnectedAt === undefined;
     record.body = response.body;
-    record.endedAt = deps.now();
+    record.endedAt = now();
     return Number(response.headers['retry-after'] ?? 0) * 1_000;
   } catch {
-    record.endedAt = deps.now();
+    record.endedAt = now();
     return 0;
   }
 };
@@ -107,29 +157,16 @@
       const kind = random.pick(['stream', 'confirm', 'read'] as const);
       if (!vm || vm.isDown || random.next() < switchVmShare) vm = random.pick(deps.vms);
       const router = vm.process;
-      const record: CallRecord = {
-        id: `c${caller}-${n}`,
-        vm: router.vm,
-        kind,
-        key: deps.getKey(),
-        startedAt: deps.now(),
-        endedAt: undefined,
-        status: undefined,
-        body: '',
-        isComplete: false,
-        disconnectedAt: undefined,
-      };
+      const id = `c${caller}-${n}`;
+      const record = makeCallRecord(id, router.vm, kind, deps.getKey(), deps.now());
       records.push(record);
       const shouldDisconnectEarly = kind === 'stream' && random.next() < disconnectShare;
-      const parts = deps.listParts(caller);
-      const retryDelayMs = await sendCall(
-        deps,
-        router,
-        record,
+      const retryDelayMs = await sendCall(router, record, deps.now, {
         agent,
         shouldDisconnectEarly,
-        parts,
-      );
+        parts: deps.hasPromptParts ? listCallerParts(caller) : undefined,
+        body: kind === 'stream' ? 'summarise' : undefined,
+      });
       if (record.endedAt === undefined) {
         agent.destroy();
         agent = new Agent({ keepAlive: true, maxSockets: 1 });
--- a/packages/soak/src/generate-faults.test.ts
+++ b/packages/soak/src/generate-faults.test.ts
@@ -26,9 +26,40 @@
   );
 });
 
+test('a seed of the third version keeps its schedule when kinds are added', (t) => {
+  const faults = generateFaults(7_003, { version: 'v3', vms: 4, servers: 3, faultMs: 6_000 });
+  t.deepEqual(
+    faults.map(({ at, kind, forMs }) => `${at} ${kind} ${forMs}`),
+    [
+      '500 vm-kill 2231',
+      '884 server-silent 2402',
+      '1053 vm-pause 2227',
+      '1558 server-link 2792',
+      '2437 store-link 950',
+      '3762 vm-pause 1218',
+      '4324 server-leaves 3484',
+      '4691 server-leaves 309',
+      '5412 server-full 340',
+    ],
+  );
+});
+
+test('requests of each kind crash servers, for 6 to 10 s', (t) => {
+  const faults = Array.from({ length: 60 }, (_, seed) => generateFaults(seed, options)).flat();
+  const repetitions = faults.flatMap((fault) => (fault.kind === 'crashing-request' ? [fault] : []));
+  t.true(repetitions.every(({ forMs }) => forMs >= 6_000 && forMs <= 10_000));
+  const kinds = repetitions.map(({ call, hasSharedParts }) => `${call} ${hasSharedParts}`);
+  t.deepEqual([...new Set(kinds)].sort(), [
+    'confirm false',
+    'read false',
+    'stream false',
+    'stream true',
+  ]);
+});
+
 test('the schedules of many seeds contain every kind of fault, and faults overlap', (t) => {
   const schedules = Array.from({ length: 30 }, (_, seed) => generateFaults(seed, options));
-  t.is(new Set(schedules.flat().map(({ kind }) => kind)).size, 12);
+  t.is(new Set(schedules.flat().map(({ kind }) => kind)).size, 13);
   const overlaps = schedules.map((schedule) =>
     schedule.some(
       (fault, n) => n > 0 && (schedule[n - 1]?.at ?? 0) + (schedule[n - 1]?.forMs ?? 0) > fault.at,
--- a/packages/soak/src/generate-faults.ts
+++ b/packages/soak/src/generate-faults.ts
@@ -1,4 +1,5 @@
 import { makeSeededRandom, type SeededRandom } from '@hemlocksill/bench/seeded-random.js';
+import type { CallKind } from './records.js';
 import type { ProxyMode } from './tcp-proxy.js';
 
 /** A fault of a soak; `at` is its offset in the schedule, `forMs` its duration, in milliseconds. */
@@ -12,6 +13,14 @@
   | { readonly kind: 'server-silent'; readonly server: number }
   /** Requests with one bad part in their prompt; `vm` gets the first of them. */
   | { readonly kind: 'crashing-part'; readonly vm: number }
+  /** The same request again and again, which crashes servers; `vm` gets the first. */
+  | {
+      readonly kind: 'crashing-request';
+      readonly vm: number;
+      readonly call: CallKind;
+      /** Whether its prompt has only parts that sound requests have, too; otherwise it has none. */
+      readonly hasSharedParts: boolean;
+    }
   | { readonly kind: 'key-withdrawn' }
   | { readonly kind: 'config-storm' }
 );
@@ -20,12 +29,12 @@
  * Versions of the list from which kinds of faults are drawn. A new kind comes with a new version, since a
  * longer list changes the schedule of every seed.
  */
-export const scheduleVersions = ['v1', 'v2', 'v3'] as const;
+export const scheduleVersions = ['v1', 'v2', 'v3', 'v4'] as const;
 
 export type ScheduleVersion = (typeof scheduleVersions)[number];
 
 /** Version with all kinds of faults. */
-export const newestScheduleVersion: ScheduleVersion = 'v3';
+export const newestScheduleVersion: ScheduleVersion = 'v4';
 
 /** Options of a fault schedule. */
 export interface FaultGenerationOptions {
@@ -45,8 +54,19 @@
 const minSilenceMs = 600;
 const maxSilenceMs = 2_500;
 
+/** Bounds of the time in which a request that crashes servers comes again. */
+const minRepetitionMs = 6_000;
+const maxRepetitionMs = 10_000;
+
 const linkFaultModes: readonly ProxyMode[] = ['delay', 'silent', 'one-way', 'reset'];
 
+const crashingRequests: readonly { readonly call: CallKind; readonly hasSharedParts: boolean }[] = [
+  { call: 'read', hasSharedParts: false },
+  { call: 'confirm', hasSharedParts: false },
+  { call: 'stream', hasSharedParts: false },
+  { call: 'stream', hasSharedParts: true },
+];
+
 type FaultGenerator = (
   at: number,
   forMs: number,
@@ -109,16 +129,28 @@
   }),
 ];
 
+const thirdGenerators: readonly FaultGenerator[] = [
+  ...secondGenerators,
+  (at, forMs, random, options) => ({
+    kind: 'crashing-part',
+    at,
+    forMs,
+    vm: pickVm(random, options),
+  }),
+];
+
 const generatorsByVersion: Readonly<Record<ScheduleVersion, readonly FaultGenerator[]>> = {
   v1: firstGenerators,
   v2: secondGenerators,
-  v3: [
-    ...secondGenerators,
-    (at, forMs, random, options) => ({
-      kind: 'crashing-part',
+  v3: thirdGenerators,
+  v4: [
+    ...thirdGenerators,
+    (at, _, random, options) => ({
+      kind: 'crashing-request',
       at,
-      forMs,
+      forMs: random.integer(minRepetitionMs, maxRepetitionMs),
       vm: pickVm(random, options),
+      ...random.pick(crashingRequests),
     }),
   ],
 };
--- a/packages/soak/src/inject-fault.ts
+++ b/packages/soak/src/inject-fault.ts
@@ -5,6 +5,7 @@
   sendRequest,
   waitUntilReady,
 } from '@hemlocksill/platform/fakes/stand-in-platform.js';
+import { sendCrashingRequest } from './crashing-request.js';
 import type { SoakFault } from './generate-faults.js';
 import type { Span } from './records.js';
 import {
@@ -215,6 +216,8 @@
       return drainServer(environment, getItem(environment.servers, fault.server));
     case 'crashing-part':
       return sendCrashingParts(environment, fault.vm, forMs);
+    case 'crashing-request':
+      return sendCrashingRequest(environment, fault);
     case 'config-storm':
       return publishStorm(environment);
     default:
--- a/packages/soak/src/records.ts
+++ b/packages/soak/src/records.ts
@@ -38,6 +38,12 @@
   readonly to: number;
 }
 
+/** A crash of an instance of a backend server. */
+export interface CrashRecord {
+  readonly server: string;
+  readonly at: number;
+}
+
 /** A time interval in which the connections to a backend server of a service had a fault. */
 export interface ServerFaultSpan extends Span {
   readonly service: Service;
@@ -69,6 +75,9 @@
   readonly stops: readonly (Span & { readonly vm: string })[];
   /** Parts of prompts on which engines crash; the ids of requests with one begin with it. */
   readonly crashingParts: readonly string[];
+  /** Requests that crash each server that runs them; the ids of the calls that repeat one begin with it. */
+  readonly crashingRequests: readonly string[];
+  readonly crashes: readonly CrashRecord[];
   readonly endedAt: number;
   /** Time at which the last fault ended. */
   readonly faultsEndedAt: number;
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -6,7 +6,6 @@
 import type { CallRecord, SoakRecord } from './records.js';
 import {
   countServers,
-  sharedPart,
   startEnvironment,
   streamEvents,
   type ServerSet,
@@ -61,7 +60,7 @@
   calls: readonly CallRecord[],
   faultsEndedAt: number,
 ): SoakRecord => ({
-  calls,
+  calls: [...calls, ...environment.crashingCalls],
   runs: environment.listRuns(),
   changes: environment.changes,
   storeOutages: environment.storeOutages,
@@ -71,6 +70,8 @@
   ),
   stops: environment.stops,
   crashingParts: environment.crashingParts,
+  crashingRequests: environment.crashingRequests,
+  crashes: environment.crashes,
   endedAt: environment.now(),
   faultsEndedAt,
 });
@@ -96,7 +97,7 @@
     {
       vms: environment.vms,
       getKey: () => environment.key,
-      listParts: (caller) => (hasPromptParts ? [sharedPart, `c${caller}`] : undefined),
+      hasPromptParts,
       random: makeSeededRandom(seed + callerSeedOffset),
       now: environment.now,
     },
@@ -111,8 +112,8 @@
   await environment.close();
   return {
     seed,
-    calls: record.calls.length,
-    served: record.calls.filter((call) => call.status === 200 && call.isComplete).length,
+    calls: callers.records.length,
+    served: callers.records.filter((call) => call.status === 200 && call.isComplete).length,
     faults,
     violations: checkPromises(record, streamEvents),
     logLines,
--- a/packages/soak/src/start-environment.ts
+++ b/packages/soak/src/start-environment.ts
@@ -12,7 +12,14 @@
   BackendServerOptions,
   StandInBackendServer,
 } from '@hemlocksill/platform/fakes/stand-in-backend-server.js';
-import type { AcknowledgedChange, RunRecord, Service, Span } from './records.js';
+import type {
+  AcknowledgedChange,
+  CallRecord,
+  CrashRecord,
+  RunRecord,
+  Service,
+  Span,
+} from './records.js';
 import { startTcpProxy, type TcpProxy } from './tcp-proxy.js';
 
 /** Number of events in a complete stream. */
@@ -30,7 +37,10 @@
 /** Suffix of the parts on which engines crash. */
 export const crashingPartSuffix = 'bad';
 
-/** Time until a crashed engine is back as a new instance. */
+/** Length of the body of a request that crashes servers; sound requests have shorter ones. */
+export const crashingBodyBytes = 64;
+
+/** Time until a crashed server is back as a new instance. */
 const restartDelayMs = 400;
 
 /** Grace period of a VM after SIGTERM. */
@@ -70,6 +80,10 @@
   readonly storeOutages: Span[];
   readonly stops: (Span & { readonly vm: string })[];
   readonly crashingParts: string[];
+  readonly crashingRequests: string[];
+  /** Calls with requests that crash servers. */
+  readonly crashingCalls: CallRecord[];
+  readonly crashes: readonly CrashRecord[];
   /** Milliseconds since the start of the soak. */
   readonly now: () => number;
   readonly listRuns: () => RunRecord[];
@@ -113,13 +127,14 @@
     workMs,
     isEchoing: true,
     crashingPart: crashingPartSuffix,
+    crashesOn: ({ headers }) => Number(headers['content-length']) === crashingBodyBytes,
   });
   const proxy = await startTcpProxy(backend.port);
   registerBackendServer(platform.store, service, backend, 'ready', proxy.port);
   return { backend, proxy };
 };
 
-/** Replaces an engine that crashed by a new instance, unless it was to leave anyway. */
+/** Replaces a server that crashed by a new instance, unless it was to leave anyway. */
 const replaceCrashed = async (
   platform: StandInPlatform,
   server: ProxiedServer,
@@ -143,12 +158,16 @@
   platform: StandInPlatform,
   set: ServerSet,
   now: () => number,
+  crashes: CrashRecord[],
 ): Promise<ProxiedServer[]> =>
   Promise.all(
     listDefinitions(set).map(async ([service, definition, isPermanent]) => {
       const options = {
         ...definition,
-        onCrash: () => void replaceCrashed(platform, server, options, now),
+        onCrash: () => {
+          crashes.push({ server: server.backend.options.id, at: now() });
+          void replaceCrashed(platform, server, options, now);
+        },
       };
       const started = await startServer(platform, service, options);
       const server: ProxiedServer = {
@@ -189,7 +208,8 @@
   const platform = await startStandInPlatform();
   const key = 'k1';
   publishConfig(platform.store, 1, [key]);
-  const servers = await startServers(platform, serverSet, now);
+  const crashes: CrashRecord[] = [];
+  const servers = await startServers(platform, serverSet, now, crashes);
   const vmNames = Array.from({ length: vmCount }, (_, n) => `vm-${n + 1}`);
   const vms = await Promise.all(vmNames.map((name) => startVm(platform, name)));
   await Promise.all(vms.map((vm) => waitUntilReady(platform, vm.process)));
@@ -203,6 +223,9 @@
     storeOutages: [],
     stops: [],
     crashingParts: [],
+    crashingRequests: [],
+    crashingCalls: [],
+    crashes,
     now,
     listRuns: () =>
       servers
