Soak: requests with a bad part have bodies of their own

Requests with the same method, target, caller and body are the same request, whatever parts their prompts state. Those of the fault crashing-part had the body of the sound streams, so that each crash under one was also a crash under the sound streams' request.

--- a/packages/soak/src/inject-fault.ts
+++ b/packages/soak/src/inject-fault.ts
@@ -130,14 +130,16 @@
   const requests: Promise<unknown>[] = [];
   for (let n = 0; environment.now() < endsAt; n += 1) {
     const vm = getItem(environment.vms, (firstVm + n) % environment.vms.length);
+    const id = `${part}-${n}`;
     const request = sendRequest(vm.process.callersPort, {
       path: '/summary/1',
-      id: `${part}-${n}`,
+      id,
       method: 'POST',
       key: environment.key,
       tokens: [3_000, 60],
       parts: [sharedPart, part, `b${n}`],
-      body: 'summarise',
+      // With the body of a sound request it would be the same request.
+      body: `summarise ${id}`,
     });
     // Only the runs at engines are checked; a VM that is down resets the connection.
     requests.push(request.catch(() => undefined));
