--- a/packages/soak/src/check-promises.test.ts
+++ b/packages/soak/src/check-promises.test.ts
@@ -30,6 +30,7 @@
 const makeRecord = (overrides: Partial<SoakRecord>): SoakRecord => ({
   calls: [makeCall({})],
   runs: [makeRun({})],
+  rejections: [],
   changes: [],
   storeOutages: [],
   vmFaultSpans: new Map(),
@@ -271,6 +272,19 @@
   t.deepEqual(listViolatedPromises({ ...others, runs: withPrefills(0, 2) }), []);
 });
 
+test('a full server that rejects a request that crashes servers was reached', (t) => {
+  const { runs = [], ...others } = makeCrashingRecord(4, 15_010);
+  const rejections = runs.slice(3).map(({ id, server, arrivedAt }) => ({ id, server, arrivedAt }));
+  const listWith = (count: number): string[] =>
+    listViolatedPromises({
+      ...others,
+      runs: runs.slice(0, 3),
+      rejections: rejections.slice(0, count),
+    });
+  t.deepEqual(listWith(4), ['bounded-crashes']);
+  t.deepEqual(listWith(3), []);
+});
+
 test('arrivals of a request that crashes servers through a VM with a recent fault are not counted', (t) => {
   const listWith = (overrides: Partial<SoakRecord>): string[] =>
     listViolatedPromises({ ...makeCrashingRecord(6, 15_010), ...overrides });
--- a/packages/soak/src/check-promises.ts
+++ b/packages/soak/src/check-promises.ts
@@ -267,14 +267,15 @@
   record.crashingRequests.flatMap((request) => {
     const calls = record.calls.filter(({ id }) => id.startsWith(`${request}-`));
     const vmByCall = new Map(calls.map(({ id, vm }) => [id, vm]));
-    const arrivals = record.runs.filter(({ id }) => vmByCall.has(id));
-    const servers = new Set(arrivals.flatMap((run) => (run.isPrefill ? [] : [run.server])));
+    const runs = record.runs.filter(({ id }) => vmByCall.has(id));
+    const rejections = record.rejections.filter(({ id }) => vmByCall.has(id));
+    const servers = new Set(runs.flatMap((run) => (run.isPrefill ? [] : [run.server])));
     const crashes = record.crashes.filter(({ server }) => servers.has(server));
     const crashTimes = crashes.map(({ at }) => at).sort((a, b) => a - b);
     const lastAllowedCrashAt = crashTimes[maxCrashesByRequest - 1];
     if (lastAllowedCrashAt === undefined) return [];
     const boundAt = lastAllowedCrashAt + timeLimits.contactMs;
-    const lateArrivals = arrivals.filter(({ id, arrivedAt }) => {
+    const lateArrivals = [...runs, ...rejections].filter(({ id, arrivedAt }) => {
       const faultSpans = record.vmFaultSpans.get(vmByCall.get(id) ?? '') ?? [];
       return (
         arrivedAt > boundAt && !overlaps(faultSpans, arrivedAt - timeLimits.contactMs, arrivedAt)
@@ -283,8 +284,8 @@
     if (lateArrivals.length <= maxArrivalsAfterCrashes) return [];
     const list = lateArrivals
       .map(
-        ({ id, server, arrivedAt, isPrefill }) =>
-          `${id} from ${vmByCall.get(id)} at ${server} at ${Math.round(arrivedAt)} ms${isPrefill ? ' (prefill)' : ''}`,
+        ({ id, server, arrivedAt }) =>
+          `${id} from ${vmByCall.get(id)} at ${server} at ${Math.round(arrivedAt)} ms`,
       )
       .join(', ');
     return [
--- a/packages/soak/src/records.ts
+++ b/packages/soak/src/records.ts
@@ -38,6 +38,13 @@
   readonly to: number;
 }
 
+/** A request that a full backend server rejected. */
+export interface RejectionRecord {
+  readonly id: string;
+  readonly server: string;
+  readonly arrivedAt: number;
+}
+
 /** A crash of an instance of a backend server. */
 export interface CrashRecord {
   readonly server: string;
@@ -64,6 +71,7 @@
 export interface SoakRecord {
   readonly calls: readonly CallRecord[];
   readonly runs: readonly RunRecord[];
+  readonly rejections: readonly RejectionRecord[];
   readonly changes: readonly AcknowledgedChange[];
   /** Intervals in which the store was unavailable to all VMs. */
   readonly storeOutages: readonly Span[];
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -62,6 +62,7 @@
 ): SoakRecord => ({
   calls: [...calls, ...environment.crashingCalls],
   runs: environment.listRuns(),
+  rejections: environment.listRejections(),
   changes: environment.changes,
   storeOutages: environment.storeOutages,
   vmFaultSpans: new Map(environment.vms.map((vm) => [vm.process.vm, vm.faultSpans])),
--- a/packages/soak/src/start-environment.ts
+++ b/packages/soak/src/start-environment.ts
@@ -16,6 +16,7 @@
   AcknowledgedChange,
   CallRecord,
   CrashRecord,
+  RejectionRecord,
   RunRecord,
   Service,
   Span,
@@ -87,6 +88,7 @@
   /** Milliseconds since the start of the soak. */
   readonly now: () => number;
   readonly listRuns: () => RunRecord[];
+  readonly listRejections: () => RejectionRecord[];
   readonly close: () => Promise<void>;
 }
 
@@ -241,6 +243,16 @@
             endedAt: run.endedAt === undefined ? undefined : run.endedAt - startedAt,
           })),
         ),
+    listRejections: () =>
+      servers
+        .flatMap(({ instances }) => instances)
+        .flatMap(({ options, rejectedRequests }) =>
+          rejectedRequests.map(({ id, arrivedAt }) => ({
+            id,
+            server: options.id,
+            arrivedAt: arrivedAt - startedAt,
+          })),
+        ),
     close: async () => {
       await platform.close();
       servers.forEach(({ proxy }) => proxy.close());
