--- a/packages/soak/src/soak.test.ts
+++ b/packages/soak/src/soak.test.ts
@@ -41,6 +41,13 @@
     cause:
       'streams and reads lost their answer when a sound server was silent beside new configurations',
   },
+  {
+    seed: 8032,
+    version: 'v4',
+    faultMs: 4_000,
+    cause:
+      'a stream that crashed engines went to one after the other, and the part that all prompts share was blocked',
+  },
 ];
 
 cases.forEach(({ seed, version, faultMs, cause }) => {
