Failing test: a sound request is blocked with the one that crashes its engine

All callers send the same sound stream. It runs at d1, d1-2 and d1-3 when a crashing stream ends them within about a second, so that both requests have the same three incidents, and both are blocked (2310), though the sound one was answered often before the first crash.

--- a/packages/soak/src/soak.test.ts
+++ b/packages/soak/src/soak.test.ts
@@ -48,6 +48,12 @@
     cause:
       'a stream that crashed engines went to one after the other, and the part that all prompts share was blocked',
   },
+  {
+    seed: 8051,
+    version: 'v4',
+    faultMs: 4_000,
+    cause: 'a sound request that many send was blocked with the one that crashed its only engine',
+  },
 ];
 
 cases.forEach(({ seed, version, faultMs, cause }) => {
