--- a/packages/soak/src/inject-fault.ts
+++ b/packages/soak/src/inject-fault.ts
@@ -5,6 +5,7 @@
   sendRequest,
   waitUntilReady,
 } from '@hemlocksill/platform/fakes/stand-in-platform.js';
+import { sendCrashingRequest } from './crashing-request.js';
 import type { SoakFault } from './generate-faults.js';
 import type { Span } from './records.js';
 import {
@@ -129,14 +130,16 @@
   const requests: Promise<unknown>[] = [];
   for (let n = 0; environment.now() < endsAt; n += 1) {
     const vm = getItem(environment.vms, (firstVm + n) % environment.vms.length);
+    const id = `${part}-${n}`;
     const request = sendRequest(vm.process.callersPort, {
       path: '/summary/1',
-      id: `${part}-${n}`,
+      id,
       method: 'POST',
       key: environment.key,
       tokens: [3_000, 60],
       parts: [sharedPart, part, `b${n}`],
-      body: 'summarise',
+      // With the body of a sound request it would be the same request.
+      body: `summarise ${id}`,
     });
     // Only the runs at engines are checked; a VM that is down resets the connection.
     requests.push(request.catch(() => undefined));
@@ -215,6 +218,8 @@
       return drainServer(environment, getItem(environment.servers, fault.server));
     case 'crashing-part':
       return sendCrashingParts(environment, fault.vm, forMs);
+    case 'crashing-request':
+      return sendCrashingRequest(environment, fault);
     case 'config-storm':
       return publishStorm(environment);
     default:
