A sound request that comes often is not blocked with one that crashes servers

Cause: with few engines the sound request ran at each of the three that the crashing one ended. Whole requests had no protection by their last survival, so the two looked alike. Class of fault: a decision on the incidents alone, without what spoke against them.

Change: a request that was answered in the last 30 s needs eight incidents, as the parts of prompts do, and its incidents are not told to VMs at which it was not answered yet. A request that crashes each server is never answered, so nothing is lost. Requests have statistics of their own, of the same size, so that they don't push out the parts of prompts.

Ruled out: taking incidents of a blocked request as explained for other requests; of two that reach three together, the wrong one may come first.

--- a/packages/routing/src/crash-suspects.ts
+++ b/packages/routing/src/crash-suspects.ts
@@ -108,9 +108,8 @@
   const stats = makePartStats();
   const cases = new Map<string, PartCase>();
 
-  /** The same request neither crashes nor survives by chance of what it shares a server with. */
   const isProtected = (part: string, now: number): boolean =>
-    !isRequestPart(part) && now - stats.getSurvivedAt(part) < protectionMs;
+    now - stats.getSurvivedAt(part) < protectionMs;
 
   const getMaxIncidents = (part: string, now: number): number =>
     isProtected(part, now) ? maxIncidentsProtected : maxIncidents;
@@ -252,10 +251,9 @@
 
   /** Applies a survival; returns whether it cleared incidents. */
   const applySurvival = (part: string, at: number, now: number): boolean => {
+    if (!stats.recordSurvival(part, at)) return false;
     const partCase = cases.get(part);
-    // Most requests come once; the statistics are for the parts that others share.
-    if (isRequestPart(part) && !partCase) return false;
-    if (!stats.recordSurvival(part, at) || !partCase) return false;
+    if (!partCase) return false;
     const { incidents } = partCase;
     const countBefore = incidents.size;
     incidents.forEach((incidentAt, instance) => {
@@ -351,7 +349,10 @@
     },
     listForPeers: (now) => {
       expire(now);
-      return listCrashRows(cases, now, random);
+      // A VM at which a request has not survived yet would block it for crashes that it only met.
+      const isTold = (part: string, { isBlocked }: PartCase): boolean =>
+        isBlocked || !isRequestPart(part) || !isProtected(part, now);
+      return listCrashRows(cases, isTold, now, random);
     },
     recordPeer: (rows, now) => {
       if (rows.length === 0) return false;
--- a/packages/routing/src/list-crash-rows.ts
+++ b/packages/routing/src/list-crash-rows.ts
@@ -72,27 +72,30 @@
 /**
  * Lists what the peers are told of crashes.
  *
+ * @param isTold - whether the incidents of a part concern the peers
  * @param random - chooses among the requests that don't fit into one message
  * @example
- * listCrashRows(new Map(), now, Math.random); // []
+ * listCrashRows(new Map(), () => true, now, Math.random); // []
  */
 export const listCrashRows = (
   cases: ReadonlyMap<string, PartCase>,
+  isTold: (part: string, partCase: PartCase) => boolean,
   now: number,
   random: () => number,
 ): CrashRow[] => {
   const entries = [...cases];
+  const withIncidents = entries.filter((entry) => isTold(...entry));
   const survived = entries.filter(([, { clearedAt }]) => now - clearedAt < survivalRepeatMs);
   const toIncidentRow = (entry: Entry): CrashRow => makeIncidentRow(entry, now);
   const toSurvivalRow = (entry: Entry): CrashRow => makeSurvivalRow(entry, now);
   // VMs of the release before read the first rows in each state only.
   return [
-    ...choosePromptParts(entries).map(toIncidentRow),
+    ...choosePromptParts(withIncidents).map(toIncidentRow),
     ...survived
       .filter((entry) => !isRequest(entry))
       .slice(-maxPartRows)
       .map(toSurvivalRow),
-    ...chooseRequests(entries, now, random).map(toIncidentRow),
+    ...chooseRequests(withIncidents, now, random).map(toIncidentRow),
     ...survived.filter(isRequest).slice(-maxPartRows).map(toSurvivalRow),
   ];
 };
--- a/packages/routing/src/part-stats.ts
+++ b/packages/routing/src/part-stats.ts
@@ -1,6 +1,6 @@
 import { isRequestPart } from './request-part.js';
 
-/** Parts of prompts that are remembered in one VM's memory. */
+/** Parts of prompts, and requests, that are remembered in one VM's memory. */
 const maxCountedParts = 2_048;
 
 interface Stats {
@@ -35,9 +35,15 @@
  */
 export const makePartStats = (): PartStats => {
   /** In order of use, the least recent first. */
-  const statsByPart = new Map<string, Stats>();
+  const promptStats = new Map<string, Stats>();
+  /** Most requests come once; they must not push out the parts that others share. */
+  const requestStats = new Map<string, Stats>();
+
+  const getStats = (part: string): Map<string, Stats> =>
+    isRequestPart(part) ? requestStats : promptStats;
 
   const touch = (part: string): Stats => {
+    const statsByPart = getStats(part);
     const stats = statsByPart.get(part) ?? {
       requests: 0,
       depth: -1,
@@ -63,11 +69,11 @@
       stats.survivedAt = at;
       return true;
     },
-    getSurvivedAt: (part) => statsByPart.get(part)?.survivedAt ?? Number.NEGATIVE_INFINITY,
-    isKnown: (part) => isRequestPart(part) || (statsByPart.get(part)?.requests ?? 0) > 0,
+    getSurvivedAt: (part) => getStats(part).get(part)?.survivedAt ?? Number.NEGATIVE_INFINITY,
+    isKnown: (part) => isRequestPart(part) || (promptStats.get(part)?.requests ?? 0) > 0,
     compare: (first, second) => {
-      const firstStats = statsByPart.get(first);
-      const secondStats = statsByPart.get(second);
+      const firstStats = promptStats.get(first);
+      const secondStats = promptStats.get(second);
       return (
         Number(isRequestPart(second)) - Number(isRequestPart(first)) ||
         (firstStats?.requests ?? 0) - (secondStats?.requests ?? 0) ||
