Connections stay until their response is flushed when the router stops

Callers that read slowly got 4.1 of 24.6 MB when the router stopped, with grace time left. Without a length or chunks (HTTP/1.0), the truncated response ended like a whole one. A request pipelined behind such a response got no answer.

Cause: `close` of an HTTP server calls `closeIdleConnections`, for which a connection is idle as soon as its response has ended, whether or not it was flushed and whether or not a pipelined request waits for its turn. The order of requests knows the open responses of each connection and now decides which ones are idle; `close` goes through the method of the server. At the end of the grace period open responses are abandoned as before, which resets a response without a length or chunks; it had been closed long before in the case above.

Ruled out: ending a response only once all its bytes are flushed. It would delay all responses for the sake of the stop. `process.exit` after the stop cuts nothing: the server closes only after its last connection, and until then the router waits for the end of the grace period.

--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -317,6 +317,8 @@
     }),
   );
   callerServer.on('clientError', makeClientErrorHandler(order, log));
+  // `close` calls it; Node's own also destroys connections whose ended response isn't flushed.
+  callerServer.closeIdleConnections = order.closeIdleConnections;
   callerServer.headersTimeout = defaultHeaderTimeoutMs;
   callerServer.keepAliveTimeout = defaultIdleTimeoutMs;
 
@@ -383,7 +385,6 @@
       await sleep(Math.min(lameDuckMs, settings.graceMs / 2));
       isRefusing = true;
       const closed = closeServer(callerServer);
-      callerServer.closeIdleConnections();
       await Promise.race([closed, sleep(Math.max(0, shutdownDeadline - now()))]);
       if (abandonAtStop.size > 0) {
         abandonAtStop.forEach((abandon) => abandon());
