A router that stops accepts requests for 2.5 s

Requests that are accepted up to 3 s after the signal to stop may outlast the grace period; those accepted later may not. The 3 s were counted from when the process had handled the signal, and a request that it accepted in the last moments, and that lasted over four seconds, was cut though it had come too late for that. Seen in the code, not in a run.

The margin of 0.5 s is for a process that handles the signal late. The load balancer checks once a second and removes a VM after two failed checks, so that it sends new connections for 2 s at most: none is refused that was accepted before. Readiness is unchanged: a VM is not ready as soon as it handles the signal.

No test: the value shows only in a run that measures the time of a refusal after the signal, and the shorter grace period of the tests, 4 s, bounds the time to 2 s.

--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -51,10 +51,11 @@
 const defaultIdleTimeoutMs = 15_000;
 
 /**
- * Time after the stop signal during which new connections are accepted, until the load balancer has
- * removed the VM.
+ * Time after the signal to stop during which new requests are accepted. The load balancer removes the
+ * VM after two failed checks, within 2 s. Only requests of the first 3 s may outlast the grace period,
+ * and a busy process handles the signal late.
  */
-const lameDuckMs = 3_000;
+const lameDuckMs = 2_500;
 
 /** Part of the grace period that remains after open requests are abandoned, to close the router. */
 const graceReserveMs = 400;
