A request whose turn comes at the end of the grace period is refused

A caller that had pipelined two requests got 502 for the first at the end of the grace period, and nothing for the second, which a server ran all the same.

Cause: abandoning the first request closes its response, which gives the turn to the one behind it. That one was sent to a server 0.1 s before the process ended. From the end of the grace period on, no request starts; it is refused as not run, which its connection can still carry.

Streams were not affected beyond their target latency, since their start looks at it. Plain requests need a timeout longer than the grace period.

--- a/packages/router/src/handle-call.ts
+++ b/packages/router/src/handle-call.ts
@@ -49,6 +49,13 @@
   readonly part?: string;
 }
 
+/** Refuses a request that the VM might not finish before it stops. */
+const stoppingRejection: Rejection = {
+  status: 503,
+  reason: 'the VM is about to stop',
+  retryAfterMs: shutdownRetryAfterMs,
+};
+
 /** Configuration entries that apply to a request, found by the filters. */
 interface FilterState {
   readonly table: RouteTable;
@@ -67,6 +74,8 @@
   readonly order: RequestOrder;
   /** False late in the shutdown, when a new request might not finish. */
   readonly acceptsRequests: () => boolean;
+  /** False from the end of the grace period on. */
+  readonly startsRuns: () => boolean;
   readonly recordRequest: (service: string) => void;
   readonly crashWatch: Pick<CrashWatch, 'recordArrival' | 'findBlocked'>;
   /** Notifies the other VMs that a workspace whose token bucket is low was charged. */
@@ -128,12 +137,7 @@
 };
 
 const runFilters = (deps: CallDeps, req: IncomingMessage): Result<FilterState, Rejection> => {
-  if (!deps.acceptsRequests())
-    return err({
-      status: 503,
-      reason: 'the VM is about to stop',
-      retryAfterMs: shutdownRetryAfterMs,
-    });
+  if (!deps.acceptsRequests()) return err(stoppingRejection);
   const table = deps.getTable();
   if (!table)
     return err({ status: 503, reason: 'no configuration yet', retryAfterMs: noConfigRetryAfterMs });
@@ -327,8 +331,14 @@
       return;
     }
     readBody(req, state.value.table.config.limits.maxBodyBytes, (body) => {
-      if (body) awaitTurn(() => startRun(deps, req, res, state.value, body, arrivedAt), drop);
-      else reject(deps, req, res, { status: 413, reason: 'the body is too large' });
+      if (!body) {
+        reject(deps, req, res, { status: 413, reason: 'the body is too large' });
+        return;
+      }
+      awaitTurn(() => {
+        if (deps.startsRuns()) startRun(deps, req, res, state.value, body, arrivedAt);
+        else reject(deps, req, res, stoppingRejection);
+      }, drop);
     });
   };
 };
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -127,6 +127,7 @@
   const abandonAtStop = new Set<() => void>();
   let isShuttingDown = false;
   let isRefusing = false;
+  let isAbandoning = false;
   let hasLoggedReady = false;
 
   const view = makeViewController({
@@ -310,6 +311,7 @@
       },
       order,
       acceptsRequests: () => !isRefusing,
+      startsRuns: () => !isAbandoning,
       recordRequest: (service) => getRetryBudget(service).recordRequest(now()),
       crashWatch,
       notifyLowBucket: () => peers.notifyChange({ kind: 'low-rate' }),
@@ -387,6 +389,7 @@
       isRefusing = true;
       const closed = closeServer(callerServer);
       await Promise.race([closed, sleep(Math.max(0, shutdownDeadline - now()))]);
+      isAbandoning = true;
       if (abandonAtStop.size > 0) {
         abandonAtStop.forEach((abandon) => abandon());
         await Promise.race([closed, sleep(abandonedFlushMs)]);
