A slow idempotent request stays at its server until a complete response is there

Callers got 502, 500 or 504 for idempotent requests that their first server would have answered.

Cause: break before make, on the belief that a server without a response in three target latencies is gone. The attempt was cancelled before its replacement was accepted; if the other server was full, broke, answered 5xx or was silent as well, no attempt was left that could succeed. A sound server may be silent for a second and go on. In the same way an error response was dropped for a retry that could fail with less, a 502 or 504 of the router.

Change: the slow attempt goes on beside another one, at most two at a time, within the route's attempts and the retry budget. The first complete response under 500 counts and the other attempt is cancelled at once. A fault or an error of one leaves the other running; what remains is retried as before once no attempt runs. An error response is kept and forwarded if nothing better comes. Each attempt is watched for crashes; after one that is judged as a crash of the request, and if the request is blocked, the other attempt goes on and no further server gets it. One attempt is a module of its own (plain-attempt); event 2312 tells that a slow request was also sent elsewhere, and 2306 "no answer in time" that the slow attempt lost. The slow server counts as broken when the second attempt is made, as before. A retry that could not be sent is given back to the budget.

Criterion: the complete response, not the first byte of the second server: its body may still break or stall, and bodies are small. Ruled out: to wait longer before the second attempt, as it only makes the loss rarer.

--- /dev/null
+++ b/packages/router/src/plain-attempt.ts
@@ -0,0 +1,105 @@
+import type { BackendServer } from '@hemlocksill/types/routing.js';
+import type {
+  BackendClient,
+  CallFault,
+  CancelCall,
+  ResponseHead,
+} from '@hemlocksill/types/routing-ports.js';
+import type { CallContext } from './call-context.js';
+import type { CrashWatch } from './crash-watch.js';
+import type { RunDeps } from './run-deps.js';
+
+/** Maximum size of a buffered response; a larger response counts as a fault. */
+const maxBufferedBytes = 4 * 1_024 * 1_024;
+
+/** The complete response of a backend server. */
+export interface PlainResponse {
+  readonly head: ResponseHead;
+  readonly body: Buffer;
+}
+
+/** Result of an attempt that was not cancelled. */
+export type AttemptOutcome =
+  | { readonly kind: 'response'; readonly response: PlainResponse }
+  | {
+      readonly kind: 'fault';
+      readonly fault: CallFault;
+      /** Whether the request must not be sent to another server, since servers crash on it. */
+      readonly isCrashing: boolean;
+    };
+
+/** Dependencies of an attempt. */
+export type AttemptDeps = Pick<RunDeps, 'plainLedger' | 'now'> & {
+  readonly backends: Pick<BackendClient, 'send'>;
+  readonly crashWatch: Pick<CrashWatch, 'watchRun'>;
+};
+
+/** Whether a response is an error of its server. */
+export const isServerError = ({ status }: ResponseHead): boolean => status >= 500;
+
+/**
+ * Sends a request to a plain backend server and buffers the complete response.
+ *
+ * @param onDone - called once, unless the attempt is cancelled before; possibly before the return
+ * @returns a function that cancels the attempt
+ * @example
+ * const cancel = sendPlainAttempt(deps, ctx, server, (outcome) => {});
+ */
+export const sendPlainAttempt = (
+  { backends, plainLedger, crashWatch, now }: AttemptDeps,
+  { call, crashParts, timeoutAt }: Pick<CallContext, 'call' | 'crashParts' | 'timeoutAt'>,
+  server: BackendServer,
+  onDone: (outcome: AttemptOutcome) => void,
+): CancelCall => {
+  const allocation = plainLedger.addDecode(server.id, 0);
+  const runWatch = crashWatch.watchRun(crashParts, server);
+  const bufferedChunks: Buffer[] = [];
+  let bufferedBytes = 0;
+  let head: ResponseHead | undefined;
+  let isFinished = false;
+  let cancelSend: CancelCall = () => {};
+
+  const finishOnce = (action: () => void): void => {
+    if (isFinished) return;
+    isFinished = true;
+    allocation.release();
+    runWatch.stop();
+    action();
+  };
+
+  const onFault = (fault: CallFault, isCrashing = false): void =>
+    onDone({ kind: 'fault', fault, isCrashing });
+
+  cancelSend = backends.send(
+    server,
+    call,
+    { remainingMs: timeoutAt - now() },
+    {
+      start: (receivedHead) => {
+        head = receivedHead;
+        // A server may answer with an error without having run the request.
+        if (!isServerError(head)) runWatch.recordEvent();
+      },
+      data: (chunk) => {
+        bufferedBytes += chunk.length;
+        if (bufferedBytes <= maxBufferedBytes) bufferedChunks.push(chunk);
+        else
+          finishOnce(() => {
+            cancelSend();
+            onFault({ kind: 'unknown', reason: 'answer too large' });
+          });
+      },
+      end: () =>
+        finishOnce(() => {
+          // A server that crashes ends an answer without framing in the same way as a whole one.
+          if (head?.isFramed || head?.hasBody === false) runWatch.recordEnd();
+          if (head)
+            onDone({ kind: 'response', response: { head, body: Buffer.concat(bufferedChunks) } });
+          else onFault({ kind: 'unknown', reason: 'answer without a head' });
+        }),
+      fault: (fault) =>
+        finishOnce(() => onFault(fault, fault.kind === 'unknown' && runWatch.recordBreak())),
+    },
+  );
+  return () => finishOnce(cancelSend);
+};
--- a/packages/router/src/run-plain.ts
+++ b/packages/router/src/run-plain.ts
@@ -1,14 +1,44 @@
 import type { BackendServer } from '@hemlocksill/types/routing.js';
-import type { ResponseHead, CallFault, CancelCall } from '@hemlocksill/types/routing-ports.js';
+import type { CallFault, CancelCall } from '@hemlocksill/types/routing-ports.js';
 import { choosePlainServer } from '@hemlocksill/routing/place-work.js';
 import type { CallContext, Responder } from './call-context.js';
-import { blockedRetryAfterMs, describePart, getBlockedReason } from './crash-watch.js';
+import {
+  blockedRetryAfterMs,
+  describePart,
+  getBlockedReason,
+  type CrashWatch,
+} from './crash-watch.js';
+import {
+  isServerError,
+  sendPlainAttempt,
+  type AttemptDeps,
+  type PlainResponse,
+} from './plain-attempt.js';
 import type { RunDeps } from './run-deps.js';
 
-/** Number of attempts that fail before any byte is sent, after which the request is refused. */
+/** Dependencies of the run of a plain request. */
+export type PlainDeps = AttemptDeps &
+  Pick<
+    RunDeps,
+    'health' | 'listReady' | 'getPlacementView' | 'tryTakeRetry' | 'returnRetry' | 'log' | 'metrics'
+  > & { readonly crashWatch: Pick<CrashWatch, 'findBlocked' | 'watchRun'> };
+
+/** What the run of a plain request knows of the request. */
+export type PlainContext = Pick<
+  CallContext,
+  'call' | 'route' | 'service' | 'fingerprint' | 'crashParts' | 'timeoutAt'
+>;
+
+/** What the run of a plain request uses of the responder. */
+export type PlainResponder = Pick<
+  Responder,
+  'sendComplete' | 'refuse' | 'fail' | 'onDisconnect' | 'onAbandon'
+>;
+
+/** Number of attempts that fail before any byte is sent, after which no further one is made. */
 const maxUnsentAttempts = 4;
 
-/** Multiple of the target latency after which an idempotent request is sent to another server. */
+/** Multiple of the target latency after which an idempotent request is also sent to another server. */
 const slowResponseLatencyFactor = 3;
 
 /** Retry-After of a request that is refused because no backend server can take it. */
@@ -17,61 +47,84 @@
 /** Retry-After of a request that the backend servers rejected. */
 const rejectedRetryAfterMs = 250;
 
-/** Maximum size of a buffered response; a larger response counts as a fault. */
-const maxBufferedBytes = 4 * 1_024 * 1_024;
-
-const isServerError = ({ status }: ResponseHead): boolean => status >= 500;
+/** An attempt in progress. */
+interface RunningAttempt {
+  readonly server: BackendServer;
+  /** Time from which the attempt counts as slow. */
+  readonly slowAt: number;
+  /** Whether a retry was taken from the budget for it. */
+  readonly isRetry: boolean;
+  /** Whether another attempt was made because this one is slow. */
+  isSlow: boolean;
+  cancel: CancelCall;
+}
 
 /**
  * Runs a request at a plain service and sends the response to the caller.
  *
  * The complete response is buffered, so that an idempotent request can be retried when the
  * response breaks off. Other requests are retried only if they cannot have run.
+ *
+ * A slow attempt of an idempotent request continues beside another one until one of them has a
+ * complete response: a server that does not respond may only be silent for a while, and the other
+ * one may reject the request.
  */
-export const runPlain = (deps: RunDeps, ctx: CallContext, responder: Responder): void => {
+export const runPlain = (deps: PlainDeps, ctx: PlainContext, responder: PlainResponder): void => {
   const { call, route, service } = ctx;
-  const excluded = new Set<string>();
+  const slowAfterMs = route.targetLatencyMs * slowResponseLatencyFactor;
+  const triedServers = new Set<string>();
+  /** At most two, and only one unless the request is idempotent. */
+  const running = new Set<RunningAttempt>();
   let sends = 0;
   let unsentAttempts = 0;
+  /** Whether an attempt that has ended may have run the request. */
   let mayHaveRun = false;
-  let cancelAttempt: CancelCall = () => {};
-  let timers: NodeJS.Timeout[] = [];
+  /** Error response for the caller, if no other attempt gets a better one. */
+  let errorResponse: PlainResponse | undefined;
+  /** Whether no further attempt may be made, since backend servers crash on the request. */
+  let isCrashing = false;
+  let slowTimer: NodeJS.Timeout | undefined;
 
-  const clearTimers = (): void => {
-    timers.forEach(clearTimeout);
-    timers = [];
+  const stop = (): void => {
+    clearTimeout(slowTimer);
+    running.forEach(({ cancel }) => cancel());
+    running.clear();
   };
 
-  const stopAttempt = (): void => {
-    clearTimers();
-    cancelAttempt();
+  const sendResponse = ({ head, body }: PlainResponse): void => {
+    stop();
+    responder.sendComplete(head, body);
   };
 
-  const failOrRefuse = (reason: string, retryAfterMs: number): void => {
-    stopAttempt();
-    if (mayHaveRun) responder.fail(502, reason);
-    else responder.refuse(503, retryAfterMs, reason);
+  const giveUp = (
+    reason: string,
+    retryAfterMs: number,
+    inputs: Readonly<Record<string, unknown>> = {},
+  ): void => {
+    stop();
+    if (errorResponse) sendResponse(errorResponse);
+    else if (mayHaveRun) responder.fail(502, reason);
+    else responder.refuse(503, retryAfterMs, reason, inputs);
   };
 
-  /** Refuses the request if backend servers crash on it. */
-  const refuseIfBlocked = (): boolean => {
-    const part = deps.crashWatch.findBlocked(ctx.crashParts, call.metadata.id);
-    if (part === undefined) return false;
-    const reason = getBlockedReason(part);
-    if (mayHaveRun) responder.fail(502, reason);
-    else responder.refuse(503, blockedRetryAfterMs, reason, describePart(part));
-    return true;
-  };
+  const findBlocked = (): string | undefined =>
+    deps.crashWatch.findBlocked(ctx.crashParts, call.metadata.id);
 
-  const tryTakeRetry = (): boolean => {
-    if (mayHaveRun && route.kind !== 'idempotent') return false;
-    if (sends >= route.maxAttempts) return false;
-    if (deps.now() >= ctx.timeoutAt) return false;
-    return deps.tryTakeRetry(service.name);
-  };
+  /** Whether another server may get the request after a server that did not get it. */
+  const canSendElsewhere = (): boolean => !isCrashing && unsentAttempts < maxUnsentAttempts;
+
+  const canRetry = (): boolean =>
+    !isCrashing &&
+    (!mayHaveRun || route.kind === 'idempotent') &&
+    sends < route.maxAttempts &&
+    deps.now() < ctx.timeoutAt;
 
-  const recordFault = (server: BackendServer, fault: CallFault): void => {
-    excluded.add(server.id);
+  const tryTakeRetry = (): boolean => canRetry() && deps.tryTakeRetry(service.name);
+
+  const chooseServer = (): BackendServer | undefined =>
+    choosePlainServer(deps.listReady(service.name), deps.getPlacementView(), triedServers);
+
+  const logFault = (server: BackendServer, fault: CallFault): void =>
     deps.log(2306, {
       id: call.metadata.id,
       request: ctx.fingerprint,
@@ -80,147 +133,132 @@
       reason: fault.reason,
       sends,
     });
+
+  /** Records the fault of an attempt; a slow one was recorded as broken before. */
+  const recordFault = ({ server, isSlow }: RunningAttempt, fault: CallFault): void => {
+    if (fault.kind === 'not-sent') sends -= 1;
+    logFault(server, fault);
     if (fault.kind === 'unknown') {
       mayHaveRun = true;
-      deps.health.record(server.id, 'broken', deps.now());
-    }
-  };
-
-  const onFault = (server: BackendServer, fault: CallFault, isCrashing = false): void => {
-    clearTimers();
-    recordFault(server, fault);
-    if (isCrashing) {
-      failOrRefuse(fault.reason, noServerRetryAfterMs);
-      return;
-    }
-    if (fault.kind === 'not-sent') {
+      if (!isSlow) deps.health.record(server.id, 'broken', deps.now());
+    } else if (fault.kind === 'not-sent') {
       unsentAttempts += 1;
       deps.health.record(server.id, 'unreachable', deps.now());
-      if (unsentAttempts < maxUnsentAttempts) sendAttempt();
-      else failOrRefuse('no backend server reachable', noServerRetryAfterMs);
+    } else if (fault.reason === 'other-instance')
+      deps.health.record(server.id, 'replaced', deps.now());
+  };
+
+  const onFault = (attempt: RunningAttempt, fault: CallFault): void => {
+    recordFault(attempt, fault);
+    const isUnsent = fault.kind === 'not-sent';
+    if (isUnsent && running.size === 0 && canSendElsewhere()) {
+      sendAttempt(attempt.isRetry);
       return;
     }
-    if (fault.kind === 'rejected' && fault.reason === 'other-instance')
-      deps.health.record(server.id, 'replaced', deps.now());
-    if (tryTakeRetry()) {
+    if (isUnsent && attempt.isRetry) deps.returnRetry(service.name);
+    if (running.size > 0) scheduleSlowRetry();
+    else if (isUnsent) giveUp('no backend server reachable', noServerRetryAfterMs);
+    else if (tryTakeRetry()) {
       deps.metrics.retries.inc({ reason: fault.kind });
-      sendAttempt();
-    } else failOrRefuse(fault.reason, rejectedRetryAfterMs);
+      sendAttempt(true);
+    } else giveUp(fault.reason, rejectedRetryAfterMs);
   };
 
-  const chooseServer = (excludedServers: ReadonlySet<string>): BackendServer | undefined =>
-    choosePlainServer(deps.listReady(service.name), deps.getPlacementView(), excludedServers);
-
-  const onResponse = (server: BackendServer, head: ResponseHead, body: Buffer): void => {
-    clearTimers();
-    const isError = isServerError(head);
+  const onResponse = ({ server }: RunningAttempt, response: PlainResponse): void => {
+    const isError = isServerError(response.head);
     deps.health.record(server.id, isError ? 'error-answer' : 'answered', deps.now());
-    if (isError && route.kind === 'idempotent') {
-      excluded.add(server.id);
-      if (chooseServer(excluded) && tryTakeRetry()) {
-        deps.metrics.retries.inc({ reason: 'error-answer' });
-        sendAttempt();
-        return;
-      }
+    if (!isError || route.kind !== 'idempotent') {
+      running.forEach((other) => {
+        if (other.isSlow) logFault(other.server, { kind: 'unknown', reason: 'no answer in time' });
+      });
+      sendResponse(response);
+      return;
     }
-    responder.sendComplete(head, body);
+    mayHaveRun = true;
+    errorResponse = response;
+    if (running.size > 0) scheduleSlowRetry();
+    else if (chooseServer() && tryTakeRetry()) {
+      deps.metrics.retries.inc({ reason: 'error-answer' });
+      sendAttempt(true);
+    } else sendResponse(response);
   };
 
-  const sendAttempt = (): void => {
-    if (refuseIfBlocked()) return;
-    const now = deps.now();
-    const remainingMs = ctx.timeoutAt - now;
-    const server = remainingMs > 0 ? chooseServer(excluded) : undefined;
-    if (!server) {
-      failOrRefuse('no backend server is ready', noServerRetryAfterMs);
+  /** Sends the request to another server, or gives up; no attempt is in progress. */
+  const sendAttempt = (isRetry: boolean): void => {
+    const blockedPart = findBlocked();
+    const server = deps.now() < ctx.timeoutAt ? chooseServer() : undefined;
+    if (server && blockedPart === undefined) {
+      sendTo(server, isRetry);
       return;
     }
-    let head: ResponseHead | undefined;
-    let bufferedBytes = 0;
-    const bufferedChunks: Buffer[] = [];
-    const allocation = deps.plainLedger.addDecode(server.id, 0);
-    const runWatch = deps.crashWatch.watchRun(ctx.crashParts, server);
-    sends += 1;
-    let isFinished = false;
-    const finishOnce = (action: () => void): void => {
-      if (isFinished) return;
-      isFinished = true;
-      allocation.release();
-      runWatch.stop();
-      action();
-    };
-    const failAttempt = (reason: string): void =>
-      finishOnce(() => {
-        cancelSend();
-        onFault(server, { kind: 'unknown', reason });
-      });
-    const cancelSend = deps.backends.send(
+    if (isRetry) deps.returnRetry(service.name);
+    if (blockedPart !== undefined)
+      giveUp(getBlockedReason(blockedPart), blockedRetryAfterMs, describePart(blockedPart));
+    else giveUp('no backend server is ready', noServerRetryAfterMs);
+  };
+
+  const sendTo = (server: BackendServer, isRetry: boolean): void => {
+    const attempt: RunningAttempt = {
       server,
-      call,
-      { remainingMs },
-      {
-        start: (receivedHead) => {
-          head = receivedHead;
-          // A server may answer with an error without having run the request.
-          if (!isServerError(head)) runWatch.recordEvent();
-        },
-        data: (chunk) => {
-          bufferedBytes += chunk.length;
-          if (bufferedBytes <= maxBufferedBytes) bufferedChunks.push(chunk);
-          else failAttempt('answer too large');
-        },
-        end: () =>
-          finishOnce(() => {
-            // A server that crashes ends an answer without framing in the same way as a whole one.
-            if (head?.isFramed || head?.hasBody === false) runWatch.recordEnd();
-            if (head) onResponse(server, head, Buffer.concat(bufferedChunks));
-            else onFault(server, { kind: 'unknown', reason: 'answer without a head' });
-          }),
-        fault: (fault) =>
-          finishOnce(() => {
-            if (fault.kind === 'not-sent') sends -= 1;
-            onFault(server, fault, fault.kind === 'unknown' && runWatch.recordBreak());
-          }),
-      },
-    );
-    // An attempt that failed at once has been followed by others already.
-    if (isFinished) return;
-    cancelAttempt = () => finishOnce(cancelSend);
-    scheduleSlowRetry(server, cancelSend, finishOnce);
+      slowAt: deps.now() + slowAfterMs,
+      isRetry,
+      isSlow: false,
+      cancel: () => {},
+    };
+    triedServers.add(server.id);
+    running.add(attempt);
+    sends += 1;
+    attempt.cancel = sendPlainAttempt(deps, ctx, server, (outcome) => {
+      running.delete(attempt);
+      if (outcome.kind === 'response') {
+        onResponse(attempt, outcome.response);
+        return;
+      }
+      isCrashing ||= outcome.isCrashing;
+      onFault(attempt, outcome.fault);
+    });
+    scheduleSlowRetry();
+  };
+
+  /** Schedules another attempt beside the one in progress, for when that one counts as slow. */
+  const scheduleSlowRetry = (notBefore = 0): void => {
+    clearTimeout(slowTimer);
+    const [attempt] = running;
+    if (!attempt || running.size > 1 || route.kind !== 'idempotent') return;
+    const retryAt = Math.max(attempt.slowAt, notBefore);
+    slowTimer = setTimeout(retrySlowAttempt, Math.max(0, retryAt - deps.now()), attempt);
   };
 
   /**
-   * Retries an idempotent request on another server when its response takes too long. Without another
-   * server or a retry in the budget, the attempt stays the only one that can still succeed.
+   * Makes another attempt beside a slow one. Without another server or a retry in the budget, the slow
+   * one stays alone and the question comes up again later.
    */
-  const scheduleSlowRetry = (
-    server: BackendServer,
-    cancelSend: CancelCall,
-    finishOnce: (action: () => void) => void,
-  ): void => {
-    if (route.kind !== 'idempotent') return;
-    const retrySlowAttempt = (): void => {
-      if (!chooseServer(new Set([...excluded, server.id])) || !tryTakeRetry()) {
-        scheduleSlowRetry(server, cancelSend, finishOnce);
-        return;
-      }
-      finishOnce(() => {
-        cancelSend();
-        clearTimers();
-        recordFault(server, { kind: 'unknown', reason: 'no answer in time' });
-        deps.metrics.retries.inc({ reason: 'unknown' });
-        sendAttempt();
-      });
-    };
-    timers.push(setTimeout(retrySlowAttempt, route.targetLatencyMs * slowResponseLatencyFactor));
+  const retrySlowAttempt = (attempt: RunningAttempt): void => {
+    if (!canSendElsewhere() || !canRetry()) return;
+    const server = chooseServer();
+    if (server && findBlocked() !== undefined) return;
+    if (!server || !tryTakeRetry()) {
+      scheduleSlowRetry(deps.now() + slowAfterMs);
+      return;
+    }
+    deps.log(2312, {
+      id: call.metadata.id,
+      request: ctx.fingerprint,
+      server: attempt.server.id,
+      at: server.id,
+    });
+    if (!attempt.isSlow) deps.health.record(attempt.server.id, 'broken', deps.now());
+    attempt.isSlow = true;
+    deps.metrics.retries.inc({ reason: 'unknown' });
+    sendTo(server, true);
   };
 
   responder.onAbandon((status, when) => {
-    const wasSent = sends > 0;
-    stopAttempt();
-    if (wasSent) responder.fail(status, `no answer ${when}`);
+    stop();
+    if (errorResponse) sendResponse(errorResponse);
+    else if (sends > 0) responder.fail(status, `no answer ${when}`);
     else responder.refuse(503, noServerRetryAfterMs, `no backend server ${when}`);
   });
-  responder.onDisconnect(stopAttempt);
-  sendAttempt();
+  responder.onDisconnect(stop);
+  sendAttempt(false);
 };
