Signals that come while the program is loaded don't end it

What callers saw: none of it directly; a VM that got SIGHUP while it was starting ended and had to be started again.

Cause: the listeners for SIGHUP and SIGTERM were installed after the program had been loaded and the router started. Until then the default action of both signals ends the process; for SIGTERM that is an end by a signal in place of exit code 0.

The deployed file does the same: start.cjs listens before it reads the bundle. The bundle is loaded synchronously, so that nothing is delivered before the router listens itself; no state is needed there.

--- a/deploy/start.cjs
+++ b/deploy/start.cjs
@@ -1,6 +1,10 @@
 const { readFileSync } = require('node:fs');
 const { Script } = require('node:vm');
 
+// Without a listener these signals end the process. Nothing is delivered before the program, which is
+// loaded synchronously, listens itself.
+['SIGHUP', 'SIGTERM'].forEach((signal) => process.on(signal, () => {}));
+
 /** Runs the bundled program with its code cache; V8 ignores a cache that does not match. */
 const run = (file, cachedData) => {
   const source = `(function (require, module, process) {${readFileSync(file, 'utf8')}\n})`;
