Callers' connections are kept for the time that their callers were told

What callers saw: a connection closed between two requests although its caller kept to the Keep-Alive header of the last response, or to four fifths of the idle limit in force. A request sent at that moment got no answer.

Cause: Node.js states the idle limit from when the request arrives and starts the timer from the limit when the response ends, so a limit that is lowered in between closes the connection early. The timer of a connection that is idle already keeps the limit of its last response when the limit is raised. And the timer ends exactly at the stated time, when a request sent just before it is still on its way.

Change: idle-connections decides at each timeout of a connection whether it waits on: until the longer of the limit that was told and the one in force, and one second more. Before it closes a connection, the bytes that have arrived are read.

Before: of three tests over a real router, "lowered before the response" and "raised while its connection was idle" got one response for two requests; "raised and lowered" passed. After: all pass, as do the four tests on the decision with an injected clock.

--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -22,6 +22,7 @@
 import type { LogRouterEvent } from './events.js';
 import { makeClientErrorHandler } from './client-errors.js';
 import { makeCallHandler } from './handle-call.js';
+import { makeIdleConnections } from './idle-connections.js';
 import { makeRequestOrder } from './request-order.js';
 import { sleep } from './sleep.js';
 import { makePeersController } from './peers-controller.js';
@@ -325,6 +326,16 @@
   callerServer.headersTimeout = defaultHeaderTimeoutMs;
   callerServer.keepAliveTimeout = defaultIdleTimeoutMs;
 
+  const idleConnections = makeIdleConnections({
+    getLimitMs: () => callerServer.keepAliveTimeout,
+    now,
+    runAfterReads: setImmediate,
+  });
+  callerServer.prependListener('request', (req, res) =>
+    idleConnections.recordRequest(req.socket, res),
+  );
+  callerServer.on('timeout', idleConnections.onTimeout);
+
   const applyLimits = (): void => {
     const limits = view.getTable()?.config.limits;
     if (!limits) return;
