A CONNECT request gets a response

What callers saw: the connection closed without any bytes.

Cause: Node.js destroys the connection of a CONNECT request if nothing listens for it; the request never reaches the handler of requests.

Change: CONNECT is handled like bytes that are no request: 501 after the responses to the requests before it, then the connection is closed.

--- a/packages/router/src/client-errors.ts
+++ b/packages/router/src/client-errors.ts
@@ -2,8 +2,17 @@
 import type { LogRouterEvent } from './events.js';
 import type { RequestOrder } from './request-order.js';
 
+const connectCode = 'CONNECT_NOT_SUPPORTED';
+
+/** Error of a CONNECT request; the router opens no tunnels. */
+export const connectError: NodeJS.ErrnoException = Object.assign(
+  new Error('CONNECT is not supported'),
+  { code: connectCode },
+);
+
 /** Statuses for errors of the HTTP parser; 400 for all others. */
 const statusLines: Readonly<Record<string, string>> = {
+  [connectCode]: '501 Not Implemented',
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
   HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
   ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -20,7 +20,7 @@
 import { makeStreamTiming } from '@hemlocksill/routing/stream-timing.js';
 import { makeStreamQueue } from '@hemlocksill/routing/stream-queue.js';
 import type { LogRouterEvent } from './events.js';
-import { makeClientErrorHandler } from './client-errors.js';
+import { connectError, makeClientErrorHandler } from './client-errors.js';
 import { makeCallHandler } from './handle-call.js';
 import { makeIdleConnections } from './idle-connections.js';
 import { makeRequestOrder } from './request-order.js';
@@ -320,7 +320,9 @@
       runStream: (ctx, responder) => runStream(runDeps, ctx, responder),
     }),
   );
-  callerServer.on('clientError', makeClientErrorHandler(order, log));
+  const handleClientError = makeClientErrorHandler(order, log);
+  callerServer.on('clientError', handleClientError);
+  callerServer.on('connect', (_, socket) => handleClientError(connectError, socket));
   // `close` calls it; Node's own also destroys connections whose ended response isn't flushed.
   callerServer.closeIdleConnections = order.closeIdleConnections;
   callerServer.headersTimeout = defaultHeaderTimeoutMs;
