--- a/packages/types/src/routing-ports.ts
+++ b/packages/types/src/routing-ports.ts
@@ -21,7 +21,10 @@
   readonly isFramed: boolean;
 }
 
-/** Receives the response of a backend server; nothing follows `end` or `fault`. */
+/**
+ * Receives the response of a backend server; nothing follows `end` or `fault`, and nothing comes before
+ * the call that sent the request has returned.
+ */
 export interface ResponseObserver {
   readonly start: (head: ResponseHead) => void;
   readonly data: (chunk: Buffer) => void;
