The hand-over between two runs of a stream is a module of its own

`hand-over` waits for a silence, has another engine prepared and lets its run take the stream over; `run-stream` says what each step does to the stream.

--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -9,7 +9,8 @@
 import type { MemoryAllocation } from '@hemlocksill/routing/engine-ledger.js';
 import { retryAfterJitter, type CallContext, type Responder } from './call-context.js';
 import { blockedRetryAfterMs, describePart, getBlockedReason } from './crash-watch.js';
-import { prepareEngine, type PreparedEngine } from './prepare-engine.js';
+import { makeHandOver, type NextRun, type PreviousRun } from './hand-over.js';
+import { prepareEngine } from './prepare-engine.js';
 import type { RunDeps } from './run-deps.js';
 import { makeEventSplitter } from './sse-events.js';
 import { makeStreamEngines, type Placement, type SplitPlacement } from './stream-engines.js';
@@ -26,15 +27,6 @@
  */
 const idleTimeoutGaps = 4;
 
-/** Delay before another engine is prepared for a silent stream, after none could be. */
-const preparationRetryDelayMs = 200;
-
-/**
- * Time after which a stream leaves its silent engine for one that has not rejected it; longer, both would
- * work on it.
- */
-const takeoverDelayMs = 250;
-
 /** Retry-After of a request that is refused because no engine can take it. */
 const noEngineRetryAfterMs = 500;
 
@@ -50,21 +42,6 @@
 /** Fault of an engine that answers a stream which must go on with an error. */
 const resumedStreamFault: CallFault = { kind: 'unknown', reason: 'the resumed stream failed' };
 
-/** The run that a stream leaves once another engine has taken the stream over. */
-interface PreviousRun {
-  /** Ends the run. */
-  readonly leave: () => void;
-  /** Stays with the run, since the other engine failed. */
-  readonly keep: (fault: CallFault) => void;
-}
-
-/** A run at an engine that takes a stream over. */
-interface NextRun {
-  readonly cancel: CancelCall;
-  /** Ends the previous run and goes on. */
-  readonly takeOver: () => void;
-}
-
 /** Runs a stream on a prefill and a decode engine and forwards its events to the caller. */
 export const runStream = (deps: RunDeps, ctx: CallContext, responder: Responder): void => {
   const { call, route, service } = ctx;
@@ -347,17 +324,50 @@
     let runToLeave = previousRun;
     let errorBytes = 0;
     let isRunning = true;
-    let idleTimer: NodeJS.Timeout | undefined;
-    let cancelPreparation: CancelCall = () => {};
-    /** The run at another engine that has not taken the stream over yet. */
-    let nextRun: NextRun | undefined;
     /** Servers that can't take the stream over from this engine. */
     const unusable = new Set([...excluded, server.id]);
+    const handOver = makeHandOver({
+      canMove: () => route.isResumable && isRunning && decodeAttempts < route.maxAttempts,
+      getIdleTimeoutMs: () =>
+        Math.max(
+          route.targetEventGapMs * idleTimeoutGaps,
+          isFirstChunk ? route.targetLatencyMs : 0,
+        ),
+      onSilent: (idleTimeoutMs) =>
+        deps.log(2309, { id, server: server.id, after: lastEventId, idleTimeoutMs }),
+      prepare: (onDone) =>
+        deps.crashWatch.findBlocked(ctx.crashParts, id) === undefined
+          ? prepareEngine(deps, engines, service.name, unusable, onDone)
+          : () => {},
+      run: (prepared, thisRun) => {
+        decodeAttempts += 1;
+        deps.metrics.retries.inc({ reason: 'silent' });
+        return runDecode(
+          prepared.server,
+          prepared.prefilled,
+          prepared.reservation,
+          prepared.allocation,
+          thisRun,
+        );
+      },
+      leave: (next) => {
+        if (!tryFinish()) return;
+        cancelSend();
+        mayHaveRun = true;
+        recordFault(server, 'decode', { kind: 'unknown', reason: 'the stream is silent' });
+        excluded.add(server.id);
+        deps.log(2307, { id, after: lastEventId, from: server.id, fault: 'silent', at: next.id });
+      },
+      stay: (next, fault) => {
+        recordFault(next, 'decode', fault);
+        unusable.add(next.id);
+        if (fault.kind === 'not-sent') decodeAttempts -= 1;
+      },
+    });
     const tryFinish = (): boolean => {
       if (!isRunning) return false;
       isRunning = false;
-      clearTimeout(idleTimer);
-      cancelPreparation();
+      handOver.stop();
       runWatch.stop();
       allocation.release();
       return true;
@@ -369,7 +379,7 @@
       leftRun.leave();
       excluded.forEach((serverId) => unusable.add(serverId));
       cancelAttempt = cancel;
-      restartIdleTimer();
+      handOver.restart();
     };
     const isErrorHead = (): boolean => head !== undefined && head.status >= 300;
     const forwardEvents = (events: Buffer): void => {
@@ -414,7 +424,7 @@
           allocation.grow(engine?.tokensPerEvent ?? 1);
           forwardEvents(events);
           // Bytes without a complete event don't count: a stalled stream may still send some.
-          restartIdleTimer();
+          handOver.restart();
         },
         end: () => {
           if (!isErrorHead()) takeOver();
@@ -442,11 +452,7 @@
           responder.end();
         },
         fault: (fault) => {
-          if (isRunning && nextRun) {
-            nextRun.takeOver();
-            return;
-          }
-          if (!tryFinish()) return;
+          if (handOver.tryComplete() || !tryFinish()) return;
           if (fault.kind === 'unknown') mayHaveRun = true;
           if (fault.kind === 'rejected') deps.engineLedger.recordFull(server.id, deps.now());
           if (runToLeave) {
@@ -470,11 +476,7 @@
     };
     /** Treats a response that is not valid as a broken connection. */
     const breakOff = (reason: string): void => {
-      if (isRunning && nextRun) {
-        nextRun.takeOver();
-        return;
-      }
-      if (!tryFinish()) return;
+      if (handOver.tryComplete() || !tryFinish()) return;
       cancelSend();
       mayHaveRun = true;
       handleBreak({ kind: 'unknown', reason });
@@ -494,9 +496,7 @@
       }
       if (!isForwardingError) {
         isForwardingError = true;
-        clearTimeout(idleTimer);
-        cancelPreparation();
-        nextRun = undefined;
+        handOver.stop();
         responder.sendHead(errorHead);
       }
       errorBytes += chunk.length;
@@ -506,74 +506,6 @@
         responder.fail(502, 'the error response is too large');
       }
     };
-    const restartIdleTimer = (): void => {
-      clearTimeout(idleTimer);
-      cancelPreparation();
-      nextRun = undefined;
-      if (!route.isResumable || !isRunning || decodeAttempts >= route.maxAttempts) return;
-      const idleTimeoutMs = Math.max(
-        route.targetEventGapMs * idleTimeoutGaps,
-        isFirstChunk ? route.targetLatencyMs : 0,
-      );
-      idleTimer = setTimeout(() => {
-        deps.log(2309, { id, server: server.id, after: lastEventId, idleTimeoutMs });
-        prepareResume();
-      }, idleTimeoutMs);
-    };
-    /**
-     * Prepares another engine for a silent stream. The stream stays where it is until then: its engine
-     * may be sound and go on, while a stream that has left it can't go back.
-     */
-    const prepareResume = (): void => {
-      if (deps.crashWatch.findBlocked(ctx.crashParts, id) !== undefined) return;
-      cancelPreparation = prepareEngine(deps, engines, service.name, unusable, (prepared) => {
-        if (prepared) moveTo(prepared);
-        else idleTimer = setTimeout(prepareResume, preparationRetryDelayMs);
-      });
-    };
-    /** Sends the stream to a prepared engine; it is left here only when that engine does not reject it. */
-    const moveTo = (prepared: PreparedEngine): void => {
-      decodeAttempts += 1;
-      deps.metrics.retries.inc({ reason: 'silent' });
-      idleTimer = setTimeout(() => nextRun?.takeOver(), takeoverDelayMs);
-      let hasFailed = false;
-      const next = runDecode(
-        prepared.server,
-        prepared.prefilled,
-        prepared.reservation,
-        prepared.allocation,
-        {
-          leave: () => {
-            cancelPreparation = () => {};
-            if (!tryFinish()) return;
-            cancelSend();
-            mayHaveRun = true;
-            recordFault(server, 'decode', { kind: 'unknown', reason: 'the stream is silent' });
-            excluded.add(server.id);
-            deps.log(2307, {
-              id,
-              after: lastEventId,
-              from: server.id,
-              fault: 'silent',
-              at: prepared.server.id,
-            });
-          },
-          keep: (fault) => {
-            hasFailed = true;
-            nextRun = undefined;
-            recordFault(prepared.server, 'decode', fault);
-            unusable.add(prepared.server.id);
-            if (fault.kind === 'not-sent') decodeAttempts -= 1;
-            clearTimeout(idleTimer);
-            if (decodeAttempts < route.maxAttempts)
-              idleTimer = setTimeout(prepareResume, preparationRetryDelayMs);
-          },
-        },
-      );
-      if (hasFailed) return;
-      nextRun = next;
-      cancelPreparation = next.cancel;
-    };
     const cancel = (): void => {
       if (!tryFinish()) return;
       cancelSend();
@@ -582,7 +514,7 @@
     };
     if (isRunning && !runToLeave) {
       cancelAttempt = cancel;
-      restartIdleTimer();
+      handOver.restart();
     }
     return { cancel, takeOver };
   };
