A stream that goes on is not taken over by an engine that needed no preparation

What callers saw: events twice in one stream (1, 2, 3, 3, 4, 5), on a service whose engines need no reservation, while no prefill engine is listed.

Cause: such an engine is prepared at once, before `prepare` returns. What `prepare` returned then replaced the function that cancels the run at that engine. When the silent engine went on, the other run was not cancelled, and took the stream over with its first event.

Change: the run at the other engine is cancelled by itself, not through the preparation.

Evidence: two tests failed before and pass now: one of the hand-over, one over a real router.

--- a/packages/router/src/hand-over.ts
+++ b/packages/router/src/hand-over.ts
@@ -70,6 +70,8 @@
   const stop = (): void => {
     clearTimeout(timer);
     cancelPreparation();
+    cancelPreparation = () => {};
+    nextRun?.cancel();
     nextRun = undefined;
   };
 
@@ -77,7 +79,7 @@
     timer = setTimeout(() => nextRun?.takeOver(), takeoverDelayMs);
     nextRun = steps.run(prepared, {
       leave: () => {
-        cancelPreparation = () => {};
+        nextRun = undefined;
         steps.leave(prepared.server);
       },
       keep: (fault) => {
@@ -87,7 +89,6 @@
         if (steps.canMove()) timer = setTimeout(prepare, preparationRetryDelayMs);
       },
     });
-    cancelPreparation = nextRun.cancel;
   };
 
   const prepare = (): void => {
