A stream whose engine fails during the hand-over goes on at the next one

What callers saw: a stream cut while another engine was about to take it over.

Cause: a run whose connection breaks lets the next run take over; one that ends inside an event, or answers a resumed stream with an error, did not. Its end cancelled the next run, and the attempts were used up.

Change: all ends of a run that is not whole ask the hand-over first.

--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -428,19 +428,22 @@
         },
         end: () => {
           if (!isErrorHead()) takeOver();
+          const isFramed = head !== undefined && (head.isFramed || !head.hasBody);
+          const isEmpty = isFirstChunk && !isFramed && !isErrorHead();
+          const isCut = isEmpty || splitter.hasIncompleteEvent();
+          // An error response without a body to a stream that has already begun.
+          const isError = isErrorHead() && !isForwardingError && responder.hasSentHead();
+          if ((isCut || isError) && handOver.tryComplete()) return;
           if (!tryFinish()) return;
           if (runToLeave) {
             runToLeave.keep(resumedStreamFault);
             return;
           }
-          // An error response without a body to a stream that has already begun.
-          if (isErrorHead() && !isForwardingError && responder.hasSentHead()) {
+          if (isError) {
             resumeOrFail(server, resumedStreamFault);
             return;
           }
-          const isFramed = head !== undefined && (head.isFramed || !head.hasBody);
-          const isEmpty = isFirstChunk && !isFramed && !isErrorHead();
-          if (splitter.hasIncompleteEvent() || isEmpty) {
+          if (isCut) {
             mayHaveRun = true;
             const where = isEmpty ? 'before its first event' : 'inside an event';
             handleBreak({ kind: 'unknown', reason: `the stream ended ${where}` });
@@ -489,7 +492,7 @@
         return;
       }
       if (!isForwardingError && responder.hasSentHead()) {
-        if (!tryFinish()) return;
+        if (handOver.tryComplete() || !tryFinish()) return;
         cancelSend();
         resumeOrFail(server, resumedStreamFault);
         return;
