A stream that no other engine can take goes back to one that it left

What callers saw: a closed connection after some events. A stream had left its silent engine, and the next one rejected it (503 or 421) later than 250 ms after it was sent there, broke it, or answered with an error; or the connection of the silent engine had broken during the hand-over. The attempts were used up, although the first engine was sound.

Cause: an engine that was left stayed excluded for good. Both can't work on a stream for longer, so that the next one's late answer can't be waited for.

Change: the engines that a stream left are remembered. If no attempt is left, or no other engine has memory now, the stream goes back to the first of them that is still ready, after its last event; so it does when it waited for another engine in vain. That takes a retry of the budget. The engines that a stream was sent to are counted instead of the sends, so that going back takes no attempt.

Ruled out: a longer hand-over (two engines would work on one stream); giving back the attempt of a run that was rejected, since a route's attempts are the engines that a request is sent to; going back after a second crash, which speaks for a request that crashes engines.

--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -50,7 +50,13 @@
   const engines = makeStreamEngines(deps, ctx);
   const { requirement, allocateMemory, isStillReady, recordFault } = engines;
   const excluded = new Set<string>();
-  let decodeAttempts = 0;
+  /**
+   * Ids of the decode engines that the stream was sent to, without those that can't be reached; the route
+   * limits their number.
+   */
+  const sentTo = new Set<string>();
+  /** Engines that the stream left while they may have been sound, the first one first. */
+  const leftServers: BackendServer[] = [];
   let prefillAttempts = 0;
   let mayHaveRun = false;
   /** Whether the stream was continued at the engine whose connection broke. */
@@ -108,8 +114,12 @@
         reserveDecodeMemory(placement, 1);
         return true;
       },
-      refuse: (retryAfterMs: number, reason: string) =>
-        failOrRefuse(reason, getRetryDelayMs(retryAfterMs)),
+      refuse: (retryAfterMs: number, reason: string) => {
+        const leftServer = findLeftServer();
+        // The retry that was taken for another placement has not been used.
+        if (leftServer && getRemainingMs() > 0) goBackTo(leftServer);
+        else failOrRefuse(reason, getRetryDelayMs(retryAfterMs));
+      },
     };
     deps.queue.push(stream);
     deps.queue.process(deps.now());
@@ -211,7 +221,6 @@
     allocation: MemoryAllocation,
   ): void => {
     logPlacement(decode, undefined);
-    decodeAttempts += 1;
     runDecode(decode, undefined, reservation, allocation);
   };
 
@@ -286,7 +295,6 @@
         retryFromPlacement();
         return;
       }
-      decodeAttempts += 1;
       runDecode(placement.decode, outcome.result, reservation, allocation);
     });
     if (!isReading) return;
@@ -314,6 +322,7 @@
       }
       return { cancel: () => {}, takeOver: () => {} };
     }
+    sentTo.add(server.id);
     const runWatch = deps.crashWatch.watchRun(ctx.crashParts, server);
     const splitter = makeEventSplitter();
     const sentAt = deps.now();
@@ -327,7 +336,7 @@
     /** Servers that can't take the stream over from this engine. */
     const unusable = new Set([...excluded, server.id]);
     const handOver = makeHandOver({
-      canMove: () => route.isResumable && isRunning && decodeAttempts < route.maxAttempts,
+      canMove: () => route.isResumable && isRunning && sentTo.size < route.maxAttempts,
       getIdleTimeoutMs: () =>
         Math.max(
           route.targetEventGapMs * idleTimeoutGaps,
@@ -340,7 +349,6 @@
           ? prepareEngine(deps, engines, service.name, unusable, onDone)
           : () => {},
       run: (prepared, thisRun) => {
-        decodeAttempts += 1;
         deps.metrics.retries.inc({ reason: 'silent' });
         return runDecode(
           prepared.server,
@@ -356,12 +364,12 @@
         mayHaveRun = true;
         recordFault(server, 'decode', { kind: 'unknown', reason: 'the stream is silent' });
         excluded.add(server.id);
+        leftServers.push(server);
         deps.log(2307, { id, after: lastEventId, from: server.id, fault: 'silent', at: next.id });
       },
       stay: (next, fault) => {
         recordFault(next, 'decode', fault);
         unusable.add(next.id);
-        if (fault.kind === 'not-sent') decodeAttempts -= 1;
       },
     });
     const tryFinish = (): boolean => {
@@ -455,6 +463,7 @@
           responder.end();
         },
         fault: (fault) => {
+          if (fault.kind === 'not-sent') sentTo.delete(server.id);
           if (handOver.tryComplete() || !tryFinish()) return;
           if (fault.kind === 'unknown') mayHaveRun = true;
           if (fault.kind === 'rejected') deps.engineLedger.recordFull(server.id, deps.now());
@@ -550,6 +559,17 @@
     runDecode(server, undefined, undefined, allocateMemory(server));
   };
 
+  const findLeftServer = (): BackendServer | undefined => leftServers.find(isStillReady);
+
+  /** Goes on at an engine that the stream left, which may only have been silent for a time. */
+  const goBackTo = (server: BackendServer): void => {
+    leftServers.splice(leftServers.indexOf(server), 1);
+    excluded.delete(server.id);
+    deps.metrics.retries.inc({ reason: 'returned' });
+    deps.log(2307, { id, after: lastEventId, fault: 'left', at: server.id });
+    runDecode(server, undefined, undefined, allocateMemory(server));
+  };
+
   const handleUnusedPrefill = (fault: CallFault, unusedPrefill?: PrefillResult): void => {
     if (fault.kind === 'rejected' && unusedPrefill && engine && engine.maxReservationMs > 0) {
       // A decode engine with reserved memory rejects a run only if it cannot fetch the prefilled
@@ -563,7 +583,8 @@
   };
 
   /**
-   * Resumes a stream after a failed decode, if the route allows it; fails the request otherwise.
+   * Resumes a stream after a failed decode, if the route allows it; fails the request otherwise. A stream
+   * that no other engine can take goes back to one that it left.
    */
   const resumeOrFail = (
     server: BackendServer,
@@ -574,17 +595,23 @@
     excluded.add(server.id);
     handleUnusedPrefill(fault, unusedPrefill);
     const isRetrySafe = fault.kind !== 'unknown' || route.isResumable;
-    const hasAttemptsLeft = fault.kind === 'not-sent' || decodeAttempts < route.maxAttempts;
-    if (fault.kind === 'not-sent') decodeAttempts -= 1;
+    const leftServer = findLeftServer();
+    const canPlace =
+      sentTo.size < route.maxAttempts &&
+      (!leftServer || engines.choosePlacement(excluded) !== undefined);
     if (
       !isRetrySafe ||
-      !hasAttemptsLeft ||
+      !(canPlace || leftServer) ||
       getRemainingMs() <= 0 ||
       !deps.tryTakeRetry(service.name)
     ) {
       failOrRefuse(fault.reason, noEngineRetryAfterMs);
       return;
     }
+    if (!canPlace && leftServer) {
+      goBackTo(leftServer);
+      return;
+    }
     deps.metrics.retries.inc({ reason: fault.kind });
     deps.log(2307, { id, after: lastEventId, from: server.id, fault: fault.kind });
     resumeBy = deps.now() + route.targetLatencyMs;
@@ -592,7 +619,7 @@
   };
 
   responder.onAbandon((status, when) => {
-    const wasSent = decodeAttempts > 0;
+    const wasSent = sentTo.size > 0;
     cancelAttempt();
     deps.queue.remove(id);
     if (wasSent || responder.hasSentHead()) responder.fail(status, `no whole answer ${when}`);
