An engine that crashes while a stream leaves it counts as a crash

Cause: a run whose connection broke during the hand-over was ended like one that is only silent, and the break was not recorded. A request that crashes engines was sent once more for each such crash.

Change: the break is recorded as at any other time, and the stream does not go back to an engine on which it crashed as on another one before.

Evidence: a test over a real router failed before (the stream went back to the first engine after the second crash) and passes now (502, one request at each engine).

--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -441,7 +441,7 @@
           const isCut = isEmpty || splitter.hasIncompleteEvent();
           // An error response without a body to a stream that has already begun.
           const isError = isErrorHead() && !isForwardingError && responder.hasSentHead();
-          if ((isCut || isError) && handOver.tryComplete()) return;
+          if ((isCut && tryLeaveBroken()) || (isError && handOver.tryComplete())) return;
           if (!tryFinish()) return;
           if (runToLeave) {
             runToLeave.keep(resumedStreamFault);
@@ -464,7 +464,8 @@
         },
         fault: (fault) => {
           if (fault.kind === 'not-sent') sentTo.delete(server.id);
-          if (handOver.tryComplete() || !tryFinish()) return;
+          if (fault.kind === 'unknown' ? tryLeaveBroken() : handOver.tryComplete()) return;
+          if (!tryFinish()) return;
           if (fault.kind === 'unknown') mayHaveRun = true;
           if (fault.kind === 'rejected') deps.engineLedger.recordFull(server.id, deps.now());
           if (runToLeave) {
@@ -476,6 +477,13 @@
         },
       },
     );
+    /** Lets the next run take the stream over from this one, which broke; false if there is none. */
+    const tryLeaveBroken = (): boolean => {
+      if (!handOver.tryComplete()) return false;
+      // An engine at which the request crashes, as at another one before, is not gone back to.
+      if (runWatch.recordBreak()) leftServers.pop();
+      return true;
+    };
     /** Continues a stream that broke, unless another engine would probably crash on it, too. */
     const handleBreak = (fault: CallFault): void => {
       const isCrashing = fault.kind === 'unknown' && runWatch.recordBreak();
@@ -488,7 +496,7 @@
     };
     /** Treats a response that is not valid as a broken connection. */
     const breakOff = (reason: string): void => {
-      if (handOver.tryComplete() || !tryFinish()) return;
+      if (tryLeaveBroken() || !tryFinish()) return;
       cancelSend();
       mayHaveRun = true;
       handleBreak({ kind: 'unknown', reason });
