--- a/packages/router/src/hand-over.ts
+++ b/packages/router/src/hand-over.ts
@@ -55,7 +55,7 @@
 
 /**
  * Makes the hand-over of one run. The stream stays where it is until another engine has taken it over:
- * its engine may be sound and go on, while a stream that has left it can't go back.
+ * its engine may be sound and go on.
  *
  * @example
  * const handOver = makeHandOver(steps);
