--- a/packages/router/src/hand-over.test.ts
+++ b/packages/router/src/hand-over.test.ts
@@ -26,7 +26,7 @@
       steps.push(`run at ${server.id}`);
       return { cancel: () => steps.push('cancel run'), takeOver: leave };
     },
-    leave: ({ id }) => steps.push(`leave for ${id}`),
+    leave: ({ id }, reason) => steps.push(`leave for ${id}: ${reason}`),
     stay: () => steps.push('stay'),
   });
   handOver.restart();
@@ -51,15 +51,15 @@
     handOver.restart();
     handOver.stop();
     t.deepEqual(steps, ['silent', 'run at d2', 'cancel run']);
-    t.false(handOver.tryComplete());
+    t.false(handOver.tryComplete('reset'));
   });
 
   test(`the run at an engine that was prepared ${when} takes the stream over once`, async (t) => {
     const { handOver, steps } = startHandOver(prepare);
     await sleep(afterSilenceMs);
-    t.true(handOver.tryComplete());
-    t.false(handOver.tryComplete());
+    t.true(handOver.tryComplete('reset'));
+    t.false(handOver.tryComplete('reset'));
     handOver.stop();
-    t.deepEqual(steps, ['silent', 'run at d2', 'leave for d2']);
+    t.deepEqual(steps, ['silent', 'run at d2', 'leave for d2: reset']);
   });
 });
--- a/packages/router/src/hand-over.ts
+++ b/packages/router/src/hand-over.ts
@@ -11,10 +11,13 @@
  */
 const takeoverDelayMs = 250;
 
+/** Why a stream leaves its engine, unless that failed. */
+export const silenceReason = 'the stream is silent';
+
 /** The run that a stream leaves once another engine has taken the stream over. */
 export interface PreviousRun {
   /** Ends the run. */
-  readonly leave: () => void;
+  readonly leave: (reason: string) => void;
   /** Stays with the run, since the other engine failed. */
   readonly keep: (fault: CallFault) => void;
 }
@@ -23,7 +26,7 @@
 export interface NextRun {
   readonly cancel: CancelCall;
   /** Ends the previous run and goes on. */
-  readonly takeOver: () => void;
+  readonly takeOver: (reason: string) => void;
 }
 
 /** What a hand-over does with the stream and its runs. */
@@ -38,7 +41,7 @@
   /** Sends the stream to a prepared engine. */
   readonly run: (prepared: PreparedEngine, previousRun: PreviousRun) => NextRun;
   /** Ends this run, since the stream goes on at another engine. */
-  readonly leave: (next: BackendServer) => void;
+  readonly leave: (next: BackendServer, reason: string) => void;
   /** Records that the stream stays, since the other engine failed. */
   readonly stay: (next: BackendServer, fault: CallFault) => void;
 }
@@ -50,7 +53,7 @@
   /** Cancels a hand-over that has begun. */
   readonly stop: () => void;
   /** Lets the other engine take the stream over now; returns false if it was not sent to one. */
-  readonly tryComplete: () => boolean;
+  readonly tryComplete: (reason: string) => boolean;
 }
 
 /**
@@ -76,11 +79,11 @@
   };
 
   const moveTo = (prepared: PreparedEngine): void => {
-    timer = setTimeout(() => nextRun?.takeOver(), takeoverDelayMs);
+    timer = setTimeout(() => nextRun?.takeOver(silenceReason), takeoverDelayMs);
     nextRun = steps.run(prepared, {
-      leave: () => {
+      leave: (reason) => {
         nextRun = undefined;
-        steps.leave(prepared.server);
+        steps.leave(prepared.server, reason);
       },
       keep: (fault) => {
         nextRun = undefined;
@@ -109,9 +112,9 @@
       }, idleTimeoutMs);
     },
     stop,
-    tryComplete: () => {
+    tryComplete: (reason) => {
       if (!nextRun) return false;
-      nextRun.takeOver();
+      nextRun.takeOver(reason);
       return true;
     },
   };
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -9,7 +9,7 @@
 import type { MemoryAllocation } from '@hemlocksill/routing/engine-ledger.js';
 import { retryAfterJitter, type CallContext, type Responder } from './call-context.js';
 import { blockedRetryAfterMs, describePart, getBlockedReason } from './crash-watch.js';
-import { makeHandOver, type NextRun, type PreviousRun } from './hand-over.js';
+import { makeHandOver, silenceReason, type NextRun, type PreviousRun } from './hand-over.js';
 import { prepareEngine } from './prepare-engine.js';
 import type { RunDeps } from './run-deps.js';
 import { makeEventSplitter } from './sse-events.js';
@@ -358,11 +358,11 @@
           thisRun,
         );
       },
-      leave: (next) => {
+      leave: (next, reason) => {
         if (!tryFinish()) return;
         cancelSend();
         mayHaveRun = true;
-        recordFault(server, 'decode', { kind: 'unknown', reason: 'the stream is silent' });
+        recordFault(server, 'decode', { kind: 'unknown', reason });
         excluded.add(server.id);
         leftServers.push(server);
         deps.log(2307, { id, after: lastEventId, from: server.id, fault: 'silent', at: next.id });
@@ -380,11 +380,11 @@
       allocation.release();
       return true;
     };
-    const takeOver = (): void => {
+    const takeOver = (reason: string): void => {
       const leftRun = runToLeave;
       if (!leftRun || !isRunning) return;
       runToLeave = undefined;
-      leftRun.leave();
+      leftRun.leave(reason);
       excluded.forEach((serverId) => unusable.add(serverId));
       cancelAttempt = cancel;
       handOver.restart();
@@ -410,7 +410,7 @@
         },
         data: (chunk) => {
           if (!isRunning) return;
-          if (!isErrorHead()) takeOver();
+          if (!isErrorHead()) takeOver(silenceReason);
           if (head && isErrorHead()) {
             forwardErrorResponse(head, chunk);
             return;
@@ -435,13 +435,15 @@
           handOver.restart();
         },
         end: () => {
-          if (!isErrorHead()) takeOver();
+          if (!isErrorHead()) takeOver(silenceReason);
           const isFramed = head !== undefined && (head.isFramed || !head.hasBody);
           const isEmpty = isFirstChunk && !isFramed && !isErrorHead();
           const isCut = isEmpty || splitter.hasIncompleteEvent();
           // An error response without a body to a stream that has already begun.
           const isError = isErrorHead() && !isForwardingError && responder.hasSentHead();
-          if ((isCut && tryLeaveBroken()) || (isError && handOver.tryComplete())) return;
+          const cutReason = `the stream ended ${isEmpty ? 'before its first event' : 'inside an event'}`;
+          if (isCut && tryLeaveBroken(cutReason)) return;
+          if (isError && handOver.tryComplete(resumedStreamFault.reason)) return;
           if (!tryFinish()) return;
           if (runToLeave) {
             runToLeave.keep(resumedStreamFault);
@@ -453,8 +455,7 @@
           }
           if (isCut) {
             mayHaveRun = true;
-            const where = isEmpty ? 'before its first event' : 'inside an event';
-            handleBreak({ kind: 'unknown', reason: `the stream ended ${where}` });
+            handleBreak({ kind: 'unknown', reason: cutReason });
             return;
           }
           // An engine that crashes between two events ends a stream without framing in the same way.
@@ -464,7 +465,8 @@
         },
         fault: (fault) => {
           if (fault.kind === 'not-sent') sentTo.delete(server.id);
-          if (fault.kind === 'unknown' ? tryLeaveBroken() : handOver.tryComplete()) return;
+          const { kind, reason } = fault;
+          if (kind === 'unknown' ? tryLeaveBroken(reason) : handOver.tryComplete(reason)) return;
           if (!tryFinish()) return;
           if (fault.kind === 'unknown') mayHaveRun = true;
           if (fault.kind === 'rejected') deps.engineLedger.recordFull(server.id, deps.now());
@@ -478,8 +480,8 @@
       },
     );
     /** Lets the next run take the stream over from this one, which broke; false if there is none. */
-    const tryLeaveBroken = (): boolean => {
-      if (!handOver.tryComplete()) return false;
+    const tryLeaveBroken = (reason: string): boolean => {
+      if (!handOver.tryComplete(reason)) return false;
       // An engine at which the request crashes, as at another one before, is not gone back to.
       if (runWatch.recordBreak()) leftServers.pop();
       return true;
@@ -496,7 +498,7 @@
     };
     /** Treats a response that is not valid as a broken connection. */
     const breakOff = (reason: string): void => {
-      if (tryLeaveBroken() || !tryFinish()) return;
+      if (tryLeaveBroken(reason) || !tryFinish()) return;
       cancelSend();
       mayHaveRun = true;
       handleBreak({ kind: 'unknown', reason });
@@ -509,7 +511,7 @@
         return;
       }
       if (!isForwardingError && responder.hasSentHead()) {
-        if (handOver.tryComplete() || !tryFinish()) return;
+        if (handOver.tryComplete(resumedStreamFault.reason) || !tryFinish()) return;
         cancelSend();
         resumeOrFail(server, resumedStreamFault);
         return;
