--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -9,7 +9,8 @@
 import type { MemoryAllocation } from '@hemlocksill/routing/engine-ledger.js';
 import { retryAfterJitter, type CallContext, type Responder } from './call-context.js';
 import { blockedRetryAfterMs, describePart, getBlockedReason } from './crash-watch.js';
-import { prepareEngine, type PreparedEngine } from './prepare-engine.js';
+import { makeHandOver, silenceReason, type NextRun, type PreviousRun } from './hand-over.js';
+import { prepareEngine } from './prepare-engine.js';
 import type { RunDeps } from './run-deps.js';
 import { makeEventSplitter } from './sse-events.js';
 import { makeStreamEngines, type Placement, type SplitPlacement } from './stream-engines.js';
@@ -26,15 +27,6 @@
  */
 const idleTimeoutGaps = 4;
 
-/** Delay before another engine is prepared for a silent stream, after none could be. */
-const preparationRetryDelayMs = 200;
-
-/**
- * Time after which a stream leaves its silent engine for one that has not rejected it; longer, both would
- * work on it.
- */
-const takeoverDelayMs = 250;
-
 /** Retry-After of a request that is refused because no engine can take it. */
 const noEngineRetryAfterMs = 500;
 
@@ -50,21 +42,6 @@
 /** Fault of an engine that answers a stream which must go on with an error. */
 const resumedStreamFault: CallFault = { kind: 'unknown', reason: 'the resumed stream failed' };
 
-/** The run that a stream leaves once another engine has taken the stream over. */
-interface PreviousRun {
-  /** Ends the run. */
-  readonly leave: () => void;
-  /** Stays with the run, since the other engine failed. */
-  readonly keep: (fault: CallFault) => void;
-}
-
-/** A run at an engine that takes a stream over. */
-interface NextRun {
-  readonly cancel: CancelCall;
-  /** Ends the previous run and goes on. */
-  readonly takeOver: () => void;
-}
-
 /** Runs a stream on a prefill and a decode engine and forwards its events to the caller. */
 export const runStream = (deps: RunDeps, ctx: CallContext, responder: Responder): void => {
   const { call, route, service } = ctx;
@@ -73,7 +50,13 @@
   const engines = makeStreamEngines(deps, ctx);
   const { requirement, allocateMemory, isStillReady, recordFault } = engines;
   const excluded = new Set<string>();
-  let decodeAttempts = 0;
+  /**
+   * Ids of the decode engines that the stream was sent to, without those that can't be reached; the route
+   * limits their number.
+   */
+  const sentTo = new Set<string>();
+  /** Engines that the stream left while they may have been sound, the first one first. */
+  const leftServers: BackendServer[] = [];
   let prefillAttempts = 0;
   let mayHaveRun = false;
   /** Whether the stream was continued at the engine whose connection broke. */
@@ -131,8 +114,12 @@
         reserveDecodeMemory(placement, 1);
         return true;
       },
-      refuse: (retryAfterMs: number, reason: string) =>
-        failOrRefuse(reason, getRetryDelayMs(retryAfterMs)),
+      refuse: (retryAfterMs: number, reason: string) => {
+        const leftServer = findLeftServer();
+        // The retry that was taken for another placement has not been used.
+        if (leftServer && getRemainingMs() > 0) goBackTo(leftServer);
+        else failOrRefuse(reason, getRetryDelayMs(retryAfterMs));
+      },
     };
     deps.queue.push(stream);
     deps.queue.process(deps.now());
@@ -234,7 +221,6 @@
     allocation: MemoryAllocation,
   ): void => {
     logPlacement(decode, undefined);
-    decodeAttempts += 1;
     runDecode(decode, undefined, reservation, allocation);
   };
 
@@ -309,7 +295,6 @@
         retryFromPlacement();
         return;
       }
-      decodeAttempts += 1;
       runDecode(placement.decode, outcome.result, reservation, allocation);
     });
     if (!isReading) return;
@@ -337,6 +322,7 @@
       }
       return { cancel: () => {}, takeOver: () => {} };
     }
+    sentTo.add(server.id);
     const runWatch = deps.crashWatch.watchRun(ctx.crashParts, server);
     const splitter = makeEventSplitter();
     const sentAt = deps.now();
@@ -347,29 +333,61 @@
     let runToLeave = previousRun;
     let errorBytes = 0;
     let isRunning = true;
-    let idleTimer: NodeJS.Timeout | undefined;
-    let cancelPreparation: CancelCall = () => {};
-    /** The run at another engine that has not taken the stream over yet. */
-    let nextRun: NextRun | undefined;
     /** Servers that can't take the stream over from this engine. */
     const unusable = new Set([...excluded, server.id]);
+    const handOver = makeHandOver({
+      canMove: () => route.isResumable && isRunning && sentTo.size < route.maxAttempts,
+      getIdleTimeoutMs: () =>
+        Math.max(
+          route.targetEventGapMs * idleTimeoutGaps,
+          isFirstChunk ? route.targetLatencyMs : 0,
+        ),
+      onSilent: (idleTimeoutMs) =>
+        deps.log(2309, { id, server: server.id, after: lastEventId, idleTimeoutMs }),
+      prepare: (onDone) =>
+        deps.crashWatch.findBlocked(ctx.crashParts, id) === undefined
+          ? prepareEngine(deps, engines, service.name, unusable, onDone)
+          : () => {},
+      run: (prepared, thisRun) => {
+        deps.metrics.retries.inc({ reason: 'silent' });
+        return runDecode(
+          prepared.server,
+          prepared.prefilled,
+          prepared.reservation,
+          prepared.allocation,
+          thisRun,
+        );
+      },
+      leave: (next, reason) => {
+        if (!tryFinish()) return;
+        cancelSend();
+        mayHaveRun = true;
+        recordFault(server, 'decode', { kind: 'unknown', reason });
+        excluded.add(server.id);
+        leftServers.push(server);
+        deps.log(2307, { id, after: lastEventId, from: server.id, fault: 'silent', at: next.id });
+      },
+      stay: (next, fault) => {
+        recordFault(next, 'decode', fault);
+        unusable.add(next.id);
+      },
+    });
     const tryFinish = (): boolean => {
       if (!isRunning) return false;
       isRunning = false;
-      clearTimeout(idleTimer);
-      cancelPreparation();
+      handOver.stop();
       runWatch.stop();
       allocation.release();
       return true;
     };
-    const takeOver = (): void => {
+    const takeOver = (reason: string): void => {
       const leftRun = runToLeave;
       if (!leftRun || !isRunning) return;
       runToLeave = undefined;
-      leftRun.leave();
+      leftRun.leave(reason);
       excluded.forEach((serverId) => unusable.add(serverId));
       cancelAttempt = cancel;
-      restartIdleTimer();
+      handOver.restart();
     };
     const isErrorHead = (): boolean => head !== undefined && head.status >= 300;
     const forwardEvents = (events: Buffer): void => {
@@ -392,7 +410,7 @@
         },
         data: (chunk) => {
           if (!isRunning) return;
-          if (!isErrorHead()) takeOver();
+          if (!isErrorHead()) takeOver(silenceReason);
           if (head && isErrorHead()) {
             forwardErrorResponse(head, chunk);
             return;
@@ -414,26 +432,30 @@
           allocation.grow(engine?.tokensPerEvent ?? 1);
           forwardEvents(events);
           // Bytes without a complete event don't count: a stalled stream may still send some.
-          restartIdleTimer();
+          handOver.restart();
         },
         end: () => {
-          if (!isErrorHead()) takeOver();
+          if (!isErrorHead()) takeOver(silenceReason);
+          const isFramed = head !== undefined && (head.isFramed || !head.hasBody);
+          const isEmpty = isFirstChunk && !isFramed && !isErrorHead();
+          const isCut = isEmpty || splitter.hasIncompleteEvent();
+          // An error response without a body to a stream that has already begun.
+          const isError = isErrorHead() && !isForwardingError && responder.hasSentHead();
+          const cutReason = `the stream ended ${isEmpty ? 'before its first event' : 'inside an event'}`;
+          if (isCut && tryLeaveBroken(cutReason)) return;
+          if (isError && handOver.tryComplete(resumedStreamFault.reason)) return;
           if (!tryFinish()) return;
           if (runToLeave) {
             runToLeave.keep(resumedStreamFault);
             return;
           }
-          // An error response without a body to a stream that has already begun.
-          if (isErrorHead() && !isForwardingError && responder.hasSentHead()) {
+          if (isError) {
             resumeOrFail(server, resumedStreamFault);
             return;
           }
-          const isFramed = head !== undefined && (head.isFramed || !head.hasBody);
-          const isEmpty = isFirstChunk && !isFramed && !isErrorHead();
-          if (splitter.hasIncompleteEvent() || isEmpty) {
+          if (isCut) {
             mayHaveRun = true;
-            const where = isEmpty ? 'before its first event' : 'inside an event';
-            handleBreak({ kind: 'unknown', reason: `the stream ended ${where}` });
+            handleBreak({ kind: 'unknown', reason: cutReason });
             return;
           }
           // An engine that crashes between two events ends a stream without framing in the same way.
@@ -442,10 +464,9 @@
           responder.end();
         },
         fault: (fault) => {
-          if (isRunning && nextRun) {
-            nextRun.takeOver();
-            return;
-          }
+          if (fault.kind === 'not-sent') sentTo.delete(server.id);
+          const { kind, reason } = fault;
+          if (kind === 'unknown' ? tryLeaveBroken(reason) : handOver.tryComplete(reason)) return;
           if (!tryFinish()) return;
           if (fault.kind === 'unknown') mayHaveRun = true;
           if (fault.kind === 'rejected') deps.engineLedger.recordFull(server.id, deps.now());
@@ -458,6 +479,13 @@
         },
       },
     );
+    /** Lets the next run take the stream over from this one, which broke; false if there is none. */
+    const tryLeaveBroken = (reason: string): boolean => {
+      if (!handOver.tryComplete(reason)) return false;
+      // An engine at which the request crashes, as at another one before, is not gone back to.
+      if (runWatch.recordBreak()) leftServers.pop();
+      return true;
+    };
     /** Continues a stream that broke, unless another engine would probably crash on it, too. */
     const handleBreak = (fault: CallFault): void => {
       const isCrashing = fault.kind === 'unknown' && runWatch.recordBreak();
@@ -470,11 +498,7 @@
     };
     /** Treats a response that is not valid as a broken connection. */
     const breakOff = (reason: string): void => {
-      if (isRunning && nextRun) {
-        nextRun.takeOver();
-        return;
-      }
-      if (!tryFinish()) return;
+      if (tryLeaveBroken(reason) || !tryFinish()) return;
       cancelSend();
       mayHaveRun = true;
       handleBreak({ kind: 'unknown', reason });
@@ -487,16 +511,14 @@
         return;
       }
       if (!isForwardingError && responder.hasSentHead()) {
-        if (!tryFinish()) return;
+        if (handOver.tryComplete(resumedStreamFault.reason) || !tryFinish()) return;
         cancelSend();
         resumeOrFail(server, resumedStreamFault);
         return;
       }
       if (!isForwardingError) {
         isForwardingError = true;
-        clearTimeout(idleTimer);
-        cancelPreparation();
-        nextRun = undefined;
+        handOver.stop();
         responder.sendHead(errorHead);
       }
       errorBytes += chunk.length;
@@ -506,74 +528,6 @@
         responder.fail(502, 'the error response is too large');
       }
     };
-    const restartIdleTimer = (): void => {
-      clearTimeout(idleTimer);
-      cancelPreparation();
-      nextRun = undefined;
-      if (!route.isResumable || !isRunning || decodeAttempts >= route.maxAttempts) return;
-      const idleTimeoutMs = Math.max(
-        route.targetEventGapMs * idleTimeoutGaps,
-        isFirstChunk ? route.targetLatencyMs : 0,
-      );
-      idleTimer = setTimeout(() => {
-        deps.log(2309, { id, server: server.id, after: lastEventId, idleTimeoutMs });
-        prepareResume();
-      }, idleTimeoutMs);
-    };
-    /**
-     * Prepares another engine for a silent stream. The stream stays where it is until then: its engine
-     * may be sound and go on, while a stream that has left it can't go back.
-     */
-    const prepareResume = (): void => {
-      if (deps.crashWatch.findBlocked(ctx.crashParts, id) !== undefined) return;
-      cancelPreparation = prepareEngine(deps, engines, service.name, unusable, (prepared) => {
-        if (prepared) moveTo(prepared);
-        else idleTimer = setTimeout(prepareResume, preparationRetryDelayMs);
-      });
-    };
-    /** Sends the stream to a prepared engine; it is left here only when that engine does not reject it. */
-    const moveTo = (prepared: PreparedEngine): void => {
-      decodeAttempts += 1;
-      deps.metrics.retries.inc({ reason: 'silent' });
-      idleTimer = setTimeout(() => nextRun?.takeOver(), takeoverDelayMs);
-      let hasFailed = false;
-      const next = runDecode(
-        prepared.server,
-        prepared.prefilled,
-        prepared.reservation,
-        prepared.allocation,
-        {
-          leave: () => {
-            cancelPreparation = () => {};
-            if (!tryFinish()) return;
-            cancelSend();
-            mayHaveRun = true;
-            recordFault(server, 'decode', { kind: 'unknown', reason: 'the stream is silent' });
-            excluded.add(server.id);
-            deps.log(2307, {
-              id,
-              after: lastEventId,
-              from: server.id,
-              fault: 'silent',
-              at: prepared.server.id,
-            });
-          },
-          keep: (fault) => {
-            hasFailed = true;
-            nextRun = undefined;
-            recordFault(prepared.server, 'decode', fault);
-            unusable.add(prepared.server.id);
-            if (fault.kind === 'not-sent') decodeAttempts -= 1;
-            clearTimeout(idleTimer);
-            if (decodeAttempts < route.maxAttempts)
-              idleTimer = setTimeout(prepareResume, preparationRetryDelayMs);
-          },
-        },
-      );
-      if (hasFailed) return;
-      nextRun = next;
-      cancelPreparation = next.cancel;
-    };
     const cancel = (): void => {
       if (!tryFinish()) return;
       cancelSend();
@@ -582,7 +536,7 @@
     };
     if (isRunning && !runToLeave) {
       cancelAttempt = cancel;
-      restartIdleTimer();
+      handOver.restart();
     }
     return { cancel, takeOver };
   };
@@ -615,6 +569,17 @@
     runDecode(server, undefined, undefined, allocateMemory(server));
   };
 
+  const findLeftServer = (): BackendServer | undefined => leftServers.find(isStillReady);
+
+  /** Goes on at an engine that the stream left, which may only have been silent for a time. */
+  const goBackTo = (server: BackendServer): void => {
+    leftServers.splice(leftServers.indexOf(server), 1);
+    excluded.delete(server.id);
+    deps.metrics.retries.inc({ reason: 'returned' });
+    deps.log(2307, { id, after: lastEventId, fault: 'left', at: server.id });
+    runDecode(server, undefined, undefined, allocateMemory(server));
+  };
+
   const handleUnusedPrefill = (fault: CallFault, unusedPrefill?: PrefillResult): void => {
     if (fault.kind === 'rejected' && unusedPrefill && engine && engine.maxReservationMs > 0) {
       // A decode engine with reserved memory rejects a run only if it cannot fetch the prefilled
@@ -628,7 +593,8 @@
   };
 
   /**
-   * Resumes a stream after a failed decode, if the route allows it; fails the request otherwise.
+   * Resumes a stream after a failed decode, if the route allows it; fails the request otherwise. A stream
+   * that no other engine can take goes back to one that it left.
    */
   const resumeOrFail = (
     server: BackendServer,
@@ -639,17 +605,23 @@
     excluded.add(server.id);
     handleUnusedPrefill(fault, unusedPrefill);
     const isRetrySafe = fault.kind !== 'unknown' || route.isResumable;
-    const hasAttemptsLeft = fault.kind === 'not-sent' || decodeAttempts < route.maxAttempts;
-    if (fault.kind === 'not-sent') decodeAttempts -= 1;
+    const leftServer = findLeftServer();
+    const canPlace =
+      sentTo.size < route.maxAttempts &&
+      (!leftServer || engines.choosePlacement(excluded) !== undefined);
     if (
       !isRetrySafe ||
-      !hasAttemptsLeft ||
+      !(canPlace || leftServer) ||
       getRemainingMs() <= 0 ||
       !deps.tryTakeRetry(service.name)
     ) {
       failOrRefuse(fault.reason, noEngineRetryAfterMs);
       return;
     }
+    if (!canPlace && leftServer) {
+      goBackTo(leftServer);
+      return;
+    }
     deps.metrics.retries.inc({ reason: fault.kind });
     deps.log(2307, { id, after: lastEventId, from: server.id, fault: fault.kind });
     resumeBy = deps.now() + route.targetLatencyMs;
@@ -657,7 +629,7 @@
   };
 
   responder.onAbandon((status, when) => {
-    const wasSent = decodeAttempts > 0;
+    const wasSent = sentTo.size > 0;
     cancelAttempt();
     deps.queue.remove(id);
     if (wasSent || responder.hasSentHead()) responder.fail(status, `no whole answer ${when}`);
