--- a/packages/routing/src/crash-suspects.ts
+++ b/packages/routing/src/crash-suspects.ts
@@ -4,7 +4,7 @@
 import { makePartStats } from './part-stats.js';
 import { isRequestPart } from './request-part.js';
 
-/** Incidents after which a part of a prompt is blocked; chance seldom ends that many engines on it. */
+/** Incidents after which a part is blocked; chance seldom ends that many servers on it. */
 const maxIncidents = 3;
 
 /**
@@ -44,7 +44,7 @@
 /** Times that peers relay to each other count as equal within this time, or they would never age. */
 const relayToleranceMs = 1_000;
 
-/** Parts with incidents in one VM's memory. */
+/** Parts of prompts, and requests, with incidents in one VM's memory. */
 const maxSuspectedParts = 256;
 const maxSuspectedRequests = 512;
 
