--- a/packages/router/src/call-context.ts
+++ b/packages/router/src/call-context.ts
@@ -59,7 +59,8 @@
   readonly sendHead: (head: ResponseHead) => void;
   readonly write: (bytes: Buffer) => void;
   readonly end: () => void;
-  readonly sendComplete: (head: ResponseHead, body: Buffer) => void;
+  /** `server` is the backend server that the response comes from. */
+  readonly sendComplete: (head: ResponseHead, body: Buffer, server: string) => void;
   /** Responds that the request has not run, with a Retry-After. */
   readonly refuse: (
     status: 429 | 503,
@@ -200,9 +201,9 @@
       recordEnd('answered', { status: res.statusCode, writes });
       res.end();
     },
-    sendComplete: (head, body) => {
+    sendComplete: (head, body, server) => {
       if (isEnded) return;
-      recordEnd('answered', { status: head.status });
+      recordEnd('answered', { status: head.status, server });
       writeHead(head, body.length);
       res.end(body);
     },
--- a/packages/router/src/router-metrics.ts
+++ b/packages/router/src/router-metrics.ts
@@ -10,6 +10,7 @@
   readonly retries: Counter<'reason'>;
   readonly wastedPromptTokens: Counter;
   readonly blockedRequests: Counter;
+  readonly limitedServers: Gauge;
   readonly openRequests: Gauge;
   readonly waitingStreams: Gauge;
   readonly configVersion: Gauge;
@@ -59,6 +60,11 @@
       help: 'Requests refused because backend servers crash on them',
       registers,
     }),
+    limitedServers: new Gauge({
+      name: `${prefix}limited_servers`,
+      help: 'Backend servers that name a limit on their requests',
+      registers,
+    }),
     openRequests: new Gauge({
       name: `${prefix}open_requests`,
       help: 'Requests in progress',
--- a/packages/router/src/run-plain.ts
+++ b/packages/router/src/run-plain.ts
@@ -47,6 +47,12 @@
 /** Retry-After of a request that the backend servers rejected. */
 const rejectedRetryAfterMs = 250;
 
+/** A complete response and where it comes from. */
+interface ServerResponse {
+  readonly server: BackendServer;
+  readonly response: PlainResponse;
+}
+
 /** An attempt in progress. */
 interface RunningAttempt {
   readonly server: BackendServer;
@@ -80,7 +86,7 @@
   /** Whether an attempt that has ended may have run the request. */
   let mayHaveRun = false;
   /** Error response for the caller, if no other attempt gets a better one. */
-  let errorResponse: PlainResponse | undefined;
+  let errorResponse: ServerResponse | undefined;
   /** Whether no further attempt may be made, since backend servers crash on the request. */
   let isCrashing = false;
   let slowTimer: NodeJS.Timeout | undefined;
@@ -91,9 +97,9 @@
     running.clear();
   };
 
-  const sendResponse = ({ head, body }: PlainResponse): void => {
+  const sendResponse = ({ server, response: { head, body } }: ServerResponse): void => {
     stop();
-    responder.sendComplete(head, body);
+    responder.sendComplete(head, body, server.id);
   };
 
   const giveUp = (
@@ -171,16 +177,16 @@
       running.forEach((other) => {
         if (other.isSlow) logFault(other.server, { kind: 'unknown', reason: 'no answer in time' });
       });
-      sendResponse(response);
+      sendResponse({ server, response });
       return;
     }
     mayHaveRun = true;
-    errorResponse = response;
+    errorResponse = { server, response };
     if (running.size > 0) scheduleSlowRetry();
     else if (chooseServer() && tryTakeRetry()) {
       deps.metrics.retries.inc({ reason: 'error-answer' });
       sendAttempt(true);
-    } else sendResponse(response);
+    } else sendResponse(errorResponse);
   };
 
   /** Sends the request to another server, or gives up; no attempt is in progress. */
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -17,6 +17,7 @@
 import { makeRetryBudget, type RetryBudget } from '@hemlocksill/routing/retry-budget.js';
 import { makeServerDirectory } from '@hemlocksill/routing/server-directory.js';
 import { makeServerHealth } from '@hemlocksill/routing/server-health.js';
+import { makeServerLimits } from '@hemlocksill/routing/server-limits.js';
 import { makeStreamTiming } from '@hemlocksill/routing/stream-timing.js';
 import { makeStreamQueue } from '@hemlocksill/routing/stream-queue.js';
 import type { LogRouterEvent } from './events.js';
@@ -114,6 +115,7 @@
     settings.isFirstStart,
     now(),
   );
+  const serverLimits = makeServerLimits();
   const streamTiming = makeStreamTiming();
   const changingEngines = makeChangingEngines();
   const failingEngines = makeFailingEngines();
@@ -229,6 +231,13 @@
       if (directory.recordLeaving(server)) log(2112, { server: server.id });
       return;
     }
+    if (notice.kind === 'limit') {
+      const { requestsPerS, latencyMs } = notice;
+      if (!serverLimits.recordResponse(server, requestsPerS, latencyMs, now())) return;
+      log(2114, { server: server.id, requestsPerS });
+      metrics.limitedServers.set(serverLimits.countLimited());
+      return;
+    }
     health.recordPause(server.id, notice.durationMs, now());
     log(2113, { server: server.id, durationMs: notice.durationMs });
   };
--- a/packages/types/src/routing-ports.ts
+++ b/packages/types/src/routing-ports.ts
@@ -95,7 +95,15 @@
   /** It is about to leave and takes no new requests. */
   | { readonly kind: 'leaving' }
   /** It wants no request from this VM for a time. */
-  | { readonly kind: 'pause'; readonly durationMs: number };
+  | { readonly kind: 'pause'; readonly durationMs: number }
+  /** It takes so many requests from all VMs together, as long as its responses say so. */
+  | {
+      readonly kind: 'limit';
+      /** Undefined if the response names no limit. */
+      readonly requestsPerS: number | undefined;
+      /** Milliseconds from the call to its response. */
+      readonly latencyMs: number;
+    };
 
 /** Receives the notices of backend servers. */
 export type OnServerNotice = (server: BackendServer, notice: ServerNotice) => void;
