Backend servers get no more requests than the limit that they name

Callers saw a backend server in need get many times the requests that it had asked for (LIMIT).

Cause: no VM read the limit. Class: a bound that all VMs together must keep, on everything that reaches one server.

Change: routing/server-limits keeps one account a server, replicated to all VMs like the quota of a workspace (fleet-quota gains `check` and `charge` for it). router/charged-backends charges each request on the one way to backend servers, whatever it is for; placement passes over servers without room. The account begins empty, belongs to one incarnation, and a VM that starts adopts it. Statements are ordered by call and response, the lower limit counts where they overlap; a server that takes nothing is asked every five seconds. Room for a stream is held from its placement, and a limited engine gets no reservation. Without any room a plain request waits only if there is some before its objective (urgent first, then the workspace that was sent least); else it is refused at once with the time, one caller after the other.

In gossip-message, rows of limits are checked where updates were.

--- a/packages/router/src/gossip-message.test.ts
+++ b/packages/router/src/gossip-message.test.ts
@@ -1,8 +1,10 @@
 import test from 'ava';
 import fc from 'fast-check';
+import type { LimitRow } from '@hemlocksill/routing/server-limits.js';
 import {
   decodeMessage,
   encodeFullMessage,
+  encodeLimits,
   encodeUpdate,
   isRawView,
   type FullMessage,
@@ -68,6 +70,7 @@
     fc.property(fc.oneof(fc.string(), fc.json(), mutated), (text) => {
       const decoded = decodeMessage(Buffer.from(text));
       if (!decoded) return true;
+      if (decoded.kind === 'limits') return decoded.rows.every((row) => row.length === 8);
       const update = decoded.kind === 'full' ? decoded.message : decoded.update;
       return (
         Number.isFinite(update.sequence) &&
@@ -110,3 +113,22 @@
   t.false(isRawView({ config: 'x', servers: [], removed: [] }));
   t.false(isRawView(null));
 });
+
+test('rows about limits are read as they were sent, and nothing that is not well formed', (t) => {
+  const rows: LimitRow[] = [
+    ['i-1 1700000000000', 2.5, 40, 20, 7, 900, null, 0],
+    ['i-2 1700000000000', null, 4, 2, 0, 5_000, -1, 3],
+  ];
+  const encoded = encodeLimits('abc', rows).toString();
+  t.deepEqual(decodeMessage(Buffer.from(encoded)), { kind: 'limits', incarnation: 'abc', rows });
+  const broken = [
+    ['2.5', '-2.5'],
+    ['2.5', '"x"'],
+    ['900', 'null'],
+    [',0]', ']'],
+  ] as const;
+  broken.forEach(([text, replacement]) =>
+    t.is(decodeMessage(Buffer.from(encoded.replace(text, replacement))), undefined),
+  );
+  t.is(decodeMessage(Buffer.from('["limits",1,[]]')), undefined);
+});
--- a/packages/router/src/gossip-message.ts
+++ b/packages/router/src/gossip-message.ts
@@ -3,6 +3,7 @@
 import type { CrashRow } from '@hemlocksill/routing/crash-rows.js';
 import type { LoadRows } from '@hemlocksill/routing/engine-ledger.js';
 import type { AdmittedTotals, QuotaLevels } from '@hemlocksill/routing/fleet-quota.js';
+import type { LimitRow } from '@hemlocksill/routing/server-limits.js';
 import type { RawView, SeenRevisions } from './view-controller.js';
 
 /** Changes of backend servers after a revision, few enough to be sent in a message. */
@@ -55,7 +56,11 @@
 /** A decoded message. */
 export type PeerMessage =
   | { readonly kind: 'full'; readonly message: FullMessage }
-  | { readonly kind: 'update'; readonly update: LoadUpdate };
+  | { readonly kind: 'update'; readonly update: LoadUpdate }
+  | { readonly kind: 'limits'; readonly incarnation: string; readonly rows: readonly LimitRow[] };
+
+/** First field of a message about the limits of backend servers. */
+const limitsTag = 'limits';
 
 const shuttingDownFlag = 1;
 const watcherFlag = 2;
@@ -104,6 +109,10 @@
     ]),
   );
 
+/** Encodes rows about the limits of backend servers. */
+export const encodeLimits = (incarnation: string, rows: readonly LimitRow[]): Buffer =>
+  Buffer.from(JSON.stringify([limitsTag, incarnation, rows]));
+
 const isRecord = (value: unknown): value is Record<string, unknown> =>
   typeof value === 'object' && value !== null && !Array.isArray(value);
 
@@ -150,6 +159,25 @@
     (pair) => Array.isArray(pair) && pair.length === 2 && pair.every((n) => Number.isFinite(n)),
   );
 
+const isCount = (value: unknown): boolean => Number.isFinite(value) && Number(value) >= 0;
+
+const isLimitRow = (value: unknown): value is LimitRow => {
+  if (!Array.isArray(value) || value.length !== 8) return false;
+  const [instance, requestsPerS, ...numbers] = value as unknown[];
+  const level = numbers[4];
+  return (
+    typeof instance === 'string' &&
+    (requestsPerS === null || isCount(requestsPerS)) &&
+    (level === null || Number.isFinite(level)) &&
+    numbers.every((number, index) => index === 4 || isCount(number))
+  );
+};
+
+const decodeLimits = ([, incarnation, rows]: readonly unknown[]): PeerMessage | undefined =>
+  typeof incarnation === 'string' && Array.isArray(rows) && rows.every(isLimitRow)
+    ? { kind: 'limits', incarnation, rows }
+    : undefined;
+
 /** Whether a value is an IPv4 address and a port to which a message can be sent. */
 export const isAddress = (value: unknown): value is string => {
   if (typeof value !== 'string' || !/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/.test(value)) return false;
@@ -238,6 +266,7 @@
     return undefined;
   }
   if (!Array.isArray(row)) return undefined;
+  if (row[0] === limitsTag) return decodeLimits(row);
   const isFull = row.length >= fullFieldCount;
   const fieldCount = isFull ? fullFieldCount : updateFieldCount;
   if (row.length > fieldCount + 1) return undefined;
--- /dev/null
+++ b/packages/router/src/limit-controller.ts
@@ -0,0 +1,154 @@
+import type { BackendServer } from '@hemlocksill/types/routing.js';
+import type { ServerDirectory } from '@hemlocksill/routing/server-directory.js';
+import { makeLimitQueue, type Room, type WaitingCall } from '@hemlocksill/routing/limit-queue.js';
+import { makeServerLimits, type LimitRow } from '@hemlocksill/routing/server-limits.js';
+import type { LogRouterEvent } from './events.js';
+import type { RouterMetrics } from './router-metrics.js';
+
+/** Interval between two searches for servers that are gone. */
+const prunePeriodMs = 5_000;
+
+/** Minimum delay until the queue is processed again. */
+const minQueueDelayMs = 2;
+
+/** Dependencies of the controller. */
+export interface LimitControllerDeps {
+  /** Tells the other VMs of what has changed. */
+  readonly notifyPeers: () => void;
+  readonly countVms: () => number;
+  readonly listReady: (service: string) => readonly BackendServer[];
+  readonly log: LogRouterEvent;
+  readonly metrics: Pick<RouterMetrics, 'limitedServers' | 'limitDecisions'>;
+  readonly now: () => number;
+}
+
+/** Keeps the requests to backend servers within the limits that they name. */
+export interface LimitController {
+  /** Records the limit in a response, or that it names none. */
+  readonly recordResponse: (
+    server: BackendServer,
+    requestsPerS: number | undefined,
+    latencyMs: number,
+  ) => void;
+  /** Charges a request that is sent, unless room was held for it. */
+  readonly recordSend: (server: BackendServer, request?: string) => void;
+  /** Holds room for a request that will be sent. */
+  readonly hold: (server: BackendServer, request: string) => void;
+  readonly isLimited: (server: BackendServer) => boolean;
+  readonly hasRoom: (server: BackendServer) => boolean;
+  /** Room of a service: none to wait for while a server has no limit. */
+  readonly getRoom: (service: string) => Room;
+  /**
+   * Queues a request that no server has room for.
+   *
+   * @returns the time after which a refused request may come back, or undefined if it is queued
+   */
+  readonly tryQueue: (call: WaitingCall) => number | undefined;
+  readonly hasWaiting: (service: string) => boolean;
+  readonly removeWaiting: (id: string) => void;
+  readonly listRows: (which: 'all' | 'changed', now: number) => LimitRow[];
+  readonly recordPeer: (
+    incarnation: string,
+    rows: readonly LimitRow[],
+    uptimeMs: number,
+    now: number,
+  ) => void;
+  readonly tick: (reachableShare: number, directory: Pick<ServerDirectory, 'list'>) => void;
+}
+
+/**
+ * Makes the controller of a VM.
+ *
+ * @example
+ * const limits = makeLimitController(deps);
+ * limits.hasRoom(server); // true
+ */
+export const makeLimitController = (deps: LimitControllerDeps): LimitController => {
+  const { log, metrics, now } = deps;
+  const limits = makeServerLimits();
+  let nextPruneAt = 0;
+  let queueTimer: NodeJS.Timeout | undefined;
+
+  const getRoom = (service: string, nowMs: number): Room => {
+    // A prompt whose prefill engines have no room is read by the decode engine.
+    const servers = deps.listReady(service).filter(({ stage }) => stage !== 'prefill');
+    let waitMs = servers.length === 0 ? 0 : Number.POSITIVE_INFINITY;
+    let requestsPerS = 0;
+    servers.forEach((server) => {
+      waitMs = Math.min(waitMs, limits.getWaitMs(server, nowMs));
+      requestsPerS += limits.getRate(server);
+    });
+    return { waitMs, requestsPerS };
+  };
+
+  const queue = makeLimitQueue(getRoom, deps.countVms);
+
+  const processQueue = (): void => {
+    queue.process(now());
+    scheduleQueue();
+  };
+
+  const scheduleQueue = (): void => {
+    clearTimeout(queueTimer);
+    const delayMs = queue.getNextDelayMs(now());
+    if (delayMs === undefined) return;
+    queueTimer = setTimeout(processQueue, Math.max(minQueueDelayMs, delayMs));
+  };
+
+  const logChange = (
+    server: string,
+    requestsPerS: number | undefined,
+    source: 'response' | 'peer',
+  ): void => {
+    log(2114, { server, requestsPerS, source });
+    metrics.limitedServers.set(limits.countLimited());
+    processQueue();
+  };
+
+  return {
+    recordResponse: (server, requestsPerS, latencyMs) => {
+      if (!limits.recordResponse(server, requestsPerS, latencyMs, now())) return;
+      logChange(server.id, requestsPerS, 'response');
+      deps.notifyPeers();
+    },
+    recordSend: (server, request) => {
+      if (limits.recordSend(server, request, now())) deps.notifyPeers();
+    },
+    hold: (server, request) => {
+      if (limits.hold(server, request, now())) deps.notifyPeers();
+    },
+    isLimited: (server) => limits.getLimit(server) !== undefined,
+    hasRoom: (server) => {
+      const hasRoom = limits.getWaitMs(server, now()) <= 0;
+      if (!hasRoom) metrics.limitDecisions.inc({ decision: 'passed-over' });
+      return hasRoom;
+    },
+    getRoom: (service) => getRoom(service, now()),
+    tryQueue: (call) => {
+      const retryAfterMs = queue.tryPush(call, now());
+      if (retryAfterMs === undefined) processQueue();
+      metrics.limitDecisions.inc({ decision: retryAfterMs === undefined ? 'queued' : 'refused' });
+      return retryAfterMs;
+    },
+    hasWaiting: queue.hasWaiting,
+    removeWaiting: queue.remove,
+    listRows: limits.listRows,
+    recordPeer: (incarnation, rows, uptimeMs, nowMs) =>
+      limits
+        .recordPeer(incarnation, rows, uptimeMs, nowMs)
+        .forEach(([instance, requestsPerS]) =>
+          logChange(instance.split(' ')[0] ?? instance, requestsPerS ?? undefined, 'peer'),
+        ),
+    tick: (reachableShare, directory) => {
+      limits.setReachableShare(reachableShare);
+      const nowMs = now();
+      if (nowMs < nextPruneAt) return;
+      nextPruneAt = nowMs + prunePeriodMs;
+      limits.prune(
+        directory.list().flatMap(({ server }) => server ?? []),
+        nowMs,
+      );
+      metrics.limitedServers.set(limits.countLimited());
+    },
+  };
+};
--- a/packages/router/src/peer-outbox.ts
+++ b/packages/router/src/peer-outbox.ts
@@ -17,8 +17,8 @@
 import type { ViewController } from './view-controller.js';
 
 /** Time for which changes are collected into one message, in a small and in a large fleet. */
-const batchDelayMs = 5;
-const largeFleetBatchDelayMs = 12;
+export const batchDelayMs = 5;
+export const largeFleetBatchDelayMs = 12;
 
 /** Number of VMs to which a reader passes on a change of its view. */
 const relayCount = 3;
--- a/packages/router/src/peers-controller.ts
+++ b/packages/router/src/peers-controller.ts
@@ -5,6 +5,7 @@
 import { isFirstVm, shouldWatch } from '@hemlocksill/routing/choose-watchers.js';
 import { getStoreEra } from '@hemlocksill/types/store-revision.js';
 import type { QuotaLevels } from '@hemlocksill/routing/fleet-quota.js';
+import type { LimitRow } from '@hemlocksill/routing/server-limits.js';
 import { registerVm } from './register-vm.js';
 import {
   decodeMessage,
@@ -15,6 +16,7 @@
 } from './gossip-message.js';
 import type { LogRouterEvent } from './events.js';
 import { sleep } from './sleep.js';
+import { makeLimitOutbox } from './limit-outbox.js';
 import { makePeerOutbox } from './peer-outbox.js';
 import type { ViewController } from './view-controller.js';
 import { makeViewFetcher } from './view-fetcher.js';
@@ -75,6 +77,8 @@
   readonly stop: () => Promise<void>;
   /** Schedules a message about a change to the VMs that it concerns. */
   readonly notifyChange: (change: FleetChange) => void;
+  /** Schedules a message to all VMs about the accounts of limited backend servers. */
+  readonly notifyLimits: () => void;
   readonly tick: (now: number) => void;
   /** Whether this VM watches the store itself. */
   readonly isWatcher: () => boolean;
@@ -106,6 +110,13 @@
   readonly onQuotaLevels: (levels: QuotaLevels, now: number) => void;
   /** `isOlder` says whether the peer started before this VM. */
   readonly onUpdate: (update: LoadUpdate, isOlder: boolean, now: number) => void;
+  readonly listLimitRows: (which: 'all' | 'changed', now: number) => LimitRow[];
+  readonly onLimitRows: (
+    incarnation: string,
+    rows: readonly LimitRow[],
+    uptimeMs: number,
+    now: number,
+  ) => void;
   readonly onPeerRemoved: (incarnation: string) => void;
   readonly log: LogRouterEvent;
   readonly now: () => number;
@@ -159,6 +170,22 @@
 
   const getLocalRole = (): StoreRole => (isWatching ? 'watcher' : 'reader');
 
+  const sendDatagram = (bytes: Buffer, address: string): void => {
+    const [host = '', port] = address.split(':');
+    // Errors are ignored: the next message replaces a lost one.
+    socket.send(bytes, Number(port), host, () => {});
+  };
+
+  const limitOutbox = makeLimitOutbox({
+    incarnation: deps.incarnation,
+    listRows: deps.listLimitRows,
+    countVms: () => peers.size + 1,
+    getPeriodMs: () => getHeartbeatMs('reader'),
+    getAddresses,
+    sendDatagram,
+    now: deps.now,
+  });
+
   const outbox = makePeerOutbox({
     vm: deps.vm,
     dataCentre: deps.dataCentre,
@@ -171,11 +198,7 @@
     countVms: () => peers.size + 1,
     getAddresses,
     getAddressesIn,
-    sendDatagram: (bytes, address) => {
-      const [host = '', port] = address.split(':');
-      // Errors are ignored: the next message replaces a lost one.
-      socket.send(bytes, Number(port), host, () => {});
-    },
+    sendDatagram,
     getLocalLoad: deps.getLocalLoad,
     getQuotaLevels: deps.getQuotaLevels,
     now: deps.now,
@@ -242,6 +265,7 @@
     // The new peer does not know this VM either. If a full message went to all VMs here, the number
     // of messages in a starting fleet would grow with the cube of its size.
     outbox.sendFullTo(message.address);
+    limitOutbox.sendAllTo(message.address);
   };
 
   const fetcher = makeViewFetcher({
@@ -339,7 +363,10 @@
         const received = decodeMessage(bytes);
         if (!received) log(2203, { from: sender.address, bytes: bytes.length });
         else if (received.kind === 'full') applyFullMessage(received.message);
-        else {
+        else if (received.kind === 'limits') {
+          const now = deps.now();
+          deps.onLimitRows(received.incarnation, received.rows, now - startedAt, now);
+        } else {
           const peer = peersByIncarnation.get(received.update.incarnation);
           if (peer) applyUpdate(peer, received.update);
         }
@@ -352,11 +379,13 @@
     },
     stop: async () => {
       isStopped = true;
+      limitOutbox.stop();
       outbox.sendShutdown();
       await sleep(1);
       socket.close();
     },
     notifyChange: outbox.notifyChange,
+    notifyLimits: limitOutbox.notifyChange,
     tick: (now) => {
       if (now >= nextCheckAt) {
         nextCheckAt = now + checkPeriodMs;
@@ -366,6 +395,7 @@
         fetcher.fetchMissing(now);
       }
       outbox.tick(now);
+      limitOutbox.tick(now);
     },
     isWatcher: () => isWatching && deps.now() - startedAt > startupGraceMs,
     isFirst: () => isFirst && deps.now() - startedAt > firstVmGraceMs,
--- a/packages/router/src/router-metrics.ts
+++ b/packages/router/src/router-metrics.ts
@@ -11,6 +11,7 @@
   readonly wastedPromptTokens: Counter;
   readonly blockedRequests: Counter;
   readonly limitedServers: Gauge;
+  readonly limitDecisions: Counter<'decision'>;
   readonly openRequests: Gauge;
   readonly waitingStreams: Gauge;
   readonly configVersion: Gauge;
@@ -65,6 +66,12 @@
       help: 'Backend servers that name a limit on their requests',
       registers,
     }),
+    limitDecisions: new Counter({
+      name: `${prefix}limit_decisions_total`,
+      help: 'Servers passed over, requests queued and refused because of the limits of servers',
+      labelNames: ['decision'],
+      registers,
+    }),
     openRequests: new Gauge({
       name: `${prefix}open_requests`,
       help: 'Requests in progress',
--- a/packages/router/src/run-deps.ts
+++ b/packages/router/src/run-deps.ts
@@ -8,6 +8,7 @@
 import type { StreamTiming } from '@hemlocksill/routing/stream-timing.js';
 import type { CrashWatch } from './crash-watch.js';
 import type { LogRouterEvent } from './events.js';
+import type { LimitController } from './limit-controller.js';
 import type { RouterMetrics } from './router-metrics.js';
 
 /** Dependencies shared by all runs of requests. */
@@ -22,10 +23,11 @@
   readonly timing: StreamTiming;
   readonly rates: EngineRates;
   /**
-   * Predicts in how many milliseconds a service has memory for `tokens`, behind all streams queued
-   * at any VM.
+   * Predicts in how many milliseconds an engine of a service has memory for `tokens`, behind all streams
+   * queued at any VM, and room under its limit.
    */
-  readonly predictMemoryWaitMs: (service: string, tokens: number, now: number) => number;
+  readonly predictEngineWaitMs: (service: string, tokens: number, now: number) => number;
+  readonly limits: LimitController;
   readonly listReady: (service: string) => readonly BackendServer[];
   readonly getPlacementView: () => PlacementView;
   /** Takes one retry from this VM's budget for a service; false when the budget is spent. */
--- a/packages/router/src/run-plain.ts
+++ b/packages/router/src/run-plain.ts
@@ -8,6 +8,7 @@
   getBlockedReason,
   type CrashWatch,
 } from './crash-watch.js';
+import type { LimitController } from './limit-controller.js';
 import {
   isServerError,
   sendPlainAttempt,
@@ -21,12 +22,25 @@
   Pick<
     RunDeps,
     'health' | 'listReady' | 'getPlacementView' | 'tryTakeRetry' | 'returnRetry' | 'log' | 'metrics'
-  > & { readonly crashWatch: Pick<CrashWatch, 'findBlocked' | 'watchRun'> };
+  > & {
+    readonly crashWatch: Pick<CrashWatch, 'findBlocked' | 'watchRun'>;
+    readonly limits: Pick<
+      LimitController,
+      'isLimited' | 'getRoom' | 'tryQueue' | 'hasWaiting' | 'removeWaiting'
+    >;
+  };
 
 /** What the run of a plain request knows of the request. */
 export type PlainContext = Pick<
   CallContext,
-  'call' | 'route' | 'service' | 'fingerprint' | 'crashParts' | 'timeoutAt'
+  | 'call'
+  | 'route'
+  | 'service'
+  | 'workspace'
+  | 'fingerprint'
+  | 'crashParts'
+  | 'arrivedAt'
+  | 'timeoutAt'
 >;
 
 /** What the run of a plain request uses of the responder. */
@@ -44,6 +58,9 @@
 /** Retry-After of a request that is refused because no backend server can take it. */
 const noServerRetryAfterMs = 500;
 
+/** Reason of a refusal because all backend servers have got as much as they take. */
+const limitReason = 'the backend servers are at their limits';
+
 /** Retry-After of a request that the backend servers rejected. */
 const rejectedRetryAfterMs = 250;
 
@@ -93,6 +110,7 @@
 
   const stop = (): void => {
     clearTimeout(slowTimer);
+    deps.limits.removeWaiting(call.metadata.id);
     running.forEach(({ cancel }) => cancel());
     running.clear();
   };
@@ -192,7 +210,9 @@
   /** Sends the request to another server, or gives up; no attempt is in progress. */
   const sendAttempt = (isRetry: boolean): void => {
     const blockedPart = findBlocked();
-    const server = deps.now() < ctx.timeoutAt ? chooseServer() : undefined;
+    // Requests that wait for room come before this one.
+    const mayChoose = deps.now() < ctx.timeoutAt && !deps.limits.hasWaiting(service.name);
+    const server = mayChoose ? chooseServer() : undefined;
     if (server && blockedPart === undefined) {
       sendTo(server, isRetry);
       return;
@@ -200,9 +220,38 @@
     if (isRetry) deps.returnRetry(service.name);
     if (blockedPart !== undefined)
       giveUp(getBlockedReason(blockedPart), blockedRetryAfterMs, describePart(blockedPart));
+    else if (!isRetry && isKeptByLimits()) waitForRoom();
     else giveUp('no backend server is ready', noServerRetryAfterMs);
   };
 
+  /** Whether servers could take the request, but for their limits. */
+  const isKeptByLimits = (): boolean =>
+    deps.now() < ctx.timeoutAt &&
+    deps.listReady(service.name).some(deps.limits.isLimited) &&
+    (deps.limits.hasWaiting(service.name) || deps.limits.getRoom(service.name).waitMs > 0);
+
+  /** Queues the request if there will be room for it before its objective; refuses it otherwise. */
+  const waitForRoom = (): void => {
+    const retryAfterMs = deps.limits.tryQueue({
+      id: call.metadata.id,
+      service: service.name,
+      workspace: ctx.workspace?.name ?? '',
+      priority: ctx.workspace?.priority ?? route.priority,
+      arrivedAt: ctx.arrivedAt,
+      waitUntil: Math.min(ctx.timeoutAt, ctx.arrivedAt + route.targetLatencyMs),
+      trySend: () => {
+        const server = chooseServer();
+        if (!server) return false;
+        if (findBlocked() === undefined) sendTo(server, false);
+        else giveUp('blocked while it waited', blockedRetryAfterMs);
+        return true;
+      },
+      refuse: (delayMs) => giveUp(limitReason, delayMs, { isLimited: true }),
+    });
+    if (retryAfterMs !== undefined) giveUp(limitReason, retryAfterMs, { isLimited: true });
+    else deps.log(2313, { id: call.metadata.id, ...deps.limits.getRoom(service.name) });
+  };
+
   const sendTo = (server: BackendServer, isRetry: boolean): void => {
     const attempt: RunningAttempt = {
       server,
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -42,6 +42,12 @@
 /** Fault of an engine that answers a stream which must go on with an error. */
 const resumedStreamFault: CallFault = { kind: 'unknown', reason: 'the resumed stream failed' };
 
+/** A prefill result that its decode engine may not have fetched. */
+interface UnusedPrefill extends PrefillResult {
+  /** Whether memory was reserved at the decode engine. */
+  readonly hadReservation: boolean;
+}
+
 /** Runs a stream on a prefill and a decode engine and forwards its events to the caller. */
 export const runStream = (deps: RunDeps, ctx: CallContext, responder: Responder): void => {
   const { call, route, service } = ctx;
@@ -92,7 +98,7 @@
   });
 
   const predictWaitMs = (): number =>
-    deps.predictMemoryWaitMs(service.name, requirement.promptTokens, deps.now());
+    deps.predictEngineWaitMs(service.name, requirement.promptTokens, deps.now());
 
   /**
    * Places the stream now, or queues it until memory is free; the queue refuses it at `waitUntil`.
@@ -323,6 +329,7 @@
       return { cancel: () => {}, takeOver: () => {} };
     }
     sentTo.add(server.id);
+    const unusedPrefill = prefilled && { ...prefilled, hadReservation: reservation !== undefined };
     const runWatch = deps.crashWatch.watchRun(ctx.crashParts, server);
     const splitter = makeEventSplitter();
     const sentAt = deps.now();
@@ -472,7 +479,7 @@
           if (fault.kind === 'rejected') deps.engineLedger.recordFull(server.id, deps.now());
           if (runToLeave) {
             if (fault.kind === 'unknown') runWatch.recordBreak();
-            handleUnusedPrefill(fault, prefilled);
+            handleUnusedPrefill(fault, unusedPrefill);
             runToLeave.keep(fault);
           } else if (isForwardingError) responder.fail(502, fault.reason);
           else handleBreak(fault);
@@ -490,7 +497,7 @@
     const handleBreak = (fault: CallFault): void => {
       const isCrashing = fault.kind === 'unknown' && runWatch.recordBreak();
       if (!isCrashing) {
-        continueOrResume(server, fault, prefilled);
+        continueOrResume(server, fault, unusedPrefill);
         return;
       }
       recordFault(server, 'decode', fault);
@@ -548,7 +555,7 @@
   const continueOrResume = (
     server: BackendServer,
     fault: CallFault,
-    unusedPrefill?: PrefillResult,
+    unusedPrefill?: UnusedPrefill,
   ): void => {
     const canContinue =
       fault.kind === 'unknown' &&
@@ -557,6 +564,7 @@
       !hasContinued &&
       getRemainingMs() > 0 &&
       isStillReady(server) &&
+      deps.limits.hasRoom(server) &&
       deps.tryTakeRetry(service.name);
     if (!canContinue) {
       resumeOrFail(server, fault, unusedPrefill);
@@ -569,7 +577,8 @@
     runDecode(server, undefined, undefined, allocateMemory(server));
   };
 
-  const findLeftServer = (): BackendServer | undefined => leftServers.find(isStillReady);
+  const findLeftServer = (): BackendServer | undefined =>
+    leftServers.find((server) => isStillReady(server) && deps.limits.hasRoom(server));
 
   /** Goes on at an engine that the stream left, which may only have been silent for a time. */
   const goBackTo = (server: BackendServer): void => {
@@ -580,8 +589,8 @@
     runDecode(server, undefined, undefined, allocateMemory(server));
   };
 
-  const handleUnusedPrefill = (fault: CallFault, unusedPrefill?: PrefillResult): void => {
-    if (fault.kind === 'rejected' && unusedPrefill && engine && engine.maxReservationMs > 0) {
+  const handleUnusedPrefill = (fault: CallFault, unusedPrefill?: UnusedPrefill): void => {
+    if (fault.kind === 'rejected' && unusedPrefill?.hadReservation) {
       // A decode engine with reserved memory rejects a run only if it cannot fetch the prefilled
       // prompt.
       deps.recordFailingPrefill(unusedPrefill.server, 'result-lost');
@@ -599,7 +608,7 @@
   const resumeOrFail = (
     server: BackendServer,
     fault: CallFault,
-    unusedPrefill?: PrefillResult,
+    unusedPrefill?: UnusedPrefill,
   ): void => {
     recordFault(server, 'decode', fault);
     excluded.add(server.id);
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -17,7 +17,6 @@
 import { makeRetryBudget, type RetryBudget } from '@hemlocksill/routing/retry-budget.js';
 import { makeServerDirectory } from '@hemlocksill/routing/server-directory.js';
 import { makeServerHealth } from '@hemlocksill/routing/server-health.js';
-import { makeServerLimits } from '@hemlocksill/routing/server-limits.js';
 import { makeStreamTiming } from '@hemlocksill/routing/stream-timing.js';
 import { makeStreamQueue } from '@hemlocksill/routing/stream-queue.js';
 import type { LogRouterEvent } from './events.js';
@@ -37,6 +36,8 @@
 import { makeChangingEngines } from './changing-engines.js';
 import { makeFailingEngines } from './failing-engines.js';
 import { makeEngineStages } from './engine-stages.js';
+import { makeChargedBackends } from './charged-backends.js';
+import { makeLimitController } from './limit-controller.js';
 import { makeViewController } from './view-controller.js';
 
 /** Connect timeout for backend servers; the one-way latency is about a millisecond. */
@@ -115,7 +116,14 @@
     settings.isFirstStart,
     now(),
   );
-  const serverLimits = makeServerLimits();
+  const limits = makeLimitController({
+    notifyPeers: () => peers.notifyLimits(),
+    countVms: () => peers.countVms(),
+    listReady: (service) => listReady(service),
+    log,
+    metrics,
+    now,
+  });
   const streamTiming = makeStreamTiming();
   const changingEngines = makeChangingEngines();
   const failingEngines = makeFailingEngines();
@@ -147,21 +155,22 @@
     },
   });
 
-  const predictMemoryWaitMs = (service: string, tokens: number, nowMs: number): number => {
+  const predictEngineWaitMs = (service: string, tokens: number, nowMs: number): number => {
     const engine = view.getTable()?.findService(service)?.engine;
     if (!engine) return 0;
     const totalWaitingTokens =
       tokens + queue.countWaitingTokens(service) + peers.countWaitingTokens(service, nowMs);
-    return streamTiming.predictMemoryWaitMs(
+    const memoryWaitMs = streamTiming.predictMemoryWaitMs(
       listReady(service),
       engine,
       engineLedger,
       totalWaitingTokens,
       nowMs,
     );
+    return Math.max(memoryWaitMs, limits.getRoom(service).waitMs);
   };
 
-  const queue = makeStreamQueue(predictMemoryWaitMs);
+  const queue = makeStreamQueue(predictEngineWaitMs);
 
   const sumWaitingTokens = (): Record<string, number> => {
     const tokensByService: Record<string, number> = {};
@@ -199,6 +208,11 @@
       crashWatch.recordPeer(update.crashes);
       if (queue.size() > 0) queue.process(nowMs);
     },
+    listLimitRows: limits.listRows,
+    onLimitRows: (peerIncarnation, rows, uptimeMs, nowMs) => {
+      limits.recordPeer(peerIncarnation, rows, uptimeMs, nowMs);
+      if (queue.size() > 0) queue.process(nowMs);
+    },
     onPeerRemoved: (removedIncarnation) => {
       engineLedger.removePeer(removedIncarnation);
     },
@@ -221,6 +235,7 @@
   const getPlacementView = (): PlacementView => ({
     ledger: engineLedger,
     health,
+    hasRoom: limits.hasRoom,
     rates,
     dataCentre: settings.dataCentre,
     now: now(),
@@ -232,17 +247,14 @@
       return;
     }
     if (notice.kind === 'limit') {
-      const { requestsPerS, latencyMs } = notice;
-      if (!serverLimits.recordResponse(server, requestsPerS, latencyMs, now())) return;
-      log(2114, { server: server.id, requestsPerS });
-      metrics.limitedServers.set(serverLimits.countLimited());
+      limits.recordResponse(server, notice.requestsPerS, notice.latencyMs);
       return;
     }
     health.recordPause(server.id, notice.durationMs, now());
     log(2113, { server: server.id, durationMs: notice.durationMs });
   };
 
-  const backends = ports.makeBackends(onNotice);
+  const backends = makeChargedBackends(ports.makeBackends(onNotice), limits);
 
   const stages = makeEngineStages({
     backends,
@@ -279,7 +291,8 @@
     queue,
     timing: streamTiming,
     rates,
-    predictMemoryWaitMs,
+    predictEngineWaitMs,
+    limits,
     listReady,
     getPlacementView,
     tryTakeRetry: (service) => getRetryBudget(service).tryTakeRetry(peers.countVms(), now()),
@@ -348,10 +361,10 @@
   callerServer.on('timeout', idleConnections.onTimeout);
 
   const applyLimits = (): void => {
-    const limits = view.getTable()?.config.limits;
-    if (!limits) return;
-    callerServer.headersTimeout = limits.headerTimeoutMs;
-    callerServer.keepAliveTimeout = limits.idleTimeoutMs;
+    const callerLimits = view.getTable()?.config.limits;
+    if (!callerLimits) return;
+    callerServer.headersTimeout = callerLimits.headerTimeoutMs;
+    callerServer.keepAliveTimeout = callerLimits.idleTimeoutMs;
   };
 
   const isReady = (): boolean => !isShuttingDown && view.isComplete();
@@ -390,6 +403,7 @@
     stages.tick(nowMs);
     crashWatch.tick();
     quota.setReachableShare(peers.getReachableShare());
+    limits.tick(peers.getReachableShare(), directory);
     if (queue.size() > 0) queue.process(nowMs);
     if (isReady() && !hasLoggedReady) {
       hasLoggedReady = true;
--- a/packages/router/src/stream-engines.ts
+++ b/packages/router/src/stream-engines.ts
@@ -149,6 +149,13 @@
       };
     },
     reserve: (placement, onDone) => {
+      deps.limits.hold(placement.decode, id);
+      if (placement.prefill) deps.limits.hold(placement.prefill, id);
+      if (deps.limits.isLimited(placement.decode)) {
+        // A reservation would be one request more.
+        onDone({ kind: 'not-needed' });
+        return;
+      }
       const ttlMs = Math.min(
         engine?.maxReservationMs ?? 0,
         placement.prefillMs + reservationMarginMs,
--- a/packages/routing/src/fleet-quota.ts
+++ b/packages/routing/src/fleet-quota.ts
@@ -76,6 +76,10 @@
 export interface FleetQuota {
   /** Charges a request, or returns the time after which it would be admitted. */
   readonly tryAdmit: (workspace: string, limit: QuotaLimit, cost: number, now: number) => Admission;
+  /** Returns what `tryAdmit` would, without charging the request. */
+  readonly check: (workspace: string, limit: QuotaLimit, cost: number, now: number) => Admission;
+  /** Charges a request that is admitted in any case. */
+  readonly charge: (workspace: string, cost: number, now: number) => void;
   /**
    * Charges what a peer has admitted since its last message.
    *
@@ -179,21 +183,32 @@
     return isWindowKnown(now) && bucket.spent.sum(now) + cost <= maxCost * reachableShare;
   };
 
+  const check = (workspace: string, limit: QuotaLimit, cost: number, now: number): Admission => {
+    if (limit.ratePerS <= 0)
+      return { isAdmitted: true, retryAfterMs: 0, level: 0, isBucketLow: false };
+    const bucket = getBucket(workspace);
+    const level = refill(bucket, limit, now);
+    const requiredLevel = getRequiredLevel(limit, cost);
+    if (level < requiredLevel && !fitsWindow(bucket, limit, cost, now)) {
+      const retryAfterMs = ((requiredLevel - level) / limit.ratePerS) * 1_000;
+      return { isAdmitted: false, retryAfterMs, level, isBucketLow: true };
+    }
+    const isBucketLow = level - cost < getCapacity(limit) * lowBucketShare;
+    return { isAdmitted: true, retryAfterMs: 0, level, isBucketLow };
+  };
+
+  const chargeLocal = (workspace: string, cost: number, now: number): void => {
+    charge(getBucket(workspace), cost, now);
+    localTotals[workspace] = (localTotals[workspace] ?? 0) + cost;
+  };
+
   return {
+    check,
+    charge: chargeLocal,
     tryAdmit: (workspace, limit, cost, now) => {
-      if (limit.ratePerS <= 0)
-        return { isAdmitted: true, retryAfterMs: 0, level: 0, isBucketLow: false };
-      const bucket = getBucket(workspace);
-      const level = refill(bucket, limit, now);
-      const requiredLevel = getRequiredLevel(limit, cost);
-      if (level < requiredLevel && !fitsWindow(bucket, limit, cost, now)) {
-        const retryAfterMs = ((requiredLevel - level) / limit.ratePerS) * 1_000;
-        return { isAdmitted: false, retryAfterMs, level, isBucketLow: true };
-      }
-      charge(bucket, cost, now);
-      localTotals[workspace] = (localTotals[workspace] ?? 0) + cost;
-      const isBucketLow = level - cost < getCapacity(limit) * lowBucketShare;
-      return { isAdmitted: true, retryAfterMs: 0, level, isBucketLow };
+      const admission = check(workspace, limit, cost, now);
+      if (admission.isAdmitted && limit.ratePerS > 0) chargeLocal(workspace, cost, now);
+      return admission;
     },
     recordPeerTotals: (incarnation, totals, isOlder, now) => {
       const chargedTotals = peerTotals.get(incarnation) ?? (isOlder ? { ...totals } : {});
--- a/packages/routing/src/place-work.ts
+++ b/packages/routing/src/place-work.ts
@@ -16,6 +16,8 @@
 export interface PlacementView {
   readonly ledger: EngineLedger;
   readonly health: ServerHealth;
+  /** Whether a backend server may get another request under the limit that it names. */
+  readonly hasRoom: (server: BackendServer) => boolean;
   readonly rates: EngineRates;
   readonly dataCentre: string;
   readonly now: number;
@@ -38,8 +40,12 @@
 export const getHeadroomTokens = (requests: number, rates: EngineRates): number =>
   Math.ceil((requests * rates.getOutputTokensPerS() * headroomMs) / 1_000);
 
+/** Whether a backend server takes requests now; one that cools down is used if there is no other. */
+const isAllowed = (server: BackendServer, view: PlacementView): boolean =>
+  !view.health.isPaused(server.id, view.now) && view.hasRoom(server);
+
 const isAvailable = (server: BackendServer, view: PlacementView): boolean =>
-  !view.health.isCoolingDown(server.id, view.now) && !view.health.isPaused(server.id, view.now);
+  !view.health.isCoolingDown(server.id, view.now) && isAllowed(server, view);
 
 /**
  * Chooses the decode engine with the most free memory.
@@ -95,10 +101,7 @@
   let best: BackendServer | undefined;
   let bestMs = Number.POSITIVE_INFINITY;
   const allowed = servers.filter(
-    (server) =>
-      server.stage === 'prefill' &&
-      !excluded.has(server.id) &&
-      !view.health.isPaused(server.id, view.now),
+    (server) => server.stage === 'prefill' && !excluded.has(server.id) && isAllowed(server, view),
   );
   const available = allowed.filter((server) => isAvailable(server, view));
   // If all prefill engines are cooling down, one of them is tried rather than no stream placed.
@@ -128,9 +131,7 @@
 ): BackendServer | undefined => {
   let best: BackendServer | undefined;
   let bestScore = Number.POSITIVE_INFINITY;
-  const allowed = servers.filter(
-    (server) => !excluded.has(server.id) && !view.health.isPaused(server.id, view.now),
-  );
+  const allowed = servers.filter((server) => !excluded.has(server.id) && isAllowed(server, view));
   const available = allowed.filter((server) => isAvailable(server, view));
   // If all backend servers are cooling down, one of them is tried rather than the request refused.
   const candidates = available.length > 0 ? available : allowed;
--- a/packages/routing/src/placement.test.ts
+++ b/packages/routing/src/placement.test.ts
@@ -18,6 +18,7 @@
 const makeView = (): PlacementView => ({
   ledger: makeEngineLedger(rates),
   health: makeServerHealth(),
+  hasRoom: () => true,
   rates,
   dataCentre: 'north-a',
   now: 0,
