--- a/packages/soak/src/check-promises.test.ts
+++ b/packages/soak/src/check-promises.test.ts
@@ -39,6 +39,7 @@
   crashingParts: [],
   crashingRequests: [],
   crashes: [],
+  limitSpans: [],
   endedAt: 60_000,
   faultsEndedAt: 20_000,
   ...overrides,
@@ -304,3 +305,22 @@
   );
   t.deepEqual(listViolatedPromises({ calls, runs: [] }), ['recovers']);
 });
+
+test('more requests than the limit of a server allows in a window are reported', (t) => {
+  const calls = Array.from({ length: 20 }, (_, n) => makeCall({ id: `c${n}`, body: `ok c${n}` }));
+  const runs = calls.map(({ id }, n) => makeRun({ id, arrivedAt: 10_010 + n * 100 }));
+  const limitSpan = {
+    service: 'desk' as const,
+    server: 's1',
+    requestsPerS: 2,
+    from: 5_000,
+    to: 15_000,
+  };
+  const check = (overrides: Partial<SoakRecord>): string[] =>
+    listViolatedPromises({ calls, runs, limitSpans: [limitSpan], ...overrides });
+  t.deepEqual(check({}), ['keeps-limit']);
+  t.deepEqual(check({ runs: runs.slice(0, 17) }), []);
+  t.deepEqual(check({ limitSpans: [{ ...limitSpan, server: 's2' }] }), []);
+  t.deepEqual(check({ limitSpans: [{ ...limitSpan, from: 9_000 }] }), []);
+  t.deepEqual(check({ vmFaultSpans: new Map([['vm-1', [{ from: 9_000, to: 9_500 }]]]) }), []);
+});
--- a/packages/soak/src/check-promises.ts
+++ b/packages/soak/src/check-promises.ts
@@ -49,6 +49,7 @@
     | 'ends-with-answer'
     | 'graceful-stop'
     | 'bounded-crashes'
+    | 'keeps-limit'
     | 'recovers';
   readonly detail: string;
 }
@@ -72,6 +73,11 @@
 /** Arrivals of such a request at servers through VMs that have been without faults. */
 const maxArrivalsAfterCrashes = 3;
 
+/** Window in which the requests to a limited server count, and what it may hold beyond the limit. */
+const limitWindowMs = 4_000;
+const limitFactor = 1.5;
+const limitSlack = 5;
+
 /** A request that ends this long before its timeout has used its time. */
 const timeoutMarginMs = 100;
 
@@ -296,6 +302,37 @@
     ];
   });
 
+/**
+ * From the time in which VMs get in touch after it first names its limit, a server gets in any window no more
+ * than half as much again and a few requests, all VMs together; those with a fault lately don't count.
+ */
+const checkLimits = (record: SoakRecord): Violation[] => {
+  const vmByCall = new Map(record.calls.map(({ id, vm }) => [id, vm]));
+  return record.limitSpans.flatMap(({ service, server, requestsPerS, from, to }) => {
+    // What waited on a broken connection arrives together later.
+    const faultSpans = record.serverFaultSpans.filter((span) => span.service === service);
+    if (overlaps(faultSpans, from, to)) return [];
+    const arrivals = [...record.runs, ...record.rejections]
+      .filter((run) => run.server === server && run.arrivedAt <= to)
+      .filter(({ arrivedAt }) => arrivedAt >= from + timeLimits.contactMs)
+      .filter(({ id, arrivedAt }) => {
+        const vmFaultSpans = record.vmFaultSpans.get(vmByCall.get(id) ?? '') ?? [];
+        return !overlaps(vmFaultSpans, arrivedAt - timeLimits.contactMs, arrivedAt);
+      })
+      .map(({ arrivedAt }) => arrivedAt);
+    const most = Math.max(
+      0,
+      ...arrivals.map(
+        (first) => arrivals.filter((at) => at >= first && at < first + limitWindowMs).length,
+      ),
+    );
+    const allowed = requestsPerS * (limitWindowMs / 1_000) * limitFactor + limitSlack;
+    if (most <= allowed) return [];
+    const detail = `${server} named a limit of ${requestsPerS} a second from ${Math.round(from)} to ${Math.round(to)} ms and got ${most} requests in a window`;
+    return [{ promise: 'keeps-limit' as const, detail }];
+  });
+};
+
 const checkRecovery = (record: SoakRecord): Violation[] => {
   const callsAfterRecovery = record.calls.filter(
     (call) =>
@@ -331,6 +368,7 @@
     ...checkAnswers(record),
     ...checkCrashes(record),
     ...checkCrashingRequests(record),
+    ...checkLimits(record),
     ...checkRecovery(record),
   ];
 };
--- a/packages/soak/src/generate-faults.test.ts
+++ b/packages/soak/src/generate-faults.test.ts
@@ -44,6 +44,20 @@
   );
 });
 
+test('a seed of the fourth version keeps its schedule when kinds are added', (t) => {
+  const faults = generateFaults(8_051, { version: 'v4', vms: 4, servers: 3, faultMs: 4_000 });
+  t.deepEqual(
+    faults.map(({ at, kind, forMs }) => `${at} ${kind} ${forMs}`),
+    [
+      '500 crashing-request 7604',
+      '2090 vm-pause 3209',
+      '2146 server-leaves 966',
+      '4184 server-leaves 2126',
+      '6618 server-leaves 3201',
+    ],
+  );
+});
+
 test('requests of each kind crash servers, for 6 to 10 s', (t) => {
   const faults = Array.from({ length: 60 }, (_, seed) => generateFaults(seed, options)).flat();
   const repetitions = faults.flatMap((fault) => (fault.kind === 'crashing-request' ? [fault] : []));
@@ -59,7 +73,7 @@
 
 test('the schedules of many seeds contain every kind of fault, and faults overlap', (t) => {
   const schedules = Array.from({ length: 30 }, (_, seed) => generateFaults(seed, options));
-  t.is(new Set(schedules.flat().map(({ kind }) => kind)).size, 13);
+  t.is(new Set(schedules.flat().map(({ kind }) => kind)).size, 14);
   const overlaps = schedules.map((schedule) =>
     schedule.some(
       (fault, n) => n > 0 && (schedule[n - 1]?.at ?? 0) + (schedule[n - 1]?.forMs ?? 0) > fault.at,
--- a/packages/soak/src/generate-faults.ts
+++ b/packages/soak/src/generate-faults.ts
@@ -21,6 +21,8 @@
       /** Whether its prompt has only parts that sound requests have, too; otherwise it has none. */
       readonly hasSharedParts: boolean;
     }
+  /** The server names a limit, in requests a second. */
+  | { readonly kind: 'server-limited'; readonly server: number; readonly requestsPerS: number }
   | { readonly kind: 'key-withdrawn' }
   | { readonly kind: 'config-storm' }
 );
@@ -29,12 +31,12 @@
  * Versions of the list from which kinds of faults are drawn. A new kind comes with a new version, since a
  * longer list changes the schedule of every seed.
  */
-export const scheduleVersions = ['v1', 'v2', 'v3', 'v4'] as const;
+export const scheduleVersions = ['v1', 'v2', 'v3', 'v4', 'v5'] as const;
 
 export type ScheduleVersion = (typeof scheduleVersions)[number];
 
 /** Version with all kinds of faults. */
-export const newestScheduleVersion: ScheduleVersion = 'v4';
+export const newestScheduleVersion: ScheduleVersion = 'v5';
 
 /** Options of a fault schedule. */
 export interface FaultGenerationOptions {
@@ -58,6 +60,12 @@
 const minRepetitionMs = 6_000;
 const maxRepetitionMs = 10_000;
 
+/** Bounds of the time for which a server names a limit. */
+const minLimitMs = 6_000;
+const maxLimitMs = 10_000;
+
+const serverLimitsPerS = [0, 0.5, 2, 5] as const;
+
 const linkFaultModes: readonly ProxyMode[] = ['delay', 'silent', 'one-way', 'reset'];
 
 const crashingRequests: readonly { readonly call: CallKind; readonly hasSharedParts: boolean }[] = [
@@ -139,20 +147,34 @@
   }),
 ];
 
+const fourthGenerators: readonly FaultGenerator[] = [
+  ...thirdGenerators,
+  (at, _, random, options) => ({
+    kind: 'crashing-request',
+    at,
+    forMs: random.integer(minRepetitionMs, maxRepetitionMs),
+    vm: pickVm(random, options),
+    ...random.pick(crashingRequests),
+  }),
+];
+
+const fifthGenerators: readonly FaultGenerator[] = [
+  ...fourthGenerators,
+  (at, _, random, options) => ({
+    kind: 'server-limited',
+    at,
+    forMs: random.integer(minLimitMs, maxLimitMs),
+    server: pickServer(random, options),
+    requestsPerS: random.pick(serverLimitsPerS),
+  }),
+];
+
 const generatorsByVersion: Readonly<Record<ScheduleVersion, readonly FaultGenerator[]>> = {
   v1: firstGenerators,
   v2: secondGenerators,
   v3: thirdGenerators,
-  v4: [
-    ...thirdGenerators,
-    (at, _, random, options) => ({
-      kind: 'crashing-request',
-      at,
-      forMs: random.integer(minRepetitionMs, maxRepetitionMs),
-      vm: pickVm(random, options),
-      ...random.pick(crashingRequests),
-    }),
-  ],
+  v4: fourthGenerators,
+  v5: fifthGenerators,
 };
 
 /**
--- a/packages/soak/src/inject-fault.ts
+++ b/packages/soak/src/inject-fault.ts
@@ -148,6 +148,19 @@
   await Promise.all(requests);
 };
 
+const limitServer = async (
+  { limitSpans, now }: SoakEnvironment,
+  { backend: { options }, service }: ProxiedServer,
+  { requestsPerS, forMs }: Extract<SoakFault, { readonly kind: 'server-limited' }>,
+): Promise<void> => {
+  if (options.limit !== undefined) return;
+  options.limit = String(requestsPerS);
+  const from = now();
+  await sleep(forMs);
+  options.limit = undefined;
+  limitSpans.push({ service, server: options.id, requestsPerS, from, to: now() });
+};
+
 const injectStoreFault = (
   environment: SoakEnvironment,
   mode: 'silent' | 'refusing' | 'forget',
@@ -214,6 +227,8 @@
       await sleep(forMs);
       return undefined;
     }
+    case 'server-limited':
+      return limitServer(environment, getItem(environment.servers, fault.server), fault);
     case 'server-leaves':
       return drainServer(environment, getItem(environment.servers, fault.server));
     case 'crashing-part':
--- a/packages/soak/src/records.ts
+++ b/packages/soak/src/records.ts
@@ -67,6 +67,12 @@
     }
   | { readonly kind: 'server-draining'; readonly server: string; readonly at: number };
 
+/** A time interval in which a backend server named a limit. */
+export interface LimitSpan extends ServerFaultSpan {
+  readonly server: string;
+  readonly requestsPerS: number;
+}
+
 /** Everything that a soak recorded, as input of the checks. */
 export interface SoakRecord {
   readonly calls: readonly CallRecord[];
@@ -86,6 +92,7 @@
   /** Requests that crash each server that runs them; the ids of the calls that repeat one begin with it. */
   readonly crashingRequests: readonly string[];
   readonly crashes: readonly CrashRecord[];
+  readonly limitSpans: readonly LimitSpan[];
   readonly endedAt: number;
   /** Time at which the last fault ended. */
   readonly faultsEndedAt: number;
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -73,6 +73,7 @@
   crashingParts: environment.crashingParts,
   crashingRequests: environment.crashingRequests,
   crashes: environment.crashes,
+  limitSpans: environment.limitSpans,
   endedAt: environment.now(),
   faultsEndedAt,
 });
--- a/packages/soak/src/start-environment.ts
+++ b/packages/soak/src/start-environment.ts
@@ -16,6 +16,7 @@
   AcknowledgedChange,
   CallRecord,
   CrashRecord,
+  LimitSpan,
   RejectionRecord,
   RunRecord,
   Service,
@@ -85,6 +86,7 @@
   /** Calls with requests that crash servers. */
   readonly crashingCalls: CallRecord[];
   readonly crashes: readonly CrashRecord[];
+  readonly limitSpans: LimitSpan[];
   /** Milliseconds since the start of the soak. */
   readonly now: () => number;
   readonly listRuns: () => RunRecord[];
@@ -228,6 +230,7 @@
     crashingRequests: [],
     crashingCalls: [],
     crashes,
+    limitSpans: [],
     now,
     listRuns: () =>
       servers
