--- a/packages/router/src/call-context.ts
+++ b/packages/router/src/call-context.ts
@@ -140,6 +140,7 @@
       kind: route.kind,
       workspace: ctx.workspace?.name,
       request: ctx.fingerprint,
+      resumes: ctx.call.metadata.resumedRequest,
       cost: ctx.cost,
       ms: Math.round(hooks.now() - ctx.arrivedAt),
       firstMs,
--- a/packages/router/src/crash-watch.test.ts
+++ b/packages/router/src/crash-watch.test.ts
@@ -15,6 +15,7 @@
 const makeServer = (id: string): BackendServer => ({
   id,
   startedAt: 17,
+  softwareVersion: 'v1',
   service: 'llm',
   host: '10.0.0.9',
   port: 80,
--- a/packages/router/src/request-fingerprint.test.ts
+++ b/packages/router/src/request-fingerprint.test.ts
@@ -16,6 +16,7 @@
     expectedOutputTokens: undefined,
     hasTokenCounts: false,
     lastEventId: undefined,
+    resumedRequest: undefined,
     promptParts: [],
   },
   workspace: 'forge',
--- a/packages/router/src/run-plain.test.ts
+++ b/packages/router/src/run-plain.test.ts
@@ -27,6 +27,7 @@
     expectedOutputTokens: undefined,
     hasTokenCounts: false,
     lastEventId: undefined,
+    resumedRequest: undefined,
     promptParts: [],
   },
   workspace: undefined,
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -215,6 +215,8 @@
       id,
       prefill: prefill?.id,
       decode: decode.id,
+      softwareVersion: decode.softwareVersion,
+      prefillVersion: prefill?.softwareVersion,
       promptTokens: requirement.promptTokens,
       used: deps.engineLedger.getTotal(decode.id, deps.now()).tokens,
       waitedMs: Math.round(deps.now() - ctx.arrivedAt),
@@ -372,7 +374,15 @@
         recordFault(server, 'decode', { kind: 'unknown', reason });
         excluded.add(server.id);
         leftServers.push(server);
-        deps.log(2307, { id, after: lastEventId, from: server.id, fault: 'silent', at: next.id });
+        deps.log(2307, {
+          id,
+          after: lastEventId,
+          from: server.id,
+          fromVersion: server.softwareVersion,
+          fault: 'silent',
+          at: next.id,
+          atVersion: next.softwareVersion,
+        });
       },
       stay: (next, fault) => {
         recordFault(next, 'decode', fault);
@@ -573,7 +583,14 @@
     hasContinued = true;
     recordFault(server, 'decode', fault);
     deps.metrics.retries.inc({ reason: 'continued' });
-    deps.log(2307, { id, after: lastEventId, from: server.id, fault: fault.kind, at: server.id });
+    deps.log(2307, {
+      id,
+      after: lastEventId,
+      from: server.id,
+      fault: fault.kind,
+      at: server.id,
+      atVersion: server.softwareVersion,
+    });
     runDecode(server, undefined, undefined, allocateMemory(server));
   };
 
@@ -585,7 +602,13 @@
     leftServers.splice(leftServers.indexOf(server), 1);
     excluded.delete(server.id);
     deps.metrics.retries.inc({ reason: 'returned' });
-    deps.log(2307, { id, after: lastEventId, fault: 'left', at: server.id });
+    deps.log(2307, {
+      id,
+      after: lastEventId,
+      fault: 'left',
+      at: server.id,
+      atVersion: server.softwareVersion,
+    });
     runDecode(server, undefined, undefined, allocateMemory(server));
   };
 
@@ -632,7 +655,13 @@
       return;
     }
     deps.metrics.retries.inc({ reason: fault.kind });
-    deps.log(2307, { id, after: lastEventId, from: server.id, fault: fault.kind });
+    deps.log(2307, {
+      id,
+      after: lastEventId,
+      from: server.id,
+      fromVersion: server.softwareVersion,
+      fault: fault.kind,
+    });
     resumeBy = deps.now() + route.targetLatencyMs;
     placeOrQueue(resumeBy, 0);
   };
--- a/packages/routing/src/fixtures.ts
+++ b/packages/routing/src/fixtures.ts
@@ -51,6 +51,7 @@
   id: 'i-1',
   startedAt: 1,
   service: 'desk',
+  softwareVersion: 'v1',
   host: '10.0.0.1',
   port: 80,
   dataCentre: 'north-a',
--- a/packages/types/src/routing.ts
+++ b/packages/types/src/routing.ts
@@ -98,6 +98,8 @@
   /** Start time of this incarnation in Unix milliseconds; a restarted server keeps its id. */
   readonly startedAt: number;
   readonly service: string;
+  /** Version of its software, not of the model's weights; versions have no order. */
+  readonly softwareVersion: string;
   readonly host: string;
   readonly port: number;
   readonly dataCentre: string;
@@ -121,6 +123,8 @@
   readonly hasTokenCounts: boolean;
   /** Id of the last event that the caller received of an earlier response. */
   readonly lastEventId: string | undefined;
+  /** Id of the caller's request that brought the first event of the stream, if it takes one up. */
+  readonly resumedRequest: string | undefined;
   /** Ids of the parts of the prompt that other requests may share, in order. */
   readonly promptParts: readonly string[];
 }
