A stream goes on only at the software version that began it

Callers got streams with events of two software versions of a service (ORDER): the VMs moved a stream to any engine, and a caller that took one up at another VM got any engine.

Cause: the version in the entries of engines was not read, and nobody remembered which one had begun a stream. Class: what one server writes and another goes on with, in one response, over a caller's attempts, and between a prompt and its stream.

Change: the version is a fact of the run, kept with its first event (stream-engines). Every choice of an engine, moves, hand-overs, returns and prompts included, keeps to it. Three VMs, chosen by the id of the request, are told of a stream before its first event leaves (origin-controller), so that another VM finds its version when the first one is gone; while a service has only one version for longer than a stream lives, nobody is asked. A stream of which nobody knows the version, or whose version has no engine left, is refused at once as not run, and the refusal says so. Where several versions serve, an engine that goes on is first asked for its start time: it may have come back under its id before its entry tells. Streams begin where their version can go on elsewhere, unless that version is full; those that wait for one version don't hold up the others and come before new ones.

Ruled out: the version in the messages about load (every VM would hear of every stream, and VMs of the release before could not read them); asking the VM that began it (gone when it matters).

--- a/packages/router/src/call-context.ts
+++ b/packages/router/src/call-context.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Route, RoutedWorkspace, ServiceInfo } from '@hemlocksill/types/routing.js';
 import type { ResponseHead, ForwardedCall } from '@hemlocksill/types/routing-ports.js';
+import type { StreamOrigin } from '@hemlocksill/routing/stream-origins.js';
 import type { RouteTable } from '@hemlocksill/routing/route-table.js';
 import type { LogRouterEvent } from './events.js';
 import type { RouterMetrics } from './router-metrics.js';
@@ -45,6 +46,8 @@
    * route's timeout.
    */
   readonly timeoutAt: number;
+  /** Where the stream began that the caller takes up; undefined for a new one. */
+  readonly origin: StreamOrigin | undefined;
   /** Cost charged to the workspace. */
   readonly cost: number;
 }
@@ -140,7 +143,7 @@
       kind: route.kind,
       workspace: ctx.workspace?.name,
       request: ctx.fingerprint,
-      resumes: ctx.call.metadata.resumedRequest,
+      resumed: ctx.call.metadata.resumedRequest,
       cost: ctx.cost,
       ms: Math.round(hooks.now() - ctx.arrivedAt),
       firstMs,
--- a/packages/router/src/events.ts
+++ b/packages/router/src/events.ts
@@ -45,6 +45,7 @@
   2311: { level: 'info', text: 'prompt part or request released' },
   2312: { level: 'info', text: 'request slow, also sent to another server' },
   2313: { level: 'info', text: 'request waits for room under the limits of servers' },
+  2314: { level: 'info', text: 'software version of a resumed stream sought' },
   2501: { level: 'info', text: 'control of engine stages taken' },
   2502: { level: 'warn', text: 'control of engine stages lost' },
   2503: { level: 'info', text: 'engine ordered to change its stage' },
--- a/packages/router/src/gossip-message.ts
+++ b/packages/router/src/gossip-message.ts
@@ -4,6 +4,7 @@
 import type { LoadRows } from '@hemlocksill/routing/engine-ledger.js';
 import type { AdmittedTotals, QuotaLevels } from '@hemlocksill/routing/fleet-quota.js';
 import type { LimitRow } from '@hemlocksill/routing/server-limits.js';
+import { decodeOriginMessage, originTag, type OriginMessage } from './origin-message.js';
 import type { RawView, SeenRevisions } from './view-controller.js';
 
 /** Changes of backend servers after a revision, few enough to be sent in a message. */
@@ -57,7 +58,8 @@
 export type PeerMessage =
   | { readonly kind: 'full'; readonly message: FullMessage }
   | { readonly kind: 'update'; readonly update: LoadUpdate }
-  | { readonly kind: 'limits'; readonly incarnation: string; readonly rows: readonly LimitRow[] };
+  | { readonly kind: 'limits'; readonly incarnation: string; readonly rows: readonly LimitRow[] }
+  | { readonly kind: 'origin'; readonly message: OriginMessage };
 
 /** First field of a message about the limits of backend servers. */
 const limitsTag = 'limits';
@@ -267,6 +269,10 @@
   }
   if (!Array.isArray(row)) return undefined;
   if (row[0] === limitsTag) return decodeLimits(row);
+  if (row[0] === originTag) {
+    const message = decodeOriginMessage(row);
+    return message && { kind: 'origin', message };
+  }
   const isFull = row.length >= fullFieldCount;
   const fieldCount = isFull ? fullFieldCount : updateFieldCount;
   if (row.length > fieldCount + 1) return undefined;
--- a/packages/router/src/handle-call.ts
+++ b/packages/router/src/handle-call.ts
@@ -9,6 +9,7 @@
 import type { ForwardedCall, ReadCallMetadata } from '@hemlocksill/types/routing-ports.js';
 import type { FleetQuota } from '@hemlocksill/routing/fleet-quota.js';
 import { makeRequestPart } from '@hemlocksill/routing/request-part.js';
+import type { StreamOrigin } from '@hemlocksill/routing/stream-origins.js';
 import { chooseService, type RouteTable } from '@hemlocksill/routing/route-table.js';
 import {
   blockedRetryAfterMs,
@@ -16,6 +17,7 @@
   getBlockedReason,
   type CrashWatch,
 } from './crash-watch.js';
+import type { OriginController } from './origin-controller.js';
 import { fingerprintRequest } from './request-fingerprint.js';
 import type { RequestOrder } from './request-order.js';
 import {
@@ -33,6 +35,9 @@
 /** Retry-After of a VM that is shutting down; the caller should use another VM. */
 const shutdownRetryAfterMs = 50;
 
+/** Retry-After of a stream of which nobody knows where it began; another VM may hear of it. */
+const unknownOriginRetryAfterMs = 1_000;
+
 /** Maximum timeout of a request whose caller states none; that of its route may be shorter. */
 const defaultTimeoutMs = 60_000;
 
@@ -49,6 +54,13 @@
   readonly part?: string;
 }
 
+/** Refuses to take up a stream whose events might not fit together. */
+const unknownOriginRejection: Rejection = {
+  status: 503,
+  reason: 'the software version that began the stream is not known',
+  retryAfterMs: unknownOriginRetryAfterMs,
+};
+
 /** Refuses a request that the VM might not finish before it stops. */
 const stoppingRejection: Rejection = {
   status: 503,
@@ -78,6 +90,7 @@
   readonly startsRuns: () => boolean;
   readonly recordRequest: (service: string) => void;
   readonly crashWatch: Pick<CrashWatch, 'recordArrival' | 'findBlocked'>;
+  readonly origins: Pick<OriginController, 'find'>;
   /** Notifies the other VMs that a workspace whose token bucket is low was charged. */
   readonly notifyLowBucket: () => void;
   readonly runPlain: (ctx: CallContext, responder: Responder) => void;
@@ -255,6 +268,7 @@
   state: FilterState,
   body: Buffer,
   arrivedAt: number,
+  origin: StreamOrigin | undefined,
 ): void => {
   const now = deps.hooks.now();
   const { metadata, route, service, workspace, table } = state;
@@ -287,6 +301,7 @@
     call,
     fingerprint,
     crashParts,
+    origin,
     timeoutAt: arrivedAt + Math.min(route.timeoutMs, metadata.callerTimeoutMs ?? defaultTimeoutMs),
     cost: charged.value,
   };
@@ -296,6 +311,34 @@
   else deps.runPlain(ctx, responder);
 };
 
+/** Whether the caller of a request has received the first part of a stream before. */
+const isResumption = ({ route, metadata }: FilterState): boolean =>
+  route.kind === 'stream' &&
+  (metadata.lastEventId !== undefined || metadata.resumedRequest !== undefined);
+
+/** Finds where a stream began that a caller takes up, and the service that has to go on with it. */
+const findOrigin = (
+  deps: CallDeps,
+  state: FilterState,
+  onDone: (result: Result<{ state: FilterState; origin: StreamOrigin }, Rejection>) => void,
+): void =>
+  deps.origins.find(state.metadata.resumedRequest, state.service.name, (origin) => {
+    if (!origin) {
+      onDone(err(unknownOriginRejection));
+      return;
+    }
+    const isTarget = state.route.split.some(({ service }) => service === origin.service);
+    const service = isTarget ? state.table.findService(origin.service) : undefined;
+    if (service) onDone(ok({ state: { ...state, service }, origin }));
+    else
+      onDone(
+        err({
+          ...unknownOriginRejection,
+          reason: 'no route leads to the service that began the stream',
+        }),
+      );
+  });
+
 /**
  * Makes the handler of callers' requests: runs the filters in order, then the request.
  *
@@ -336,8 +379,16 @@
         return;
       }
       awaitTurn(() => {
-        if (deps.startsRuns()) startRun(deps, req, res, state.value, body, arrivedAt);
-        else reject(deps, req, res, stoppingRejection);
+        if (!deps.startsRuns()) reject(deps, req, res, stoppingRejection);
+        else if (!isResumption(state.value))
+          startRun(deps, req, res, state.value, body, arrivedAt, undefined);
+        else
+          findOrigin(deps, state.value, (found) => {
+            if (res.destroyed) return;
+            if (found.isErr()) reject(deps, req, res, found.error);
+            else if (!deps.startsRuns()) reject(deps, req, res, stoppingRejection);
+            else startRun(deps, req, res, found.value.state, body, arrivedAt, found.value.origin);
+          });
       }, drop);
     });
   };
--- /dev/null
+++ b/packages/router/src/origin-controller.test.ts
@@ -0,0 +1,186 @@
+import test, { type ExecutionContext } from 'ava';
+import fc from 'fast-check';
+import { makeServer } from '@hemlocksill/routing/fixtures.js';
+import type { StreamOrigin } from '@hemlocksill/routing/stream-origins.js';
+import { decodeMessage } from './gossip-message.js';
+import { makeOriginController, type OriginController } from './origin-controller.js';
+import {
+  decodeOriginMessage,
+  encodeOriginMessage,
+  originTag,
+  type OriginMessage,
+} from './origin-message.js';
+import { sleep } from './sleep.js';
+
+const origin = { service: 'llm', softwareVersion: 'v1' };
+
+const engine = (softwareVersion: string) =>
+  makeServer({ id: `i-${softwareVersion}`, service: 'llm', softwareVersion });
+
+interface FleetOptions {
+  readonly isFirstStart?: boolean;
+  /** Decides which datagrams are lost. */
+  readonly isLost?: (from: number, to: number) => boolean;
+  readonly isViewCurrent?: boolean;
+}
+
+/** Makes VMs that exchange datagrams in memory. */
+const makeFleet = (
+  count: number,
+  { isFirstStart = false, isLost = () => false, isViewCurrent = true }: FleetOptions = {},
+) => {
+  const gone = new Set<number>();
+  let datagrams = 0;
+  const getAddress = (vm: number): string => `10.0.0.${vm}:7000`;
+  const vms: OriginController[] = Array.from({ length: count }, (_, from) =>
+    makeOriginController({
+      listPeers: () =>
+        vms.flatMap((__, to) => (to === from ? [] : [{ vm: `vm-${to}`, address: getAddress(to) }])),
+      sendDatagram: (bytes, address) => {
+        datagrams += 1;
+        const to = vms.findIndex((__, vm) => getAddress(vm) === address);
+        if (gone.has(to) || gone.has(from) || isLost(from, to)) return;
+        const received = decodeMessage(bytes);
+        if (received?.kind !== 'origin') return;
+        setImmediate(() => vms[to]?.onMessage(received.message, getAddress(from)));
+      },
+      isViewCurrent: () => isViewCurrent,
+      isFirstStart,
+      log: () => {},
+      now: () => performance.now(),
+    }),
+  );
+  const find = (vm: number, request: string | undefined): Promise<StreamOrigin | undefined> =>
+    new Promise((resolve) => {
+      vms[vm]?.find(request, 'llm', resolve);
+    });
+  return { vms, gone, find, countDatagrams: () => datagrams };
+};
+
+/** Lets the datagrams that were sent arrive. */
+const settle = (): Promise<void> => sleep(5);
+
+const beginStreams = async (vms: readonly OriginController[], count: number): Promise<string[]> => {
+  const requests = Array.from({ length: count }, (_, n) => `r${n}`);
+  requests.forEach((id) => vms[0]?.recordBegin(id, origin, performance.now() + 10_000));
+  await settle();
+  return requests;
+};
+
+const checkKnown = async (
+  t: ExecutionContext,
+  fleet: ReturnType<typeof makeFleet>,
+  vm: number,
+  requests: readonly string[],
+): Promise<void> => {
+  const found = await Promise.all(requests.map((request) => fleet.find(vm, request)));
+  found.forEach((result) => t.is(result?.softwareVersion, 'v1'));
+};
+
+test('a stream is known at every VM after the one that began it and two others are gone', async (t) => {
+  const fleet = makeFleet(30);
+  const requests = await beginStreams(fleet.vms, 40);
+  t.true(fleet.countDatagrams() <= 40 * 3);
+  [0, 5, 6].forEach((vm) => fleet.gone.add(vm));
+  await checkKnown(t, fleet, 12, requests);
+});
+
+test('lost messages are made up for', async (t) => {
+  let n = 0;
+  const fleet = makeFleet(8, {
+    isLost: () => {
+      n += 1;
+      return n % 4 === 0;
+    },
+  });
+  const requests = await beginStreams(fleet.vms, 20);
+  fleet.gone.add(0);
+  await checkKnown(t, fleet, 3, requests);
+});
+
+test('a stream that nobody knows is not found, soon', async (t) => {
+  const fleet = makeFleet(8);
+  fleet.vms.forEach((vm) => vm.updateServers([engine('v1'), engine('v2')]));
+  const startedAt = performance.now();
+  t.is(await fleet.find(1, 'r1'), undefined);
+  t.is(await fleet.find(1, undefined), undefined);
+  for (let vm = 0; vm < 8; vm += 1) if (vm !== 1) fleet.gone.add(vm);
+  t.is(await fleet.find(1, 'r1'), undefined);
+  t.true(performance.now() - startedAt < 2_000);
+});
+
+test('while a service has only one version, nobody is asked', async (t) => {
+  const fleet = makeFleet(8, { isFirstStart: true });
+  fleet.vms.forEach((vm) => vm.updateServers([engine('v1')]));
+  t.deepEqual(await fleet.find(1, 'r1'), origin);
+  t.is(fleet.countDatagrams(), 0);
+  fleet.vms.forEach((vm) => vm.updateServers([engine('v1'), engine('v2')]));
+  t.is(await fleet.find(1, 'r1'), undefined);
+});
+
+test('a VM that has just started learns from its peers that there is only one version', async (t) => {
+  const old = makeFleet(2, { isFirstStart: true });
+  const young = makeFleet(2);
+  [...old.vms, ...young.vms].forEach((vm) => vm.updateServers([engine('v1')]));
+  t.is(await young.find(0, 'r1'), undefined);
+  const answers: OriginMessage[] = [];
+  const [asked] = old.vms;
+  const mixed = makeOriginController({
+    listPeers: () => [{ vm: 'vm-1', address: '10.0.0.1:7000' }],
+    sendDatagram: (bytes) => {
+      const received = decodeMessage(bytes);
+      if (received?.kind === 'origin') answers.push(received.message);
+    },
+    isViewCurrent: () => true,
+    isFirstStart: false,
+    log: () => {},
+    now: () => performance.now(),
+  });
+  mixed.updateServers([engine('v1')]);
+  const found = new Promise<StreamOrigin | undefined>((resolve) => {
+    mixed.find('r1', 'llm', resolve);
+  });
+  t.is(answers[0]?.kind, 'asked');
+  t.truthy(asked?.hasOnlyVersion('llm'));
+  const question = answers[0]?.kind === 'asked' ? answers[0].question : 0;
+  mixed.onMessage(
+    { kind: 'answered', question, answer: { kind: 'only', ...origin } },
+    '10.0.0.1:7000',
+  );
+  t.deepEqual(await found, origin);
+});
+
+test('a VM that is cut off does not rely on what it knew', async (t) => {
+  const fleet = makeFleet(4, { isFirstStart: true, isViewCurrent: false });
+  fleet.vms.forEach((vm) => vm.updateServers([engine('v1')]));
+  [0, 2, 3].forEach((vm) => fleet.gone.add(vm));
+  t.is(await fleet.find(1, 'r1'), undefined);
+});
+
+test('messages about origins are read as they were sent, and nothing that is not well formed', (t) => {
+  const messages: OriginMessage[] = [
+    { kind: 'told', request: 'r1', origin, lifeMs: 900 },
+    { kind: 'asked', question: 3, request: 'r1', service: 'llm' },
+    { kind: 'answered', question: 3, answer: { kind: 'begun', ...origin } },
+    { kind: 'answered', question: 3, answer: { kind: 'only', ...origin } },
+    { kind: 'answered', question: 3, answer: { kind: 'several' } },
+    { kind: 'answered', question: 3, answer: { kind: 'unknown' } },
+  ];
+  messages.forEach((message) =>
+    t.deepEqual(decodeMessage(encodeOriginMessage(message)), { kind: 'origin', message }),
+  );
+  const field = fc.oneof(
+    fc.constantFrom('told', 'asked', 'answered', 'begun', 'only'),
+    fc.string(),
+    fc.double(),
+    fc.constant(null),
+  );
+  fc.assert(
+    fc.property(fc.array(field, { maxLength: 6 }), (fields) => {
+      const decoded = decodeOriginMessage([originTag, ...fields]);
+      if (decoded?.kind === 'told') return decoded.lifeMs >= 0 && decoded.request.length >= 0;
+      if (decoded?.kind === 'asked') return Number.isFinite(decoded.question);
+      return true;
+    }),
+  );
+});
--- a/packages/router/src/peers-controller.ts
+++ b/packages/router/src/peers-controller.ts
@@ -17,6 +17,8 @@
 import type { LogRouterEvent } from './events.js';
 import { sleep } from './sleep.js';
 import { makeLimitOutbox } from './limit-outbox.js';
+import type { PeerAddress } from './origin-controller.js';
+import type { OriginMessage } from './origin-message.js';
 import { makePeerOutbox } from './peer-outbox.js';
 import type { ViewController } from './view-controller.js';
 import { makeViewFetcher } from './view-fetcher.js';
@@ -77,6 +79,9 @@
   readonly stop: () => Promise<void>;
   /** Schedules a message about a change to the VMs that it concerns. */
   readonly notifyChange: (change: FleetChange) => void;
+  readonly listPeers: () => readonly PeerAddress[];
+  /** Sends a datagram, which may be lost. */
+  readonly sendDatagram: (bytes: Buffer, address: string) => void;
   /** Schedules a message to all VMs about the accounts of limited backend servers. */
   readonly notifyLimits: () => void;
   readonly tick: (now: number) => void;
@@ -117,6 +122,7 @@
     uptimeMs: number,
     now: number,
   ) => void;
+  readonly onOriginMessage: (message: OriginMessage, sender: string) => void;
   readonly onPeerRemoved: (incarnation: string) => void;
   readonly log: LogRouterEvent;
   readonly now: () => number;
@@ -366,7 +372,9 @@
         else if (received.kind === 'limits') {
           const now = deps.now();
           deps.onLimitRows(received.incarnation, received.rows, now - startedAt, now);
-        } else {
+        } else if (received.kind === 'origin')
+          deps.onOriginMessage(received.message, `${sender.address}:${sender.port}`);
+        else {
           const peer = peersByIncarnation.get(received.update.incarnation);
           if (peer) applyUpdate(peer, received.update);
         }
@@ -385,6 +393,8 @@
       socket.close();
     },
     notifyChange: outbox.notifyChange,
+    listPeers: () => [...peers.values()],
+    sendDatagram,
     notifyLimits: limitOutbox.notifyChange,
     tick: (now) => {
       if (now >= nextCheckAt) {
--- a/packages/router/src/prepare-engine.test.ts
+++ b/packages/router/src/prepare-engine.test.ts
@@ -19,6 +19,12 @@
   let onRead: (outcome: PrefillOutcome) => void = () => {};
   const engines: StreamEngines = {
     requirement: { promptTokens: 3_000, maxTokens: 3_100 },
+    listFitting: () => [decode, prefill],
+    getBegunVersion: () => undefined,
+    fits: () => true,
+    recordBegin: () => {},
+    confirmInstance: (_, onDone) => onDone(true),
+    choosePrefill: () => ({ server: prefill, expectedMs: 90 }),
     choosePlacement: () => (hasPlacement ? { decode, prefill, prefillMs: 90 } : undefined),
     allocateMemory: () => ({
       grow: () => {},
--- a/packages/router/src/run-deps.ts
+++ b/packages/router/src/run-deps.ts
@@ -9,6 +9,7 @@
 import type { CrashWatch } from './crash-watch.js';
 import type { LogRouterEvent } from './events.js';
 import type { LimitController } from './limit-controller.js';
+import type { OriginController } from './origin-controller.js';
 import type { RouterMetrics } from './router-metrics.js';
 
 /** Dependencies shared by all runs of requests. */
@@ -42,6 +43,7 @@
   /** Notifies the other VMs that work was placed at an engine or has ended there. */
   readonly notifyLoadChange: (server: BackendServer) => void;
   readonly crashWatch: CrashWatch;
+  readonly origins: Pick<OriginController, 'recordBegin' | 'hasOnlyVersion'>;
   readonly log: LogRouterEvent;
   readonly metrics: RouterMetrics;
   /** Milliseconds on a monotonic clock. */
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -5,7 +5,6 @@
   CancelCall,
   PrefillResult,
 } from '@hemlocksill/types/routing-ports.js';
-import { choosePrefill } from '@hemlocksill/routing/place-work.js';
 import type { MemoryAllocation } from '@hemlocksill/routing/engine-ledger.js';
 import { retryAfterJitter, type CallContext, type Responder } from './call-context.js';
 import { blockedRetryAfterMs, describePart, getBlockedReason } from './crash-watch.js';
@@ -93,7 +92,8 @@
   const getDecisionInputs = () => ({
     promptTokens: requirement.promptTokens,
     predictedMs: Math.round(predictWaitMs()),
-    engines: deps.listReady(service.name).length,
+    engines: engines.listFitting().length,
+    softwareVersion: ctx.origin?.softwareVersion,
     waitingHere: deps.queue.size(),
   });
 
@@ -107,6 +107,7 @@
     const stream = {
       id,
       service: service.name,
+      softwareVersion: engines.getBegunVersion(),
       workspace: ctx.workspace?.name ?? '',
       priority: ctx.workspace?.priority ?? route.priority,
       neededTokens: requirement.promptTokens,
@@ -151,8 +152,10 @@
   const getLatestOnTime = (): number => getPlacementTime(ctx.arrivedAt + route.targetLatencyMs);
 
   const start = (): void => {
-    if (!engine || deps.listReady(service.name).length === 0) {
-      failOrRefuse('no engine is ready', noEngineRetryAfterMs);
+    if (!engine || !engines.listFitting().some(({ stage }) => stage !== 'prefill')) {
+      const version =
+        ctx.origin && ` of version ${ctx.origin.softwareVersion}, which began the stream,`;
+      failOrRefuse(`no engine${version ?? ''} is ready`, noEngineRetryAfterMs);
       return;
     }
     if (requirement.maxTokens > engine.memoryTokens) {
@@ -267,13 +270,7 @@
       const retryPrefill =
         prefillAttempts < maxPrefillAttempts &&
         (fault.kind === 'not-sent' || deps.tryTakeRetry(service.name)) &&
-        choosePrefill(
-          deps.listReady(service.name),
-          promptTokens,
-          placement.decode.dataCentre,
-          deps.getPlacementView(),
-          excluded,
-        );
+        engines.choosePrefill(placement.decode, excluded);
       if (retryPrefill) {
         runPrefill(
           { ...placement, prefill: retryPrefill.server, prefillMs: retryPrefill.expectedMs },
@@ -409,6 +406,7 @@
     const isErrorHead = (): boolean => head !== undefined && head.status >= 300;
     const forwardEvents = (events: Buffer): void => {
       lastEventId = splitter.getLastId() ?? lastEventId;
+      engines.recordBegin(server);
       if (!responder.hasSentHead() && head) responder.sendHead(head);
       responder.write(events);
     };
@@ -582,34 +580,53 @@
     }
     hasContinued = true;
     recordFault(server, 'decode', fault);
-    deps.metrics.retries.inc({ reason: 'continued' });
-    deps.log(2307, {
-      id,
-      after: lastEventId,
-      from: server.id,
-      fault: fault.kind,
-      at: server.id,
-      atVersion: server.softwareVersion,
+    runAgainAt(server, 'continued', { from: server.id, fault: fault.kind }, () => {
+      deps.returnRetry(service.name);
+      resumeOrFail(server, fault, unusedPrefill);
+    });
+  };
+
+  /** Goes on at an engine that has had the stream before, if it is still the same instance. */
+  const runAgainAt = (
+    server: BackendServer,
+    reason: 'continued' | 'returned',
+    origin: Readonly<Record<string, string>>,
+    onOtherInstance: () => void,
+  ): void => {
+    let isCancelled = false;
+    cancelAttempt = () => {
+      isCancelled = true;
+    };
+    engines.confirmInstance(server, (isConfirmed) => {
+      if (isCancelled || !responder.isOpen()) return;
+      if (!isConfirmed) {
+        onOtherInstance();
+        return;
+      }
+      deps.metrics.retries.inc({ reason });
+      deps.log(2307, {
+        id,
+        after: lastEventId,
+        ...origin,
+        at: server.id,
+        atVersion: server.softwareVersion,
+      });
+      runDecode(server, undefined, undefined, allocateMemory(server));
     });
-    runDecode(server, undefined, undefined, allocateMemory(server));
   };
 
   const findLeftServer = (): BackendServer | undefined =>
-    leftServers.find((server) => isStillReady(server) && deps.limits.hasRoom(server));
+    leftServers.find(
+      (server) => engines.fits(server) && isStillReady(server) && deps.limits.hasRoom(server),
+    );
 
   /** Goes on at an engine that the stream left, which may only have been silent for a time. */
   const goBackTo = (server: BackendServer): void => {
     leftServers.splice(leftServers.indexOf(server), 1);
     excluded.delete(server.id);
-    deps.metrics.retries.inc({ reason: 'returned' });
-    deps.log(2307, {
-      id,
-      after: lastEventId,
-      fault: 'left',
-      at: server.id,
-      atVersion: server.softwareVersion,
-    });
-    runDecode(server, undefined, undefined, allocateMemory(server));
+    runAgainAt(server, 'returned', { fault: 'left' }, () =>
+      failOrRefuse('the engine has restarted', noEngineRetryAfterMs),
+    );
   };
 
   const handleUnusedPrefill = (fault: CallFault, unusedPrefill?: UnusedPrefill): void => {
--- a/packages/router/src/stage-controller.test.ts
+++ b/packages/router/src/stage-controller.test.ts
@@ -29,6 +29,7 @@
           state.report && {
             stage: stages.get(server.id) ?? 'decode',
             isBusy: false,
+            startedAt: 1,
             acceptedOrders: 0,
             ...state.report,
           },
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -37,6 +37,7 @@
 import { makeFailingEngines } from './failing-engines.js';
 import { makeEngineStages } from './engine-stages.js';
 import { makeChargedBackends } from './charged-backends.js';
+import { makeOriginController } from './origin-controller.js';
 import { makeLimitController } from './limit-controller.js';
 import { makeViewController } from './view-controller.js';
 
@@ -72,6 +73,9 @@
  */
 const minClockJumpMs = 1_000;
 
+/** Share of the VMs that must be responsive if this VM's list of backend servers is to count as current. */
+const minCurrentShare = 0.5;
+
 /** Interfaces to the platform that the router runs on. */
 export interface RouterPorts {
   readonly store: Store;
@@ -124,6 +128,14 @@
     metrics,
     now,
   });
+  const origins = makeOriginController({
+    listPeers: () => peers.listPeers(),
+    sendDatagram: (bytes, address) => peers.sendDatagram(bytes, address),
+    isViewCurrent: () => view.isStoreReachable() && peers.getReachableShare() >= minCurrentShare,
+    isFirstStart: settings.isFirstStart,
+    log,
+    now,
+  });
   const streamTiming = makeStreamTiming();
   const changingEngines = makeChangingEngines();
   const failingEngines = makeFailingEngines();
@@ -151,6 +163,8 @@
     getWatchWaitMs: () => chooseWatchWaitMs(peers.countVms(), settings.configApplyMs),
     onChange: (kind) => {
       applyLimits();
+      if (kind === 'view')
+        origins.updateServers(directory.list().flatMap(({ server }) => server ?? []));
       peers.notifyChange({ kind, isWatcher: peers.isWatcher() });
     },
   });
@@ -213,6 +227,7 @@
       limits.recordPeer(peerIncarnation, rows, uptimeMs, nowMs);
       if (queue.size() > 0) queue.process(nowMs);
     },
+    onOriginMessage: (message, sender) => origins.onMessage(message, sender),
     onPeerRemoved: (removedIncarnation) => {
       engineLedger.removePeer(removedIncarnation);
     },
@@ -306,6 +321,7 @@
       if (queue.size() > 0) setImmediate(() => queue.process(now()));
     },
     crashWatch,
+    origins,
     log,
     metrics,
     now,
@@ -337,6 +353,7 @@
       startsRuns: () => !isAbandoning,
       recordRequest: (service) => getRetryBudget(service).recordRequest(now()),
       crashWatch,
+      origins,
       notifyLowBucket: () => peers.notifyChange({ kind: 'low-rate' }),
       runPlain: (ctx, responder) => runPlain(plainDeps, ctx, responder),
       runStream: (ctx, responder) => runStream(runDeps, ctx, responder),
@@ -402,6 +419,7 @@
     peers.tick(nowMs);
     stages.tick(nowMs);
     crashWatch.tick();
+    origins.tick(nowMs);
     quota.setReachableShare(peers.getReachableShare());
     limits.tick(peers.getReachableShare(), directory);
     if (queue.size() > 0) queue.process(nowMs);
--- a/packages/router/src/stream-engines.ts
+++ b/packages/router/src/stream-engines.ts
@@ -10,6 +10,7 @@
   choosePrefill,
   type MemoryRequirement,
 } from '@hemlocksill/routing/place-work.js';
+import { maxStreamLifeMs } from '@hemlocksill/routing/version-history.js';
 import type { MemoryAllocation } from '@hemlocksill/routing/engine-ledger.js';
 import type { CallContext } from './call-context.js';
 import type { RunDeps } from './run-deps.js';
@@ -26,6 +27,9 @@
 /** Engines allocate memory in blocks of this many tokens. */
 const memoryBlockTokens = 16;
 
+/** Time for which a stream is remembered beyond the deadline of the caller's request that began it. */
+const takeUpMarginMs = 2_000;
+
 /** Time that a decode engine takes to read a prompt, as a multiple of a prefill engine's. */
 const decodePrefillSlowdown = 2;
 
@@ -47,8 +51,26 @@
 export interface StreamEngines {
   /** Engine memory that the stream needs. */
   readonly requirement: MemoryRequirement;
+  /** Ready engines at which the stream may go on: all of them until it has begun. */
+  readonly listFitting: () => readonly BackendServer[];
+  /** Software version that began the stream; undefined until it has begun. */
+  readonly getBegunVersion: () => string | undefined;
+  /** Whether an engine has the software version that began the stream, if it has begun. */
+  readonly fits: (server: BackendServer) => boolean;
+  /** Binds the stream to the software version of the engine whose first event is about to be sent. */
+  readonly recordBegin: (server: BackendServer) => void;
+  /**
+   * Confirms that a server is still the instance that is listed: one that came back under its id may have
+   * another version, and does not check what it goes on with.
+   */
+  readonly confirmInstance: (server: BackendServer, onDone: (isConfirmed: boolean) => void) => void;
   /** Chooses engines with memory for the stream; undefined if there are none now. */
   readonly choosePlacement: (excluded: ReadonlySet<string>) => Placement | undefined;
+  /** Chooses a prefill engine for a decode engine; undefined if there is none. */
+  readonly choosePrefill: (
+    decode: BackendServer,
+    excluded: ReadonlySet<string>,
+  ) => { readonly server: BackendServer; readonly expectedMs: number } | undefined;
   /** Adds the memory of the stream at an engine to the ledger until `release` is called. */
   readonly allocateMemory: (server: BackendServer) => MemoryAllocation;
   /** Reserves the memory of the stream at its decode engine, if the engine knows reservations. */
@@ -104,15 +126,79 @@
       deps.health.record(server.id, 'replaced', deps.now());
   };
 
+  /** Version that began the stream, in this response or in an earlier one. */
+  let begunVersion = ctx.origin?.softwareVersion;
+
+  const fits = ({ softwareVersion }: BackendServer): boolean =>
+    begunVersion === undefined || softwareVersion === begunVersion;
+
+  const listFitting = (): readonly BackendServer[] => {
+    const ready = deps.listReady(service.name);
+    return begunVersion === undefined ? ready : ready.filter(fits);
+  };
+
+  const chooseFittingPrefill: StreamEngines['choosePrefill'] = (decode, excluded) =>
+    choosePrefill(listFitting(), promptTokens, decode, deps.getPlacementView(), excluded);
+
+  const confirmInstance: StreamEngines['confirmInstance'] = (server, onDone) => {
+    if (begunVersion === undefined || deps.origins.hasOnlyVersion(service.name)) {
+      onDone(true);
+      return;
+    }
+    deps.backends.report(server, (report) => {
+      const isConfirmed = report !== undefined && report.startedAt === server.startedAt;
+      if (!isConfirmed)
+        recordFault(server, 'confirm', { kind: 'not-sent', reason: 'not the listed instance' });
+      onDone(isConfirmed);
+    });
+  };
+
+  const reserveMemory: StreamEngines['reserve'] = (placement, onDone) => {
+    const ttlMs = Math.min(
+      engine?.maxReservationMs ?? 0,
+      placement.prefillMs + reservationMarginMs,
+    );
+    // A reservation at a limited engine would be one request more.
+    if (ttlMs <= 0 || deps.limits.isLimited(placement.decode)) {
+      onDone({ kind: 'not-needed' });
+      return;
+    }
+    deps.backends.reserve(
+      placement.decode,
+      promptTokens + reservedOutputTokens,
+      Math.ceil(ttlMs),
+      (outcome) => {
+        if (outcome.kind === 'full') deps.engineLedger.recordFull(placement.decode.id, deps.now());
+        if (outcome.kind === 'fault')
+          recordFault(placement.decode, 'reserve', { kind: 'not-sent', reason: outcome.reason });
+        onDone(outcome);
+      },
+    );
+  };
+
   return {
     requirement,
+    listFitting,
+    getBegunVersion: () => begunVersion,
+    fits,
+    recordBegin: (server) => {
+      if (begunVersion !== undefined) return;
+      begunVersion = server.softwareVersion;
+      const callerTimeoutMs = call.metadata.callerTimeoutMs ?? maxStreamLifeMs;
+      deps.origins.recordBegin(
+        id,
+        { service: service.name, softwareVersion: begunVersion },
+        ctx.arrivedAt + callerTimeoutMs + takeUpMarginMs,
+      );
+    },
+    confirmInstance,
+    choosePrefill: chooseFittingPrefill,
     choosePlacement: (excluded) => {
       if (!engine) return undefined;
-      const engines = deps.listReady(service.name);
       const view = deps.getPlacementView();
-      const decode = chooseDecode(engines, requirement, engine, view, excluded);
+      const decode = chooseDecode(listFitting(), requirement, engine, view, excluded);
       if (!decode) return undefined;
-      const prefill = choosePrefill(engines, promptTokens, decode.dataCentre, view, excluded);
+      const prefill = chooseFittingPrefill(decode, excluded);
       return {
         decode,
         prefill: prefill?.server,
@@ -149,33 +235,15 @@
       };
     },
     reserve: (placement, onDone) => {
-      deps.limits.hold(placement.decode, id);
-      if (placement.prefill) deps.limits.hold(placement.prefill, id);
-      if (deps.limits.isLimited(placement.decode)) {
-        // A reservation would be one request more.
-        onDone({ kind: 'not-needed' });
-        return;
-      }
-      const ttlMs = Math.min(
-        engine?.maxReservationMs ?? 0,
-        placement.prefillMs + reservationMarginMs,
-      );
-      if (ttlMs <= 0) {
-        onDone({ kind: 'not-needed' });
-        return;
-      }
-      deps.backends.reserve(
-        placement.decode,
-        promptTokens + reservedOutputTokens,
-        Math.ceil(ttlMs),
-        (outcome) => {
-          if (outcome.kind === 'full')
-            deps.engineLedger.recordFull(placement.decode.id, deps.now());
-          if (outcome.kind === 'fault')
-            recordFault(placement.decode, 'reserve', { kind: 'not-sent', reason: outcome.reason });
-          onDone(outcome);
-        },
-      );
+      confirmInstance(placement.decode, (isConfirmed) => {
+        if (!isConfirmed) {
+          onDone({ kind: 'fault', reason: 'not the listed instance' });
+          return;
+        }
+        deps.limits.hold(placement.decode, id);
+        if (placement.prefill) deps.limits.hold(placement.prefill, id);
+        reserveMemory(placement, onDone);
+      });
     },
     readPrompt: ({ prefill, prefillMs }, onDone) => {
       deps.timing.recordPrompt(promptTokens);
--- a/packages/routing/src/place-work.ts
+++ b/packages/routing/src/place-work.ts
@@ -6,6 +6,12 @@
 /** Score penalty of a backend server in another data centre, as a share of load. */
 const otherDataCentrePenalty = 0.3;
 
+/** Score penalty of a decode engine whose streams could not go on elsewhere: no other has its version. */
+const loneVersionPenalty = 0.3;
+
+/** Score penalty of a decode engine that must read prompts itself: no prefill engine has its version. */
+const noPrefillPenalty = 0.3;
+
 /** Weight of the share of failed calls relative to the share of load. */
 const failureWeight = 2;
 
@@ -44,6 +50,25 @@
 const isAllowed = (server: BackendServer, view: PlacementView): boolean =>
   !view.health.isPaused(server.id, view.now) && view.hasRoom(server);
 
+/**
+ * Returns a function that rates decode engines by their software version. What engines of different versions
+ * write doesn't fit together: a stream and its prompt stay at one version.
+ */
+const rateVersions = (servers: readonly BackendServer[]): ((server: BackendServer) => number) => {
+  const [first] = servers;
+  if (servers.every(({ softwareVersion }) => softwareVersion === first?.softwareVersion))
+    return () => 0;
+  const decodeCounts = new Map<string, number>();
+  const prefillVersions = new Set<string>();
+  servers.forEach(({ softwareVersion, stage }) => {
+    if (stage === 'prefill') prefillVersions.add(softwareVersion);
+    else decodeCounts.set(softwareVersion, (decodeCounts.get(softwareVersion) ?? 0) + 1);
+  });
+  return ({ softwareVersion }) =>
+    ((decodeCounts.get(softwareVersion) ?? 0) > 1 ? 0 : loneVersionPenalty) +
+    (prefillVersions.has(softwareVersion) ? 0 : noPrefillPenalty);
+};
+
 const isAvailable = (server: BackendServer, view: PlacementView): boolean =>
   !view.health.isCoolingDown(server.id, view.now) && isAllowed(server, view);
 
@@ -52,7 +77,8 @@
  *
  * Load pattern: prompts of uneven size fill the memory of engines whose slots are mostly free,
  * and outputs end long before their maximum length. Only the memory in use is counted, prompt
- * and output so far: counting the maximum output would leave a third of the memory idle.
+ * and output so far: counting the maximum output would leave a third of the memory idle. While the engines
+ * are upgraded, a version with few engines is avoided, whose streams could not go on elsewhere.
  *
  * @example
  * chooseDecode(servers, { promptTokens: 3_000, maxTokens: 6_060 }, limits, view, new Set());
@@ -64,6 +90,7 @@
   view: PlacementView,
   excluded: ReadonlySet<string>,
 ): BackendServer | undefined => {
+  const getVersionPenalty = rateVersions(servers);
   let best: BackendServer | undefined;
   let bestScore = Number.POSITIVE_INFINITY;
   servers.forEach((server) => {
@@ -75,7 +102,8 @@
       load.tokens + requirement.promptTokens + getHeadroomTokens(load.requests + 1, view.rates);
     if (neededTokens > limits.memoryTokens) return;
     const usedShare = load.tokens / limits.memoryTokens;
-    const penalty = server.dataCentre === view.dataCentre ? 0 : otherDataCentrePenalty;
+    const distancePenalty = server.dataCentre === view.dataCentre ? 0 : otherDataCentrePenalty;
+    const penalty = distancePenalty + getVersionPenalty(server);
     const score = usedShare + penalty + failureWeight * view.health.getFailureShare(server.id);
     if (score < bestScore) {
       best = server;
@@ -86,29 +114,34 @@
 };
 
 /**
- * Chooses the prefill engine with the earliest expected result at the decode engine.
+ * Chooses the prefill engine with the earliest expected result at the decode engine, which must have the
+ * same software version.
  *
  * @example
- * choosePrefill(servers, 3_000, 'north-a', view, new Set());
+ * choosePrefill(servers, 3_000, decode, view, new Set());
  */
 export const choosePrefill = (
   servers: readonly BackendServer[],
   promptTokens: number,
-  decodeDataCentre: string,
+  decode: Pick<BackendServer, 'dataCentre' | 'softwareVersion'>,
   view: PlacementView,
   excluded: ReadonlySet<string>,
 ): { readonly server: BackendServer; readonly expectedMs: number } | undefined => {
   let best: BackendServer | undefined;
   let bestMs = Number.POSITIVE_INFINITY;
   const allowed = servers.filter(
-    (server) => server.stage === 'prefill' && !excluded.has(server.id) && isAllowed(server, view),
+    (server) =>
+      server.stage === 'prefill' &&
+      server.softwareVersion === decode.softwareVersion &&
+      !excluded.has(server.id) &&
+      isAllowed(server, view),
   );
   const available = allowed.filter((server) => isAvailable(server, view));
   // If all prefill engines are cooling down, one of them is tried rather than no stream placed.
   (available.length > 0 ? available : allowed).forEach((server) => {
     const load = view.ledger.getTotal(server.id, view.now);
     const processingMs = (load.prefillTokens + promptTokens) / view.rates.getPrefillTokensPerMs();
-    const transferMs = server.dataCentre === decodeDataCentre ? 0 : crossDataCentreTransferMs;
+    const transferMs = server.dataCentre === decode.dataCentre ? 0 : crossDataCentreTransferMs;
     const expectedMs = processingMs + transferMs + 100 * view.health.getFailureShare(server.id);
     if (expectedMs < bestMs) {
       best = server;
--- a/packages/routing/src/placement.test.ts
+++ b/packages/routing/src/placement.test.ts
@@ -100,10 +100,27 @@
   const view = makeView();
   view.ledger.addPrefill('near', 300);
   const engines = [makeEngine('near', 'prefill'), makeEngine('far', 'prefill', 'north-b')];
-  t.is(choosePrefill(engines, 3_000, 'north-a', view, noExclusions)?.server.id, 'near');
+  t.is(
+    choosePrefill(engines, 3_000, makeServer({ dataCentre: 'north-a' }), view, noExclusions)?.server
+      .id,
+    'near',
+  );
   view.ledger.addPrefill('near', 6_000);
-  t.is(choosePrefill(engines, 3_000, 'north-a', view, noExclusions)?.server.id, 'far');
-  t.is(choosePrefill(engines, 3_000, 'north-a', view, new Set(['near', 'far'])), undefined);
+  t.is(
+    choosePrefill(engines, 3_000, makeServer({ dataCentre: 'north-a' }), view, noExclusions)?.server
+      .id,
+    'far',
+  );
+  t.is(
+    choosePrefill(
+      engines,
+      3_000,
+      makeServer({ dataCentre: 'north-a' }),
+      view,
+      new Set(['near', 'far']),
+    ),
+    undefined,
+  );
 });
 
 test('a server of a plain service is chosen even if all of them are cooling down', (t) => {
@@ -130,6 +147,7 @@
   neededTokens: 1_000,
   arrivedAt: 0,
   waitUntil: 700,
+  softwareVersion: undefined,
   tryPlace: () => {
     log.placed.push(id);
     return true;
@@ -189,11 +207,23 @@
   const view = { ...makeView(), now: 1_000 };
   const engines = [makeEngine('a', 'prefill'), makeEngine('b', 'prefill')];
   view.health.recordPeerFailure('a', 1_000);
-  t.is(choosePrefill(engines, 3_000, 'north-a', view, noExclusions)?.server.id, 'b');
+  t.is(
+    choosePrefill(engines, 3_000, makeServer({ dataCentre: 'north-a' }), view, noExclusions)?.server
+      .id,
+    'b',
+  );
   view.health.record('b', 'result-lost', 1_000);
-  t.truthy(choosePrefill(engines, 3_000, 'north-a', view, noExclusions));
+  t.truthy(
+    choosePrefill(engines, 3_000, makeServer({ dataCentre: 'north-a' }), view, noExclusions),
+  );
   t.is(
-    choosePrefill(engines, 3_000, 'north-a', { ...view, now: 1_500 }, noExclusions)?.server.id,
+    choosePrefill(
+      engines,
+      3_000,
+      makeServer({ dataCentre: 'north-a' }),
+      { ...view, now: 1_500 },
+      noExclusions,
+    )?.server.id,
     'b',
   );
 });
@@ -207,3 +237,48 @@
   t.is(choosePlainServer(servers, view, new Set(['b'])), undefined);
   t.is(choosePlainServer(servers, { ...view, now: 3_001 }, new Set(['b']))?.id, 'a');
 });
+
+const makeVersion = (id: string, stage: 'prefill' | 'decode', softwareVersion: string) =>
+  makeServer({ id, service: 'llm', stage, softwareVersion });
+
+test('a prompt is read only by an engine of the version that runs the stream', (t) => {
+  const view = makeView();
+  const engines = [makeVersion('p1', 'prefill', 'v1'), makeVersion('p2', 'prefill', 'v2')];
+  view.ledger.addPrefill('p2', 9_000);
+  const choose = (softwareVersion: string) =>
+    choosePrefill(engines, 3_000, makeServer({ softwareVersion }), view, noExclusions)?.server.id;
+  t.deepEqual(['v1', 'v2', 'v3'].map(choose), ['p1', 'p2', undefined]);
+});
+
+test('a stream begins where it can go on elsewhere, unless the other version is full', (t) => {
+  const view = makeView();
+  const engines = [
+    makeVersion('old', 'decode', 'v1'),
+    makeVersion('new-1', 'decode', 'v2'),
+    makeVersion('new-2', 'decode', 'v2'),
+    makeVersion('p1', 'prefill', 'v1'),
+    makeVersion('p2', 'prefill', 'v2'),
+  ];
+  const choose = () =>
+    chooseDecode(engines, makeRequirement(1_000), engineLimits, view, noExclusions)?.id;
+  view.ledger.addDecode('new-1', 1_500);
+  view.ledger.addDecode('new-2', 2_000);
+  t.is(choose(), 'new-1');
+  view.ledger.addDecode('new-1', 5_000);
+  view.ledger.addDecode('new-2', 5_000);
+  t.is(choose(), 'old');
+});
+
+test('streams that wait for the engines of one version do not hold up the others', (t) => {
+  const log: StreamLog = { placed: [], refused: [] };
+  const queue = makeStreamQueue(() => 500);
+  const bound = { softwareVersion: 'v1', tryPlace: () => false };
+  ['a', 'b', 'c', 'd', 'e'].forEach((id) => queue.push(makeWaitingStream(log, id, bound)));
+  queue.push(makeWaitingStream(log, 'new', { arrivedAt: 9 }));
+  queue.process(10);
+  t.deepEqual(log.placed, ['new']);
+  queue.push(makeWaitingStream(log, 'later', { arrivedAt: 10 }));
+  queue.push(makeWaitingStream(log, 'begun', { arrivedAt: 20, softwareVersion: 'v2' }));
+  queue.process(30);
+  t.deepEqual(log.placed, ['new', 'begun', 'later']);
+});
--- a/packages/routing/src/stream-queue.ts
+++ b/packages/routing/src/stream-queue.ts
@@ -2,6 +2,8 @@
 export interface WaitingStream {
   readonly id: string;
   readonly service: string;
+  /** Software version to which the stream is bound since it has begun. */
+  readonly softwareVersion: string | undefined;
   readonly workspace: string;
   /** 0 is the most urgent. */
   readonly priority: number;
@@ -26,14 +28,20 @@
   readonly size: () => number;
 }
 
-/** Number of streams without enough free memory after which no later stream is tried. */
+/**
+ * Number of streams without enough free memory after which no later stream of the same service, and of the
+ * same software version if they are bound to one, is tried.
+ */
 const maxSkippedStreams = 4;
 
 /** Minimum time after which a refused caller may retry. */
 const minRetryDelayMs = 300;
 
+const isBound = ({ softwareVersion }: WaitingStream): boolean => softwareVersion !== undefined;
+
+/** Of the same priority, streams that have begun come first: fewer engines can take them. */
 const compareStreams = (a: WaitingStream, b: WaitingStream): number =>
-  a.priority - b.priority || a.arrivedAt - b.arrivedAt;
+  a.priority - b.priority || Number(isBound(b)) - Number(isBound(a)) || a.arrivedAt - b.arrivedAt;
 
 /**
  * Creates an empty queue.
@@ -72,11 +80,13 @@
     remove,
     process: (now) => {
       refuseExpired(now);
-      let skipped = 0;
-      [...waitingStreams].every((stream) => {
+      const skipped = new Map<string, number>();
+      [...waitingStreams].forEach((stream) => {
+        const group = `${stream.service} ${stream.softwareVersion ?? ''}`;
+        const skippedOfGroup = skipped.get(group) ?? 0;
+        if (skippedOfGroup >= maxSkippedStreams) return;
         if (stream.tryPlace(now)) remove(stream.id);
-        else skipped += 1;
-        return skipped < maxSkippedStreams;
+        else skipped.set(group, skippedOfGroup + 1);
       });
     },
     countWaitingTokens: (service) =>
--- a/packages/types/src/routing-ports.ts
+++ b/packages/types/src/routing-ports.ts
@@ -69,6 +69,8 @@
 
 /** What an engine reports about itself; the report lags behind its actual state. */
 export interface EngineReport {
+  /** Start time of the instance that reports, in Unix milliseconds. */
+  readonly startedAt: number;
   readonly stage: EngineStage;
   /** Whether the engine is carrying out an order. */
   readonly isBusy: boolean;
