A stream that has begun waits only for engines of its software version

Its wait was predicted from the memory of all engines and all waiting streams, so it could be refused while an engine of its version had room, or queued without a chance. Servers without a limit are looked up without building a key.

--- a/packages/router/src/limit-controller.ts
+++ b/packages/router/src/limit-controller.ts
@@ -36,8 +36,8 @@
   readonly hold: (server: BackendServer, request: string) => void;
   readonly isLimited: (server: BackendServer) => boolean;
   readonly hasRoom: (server: BackendServer) => boolean;
-  /** Room of a service: none to wait for while a server has no limit. */
-  readonly getRoom: (service: string) => Room;
+  /** Room of the servers of a service that `fits` accepts: none to wait for while a server has no limit. */
+  readonly getRoom: (service: string, fits?: (server: BackendServer) => boolean) => Room;
   /**
    * Queues a request that no server has room for.
    *
@@ -69,9 +69,15 @@
   let nextPruneAt = 0;
   let queueTimer: NodeJS.Timeout | undefined;
 
-  const getRoom = (service: string, nowMs: number): Room => {
+  const getRoom = (
+    service: string,
+    nowMs: number,
+    fits: (server: BackendServer) => boolean = () => true,
+  ): Room => {
     // A prompt whose prefill engines have no room is read by the decode engine.
-    const servers = deps.listReady(service).filter(({ stage }) => stage !== 'prefill');
+    const servers = deps
+      .listReady(service)
+      .filter((server) => server.stage !== 'prefill' && fits(server));
     let waitMs = servers.length === 0 ? 0 : Number.POSITIVE_INFINITY;
     let requestsPerS = 0;
     servers.forEach((server) => {
@@ -123,7 +129,7 @@
       if (!hasRoom) metrics.limitDecisions.inc({ decision: 'passed-over' });
       return hasRoom;
     },
-    getRoom: (service) => getRoom(service, now()),
+    getRoom: (service, fits) => getRoom(service, now(), fits),
     tryQueue: (call) => {
       const retryAfterMs = queue.tryPush(call, now());
       if (retryAfterMs === undefined) processQueue();
--- a/packages/router/src/run-deps.ts
+++ b/packages/router/src/run-deps.ts
@@ -25,9 +25,14 @@
   readonly rates: EngineRates;
   /**
    * Predicts in how many milliseconds an engine of a service has memory for `tokens`, behind all streams
-   * queued at any VM, and room under its limit.
+   * queued at any VM, and room under its limit; only an engine of `softwareVersion`, if it is given.
    */
-  readonly predictEngineWaitMs: (service: string, tokens: number, now: number) => number;
+  readonly predictEngineWaitMs: (
+    service: string,
+    tokens: number,
+    now: number,
+    softwareVersion?: string,
+  ) => number;
   readonly limits: LimitController;
   readonly listReady: (service: string) => readonly BackendServer[];
   readonly getPlacementView: () => PlacementView;
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -98,7 +98,12 @@
   });
 
   const predictWaitMs = (): number =>
-    deps.predictEngineWaitMs(service.name, requirement.promptTokens, deps.now());
+    deps.predictEngineWaitMs(
+      service.name,
+      requirement.promptTokens,
+      deps.now(),
+      engines.getBegunVersion(),
+    );
 
   /**
    * Places the stream now, or queues it until memory is free; the queue refuses it at `waitUntil`.
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -169,19 +169,29 @@
     },
   });
 
-  const predictEngineWaitMs = (service: string, tokens: number, nowMs: number): number => {
+  const predictEngineWaitMs = (
+    service: string,
+    tokens: number,
+    nowMs: number,
+    softwareVersion?: string,
+  ): number => {
     const engine = view.getTable()?.findService(service)?.engine;
     if (!engine) return 0;
-    const totalWaitingTokens =
-      tokens + queue.countWaitingTokens(service) + peers.countWaitingTokens(service, nowMs);
+    const isBound = softwareVersion !== undefined;
+    const fits = (server: BackendServer): boolean =>
+      !isBound || server.softwareVersion === softwareVersion;
+    // Streams that are bound to a version are placed before those that are not.
+    const tokensAhead = isBound
+      ? 0
+      : queue.countWaitingTokens(service) + peers.countWaitingTokens(service, nowMs);
     const memoryWaitMs = streamTiming.predictMemoryWaitMs(
-      listReady(service),
+      listReady(service).filter(fits),
       engine,
       engineLedger,
-      totalWaitingTokens,
+      tokens + tokensAhead,
       nowMs,
     );
-    return Math.max(memoryWaitMs, limits.getRoom(service).waitMs);
+    return Math.max(memoryWaitMs, limits.getRoom(service, fits).waitMs);
   };
 
   const queue = makeStreamQueue(predictEngineWaitMs);
--- a/packages/routing/src/server-limits.ts
+++ b/packages/routing/src/server-limits.ts
@@ -142,6 +142,7 @@
 
   /** Returns the state of a server only while it names a limit. */
   const findLimited = (server: BackendServer): LimitedServer | undefined => {
+    if (limitedServers.size === 0) return undefined;
     const limited = limitedServers.get(getInstanceKey(server));
     return limited?.statement.requestsPerS === undefined ? undefined : limited;
   };
@@ -221,6 +222,7 @@
 
   return {
     recordResponse: (server, requestsPerS, latencyMs, now) => {
+      if (limitedServers.size === 0 && requestsPerS === undefined) return false;
       const instance = getInstanceKey(server);
       const statement = { requestsPerS, sentAt: now - latencyMs, receivedAt: now };
       const known = limitedServers.get(instance);
