--- a/packages/soak/src/soak.test.ts
+++ b/packages/soak/src/soak.test.ts
@@ -54,6 +54,12 @@
     faultMs: 4_000,
     cause: 'a sound request that many send was blocked with the one that crashed its only engine',
   },
+  {
+    seed: 9112,
+    version: 'v6',
+    faultMs: 5_000,
+    cause: 'backend servers got many times the limit that they named',
+  },
 ];
 
 cases.forEach(({ seed, version, faultMs, cause }) => {
