--- a/packages/soak/src/soak.test.ts
+++ b/packages/soak/src/soak.test.ts
@@ -60,6 +60,12 @@
     faultMs: 5_000,
     cause: 'backend servers got many times the limit that they named',
   },
+  {
+    seed: 9103,
+    version: 'v6',
+    faultMs: 5_000,
+    cause: 'streams went on at another software version than the one that began them',
+  },
 ];
 
 cases.forEach(({ seed, version, faultMs, cause }) => {
