--- a/packages/routing/src/server-directory.ts
+++ b/packages/routing/src/server-directory.ts
@@ -17,8 +17,13 @@
   goneStartedAt?: number;
 }
 
-/** Identifies one incarnation of a backend server. */
-const getInstanceKey = (server: BackendServer): string => `${server.id} ${server.startedAt}`;
+/**
+ * Identifies one incarnation of a backend server.
+ *
+ * @example
+ * getInstanceKey(server); // 'i-1 1700000000000'
+ */
+export const getInstanceKey = (server: BackendServer): string => `${server.id} ${server.startedAt}`;
 
 /** The backend servers that the platform lists; an older revision never replaces a newer one. */
 export interface ServerDirectory {
--- a/packages/routing/src/server-limits.ts
+++ b/packages/routing/src/server-limits.ts
@@ -1,5 +1,6 @@
 import type { BackendServer } from '@hemlocksill/types/routing.js';
 import { makeFleetQuota, type FleetQuota, type QuotaLimit } from './fleet-quota.js';
+import { getInstanceKey } from './server-directory.js';
 import { chooseStatement, type LimitStatement } from './stated-limits.js';
 
 /** Window of the account of a limited server, in milliseconds. */
@@ -88,6 +89,7 @@
   readonly prune: (listed: readonly BackendServer[], now: number) => void;
 }
 
+/** State of one incarnation of a server: a restarted one knows nothing of its limit. */
 interface LimitedServer {
   statement: LimitStatement;
   /** Time at which the limit was named or ended. */
@@ -100,9 +102,6 @@
   readonly holds: Map<string, number>;
 }
 
-/** Identifies one incarnation of a backend server: a restarted one knows nothing of its limit. */
-const getInstanceKey = ({ id, startedAt }: BackendServer): string => `${id} ${startedAt}`;
-
 const toQuotaLimit = (requestsPerS: number): QuotaLimit => {
   const ratePerS = Math.max(minRequestsPerS, requestsPerS);
   return { ratePerS, burst: Math.max(1, ratePerS * burstS) };
@@ -199,8 +198,16 @@
     uptimeMs: number,
     now: number,
   ): boolean => {
-    const [instance, requestsPerS, sentAgeMs, receivedAgeMs, sentTotal, accountAgeMs] = row;
-    const [, , , , , , level, windowSum] = row;
+    const [
+      instance,
+      requestsPerS,
+      sentAgeMs,
+      receivedAgeMs,
+      sentTotal,
+      accountAgeMs,
+      level,
+      windowSum,
+    ] = row;
     const statement: LimitStatement = {
       requestsPerS: requestsPerS ?? undefined,
       sentAt: now - sentAgeMs,
