--- a/review/lib/servers.mjs
+++ b/review/lib/servers.mjs
@@ -94,6 +94,12 @@
   runner.runs.push(run);
   record('run', run);
   await sleep(runner.workMs ?? 15);
+  runner.answers = (runner.answers ?? 0) + 1;
+  if (runner.garbles?.(runner.answers)) {
+    record('spoiled answer', { id, server: runner.id });
+    req.socket.end(`HTTP/1.1 000 OK\r\nrequest-id: ${id}\r\ncontent-length: 0\r\n\r\n`);
+    return;
+  }
   const body = `done ${id} by ${runner.id}`;
   res.writeHead(200, {
     'request-id': id,
