--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -88,7 +88,7 @@
   return new RegExp(`^${name} = "(.*)"$`, 'm').exec(text)[1];
 };
 
-const launch = (vm) => {
+export const launch = (vm) => {
   const [program, ...args] = readDeploy('run').split(' ');
   const child = spawn(program, args, {
     cwd: root,
@@ -107,6 +107,7 @@
   child.on('exit', (code, signal) => {
     children.delete(child);
     record('process ended', { vm: vm.name, code, signal });
+    vm.onEnd?.(code, signal);
   });
   record('process started', { vm: vm.name, pid: child.pid });
 };
