--- a/packages/router/src/router-metrics.ts
+++ b/packages/router/src/router-metrics.ts
@@ -3,6 +3,9 @@
 /** Upper bounds of the latency buckets, in milliseconds, chosen around the usual objectives. */
 const latencyBucketsMs = [10, 25, 50, 100, 200, 400, 900, 2_000, 5_000, 14_000];
 
+/** Upper bounds of the buckets of the event loop's delay, in milliseconds. */
+const loopDelayBucketsMs = [5, 25, 100, 250, 500, 2_000];
+
 /** Metrics of a router. */
 export interface RouterMetrics {
   readonly requestsEnded: Counter<'kind' | 'outcome'>;
@@ -28,6 +31,7 @@
   readonly configBehindMs: Gauge;
   readonly viewFetches: Counter<'outcome'>;
   readonly storeReachable: Gauge;
+  readonly loopDelayMs: Histogram;
   readonly droppedLogLines: Counter;
   /** Renders all metrics in the Prometheus text format. */
   readonly render: () => Promise<string>;
@@ -170,6 +174,12 @@
       help: '1 while the store answers',
       registers,
     }),
+    loopDelayMs: new Histogram({
+      name: `${prefix}event_loop_delay_ms`,
+      help: 'Milliseconds by which a periodic task ran late',
+      buckets: loopDelayBucketsMs,
+      registers,
+    }),
     droppedLogLines: new Counter({
       name: `${prefix}log_lines_left_out_total`,
       help: 'Log lines left out because their reader was slow',
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -32,6 +32,7 @@
 import { connectError, makeClientErrorHandler } from './client-errors.js';
 import { makeCallHandler } from './handle-call.js';
 import { makeIdleConnections } from './idle-connections.js';
+import { makeLoopDelay } from './loop-delay.js';
 import { makeRequestOrder } from './request-order.js';
 import { sleep } from './sleep.js';
 import { makePeersController } from './peers-controller.js';
@@ -582,8 +583,11 @@
     lastOffset = offset;
   };
 
+  const loopDelay = makeLoopDelay({ periodMs: tickPeriodMs, metrics, log });
+
   const tick = setInterval(() => {
     const nowMs = now();
+    loopDelay.recordTick(nowMs);
     detectClockJump(nowMs);
     peers.tick(nowMs);
     sharedRates.tick(nowMs);
