--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -5,7 +5,9 @@
 
 const here = (path) => fileURLToPath(new URL(path, import.meta.url));
 
-/** Replaces large modules with smaller ones that contain only what the router uses. */
+const leanAssert = here('lean/assert.cjs');
+
+/** Replaces modules that are large, or slow in a bundle, with what the router uses of them. */
 const lean = {
   name: 'lean',
   setup: ({ onResolve }) => {
@@ -13,6 +15,9 @@
     onResolve({ filter: /^(node:)?https?2?$/ }, ({ path }) =>
       /http$/.test(path) ? undefined : { path: here('lean/absent.mjs') },
     );
+    onResolve({ filter: /^(node:)?assert$/ }, ({ importer }) =>
+      importer === leanAssert ? undefined : { path: leanAssert },
+    );
     onResolve({ filter: /locales\/index\.js$/ }, () => ({ path: here('lean/zod-locales.mjs') }));
   },
 };
