Tests of callers that don't behave, with the faults that they show

Callers that stay inside no limit end a VM's process: it runs out of memory. Each kind of such callers gets a test: a crowd against the program as it is deployed, with its options of Node.js, within the memory of the smallest VM (178 MB, the whole process, VmHWM) and a share of its descriptors, and one ordinary request beside the crowd.

The tests measure a process, so they run one at a time in a run of their own, after all others and inside npm test; a failure of either run fails the command.

--- a/ava.config.js
+++ b/ava.config.js
@@ -1,5 +1,9 @@
 export default {
-  files: ['{packages/*,platform}/dist/**/*.test.js'],
+  files: [
+    '{packages/*,platform}/dist/**/*.test.js',
+    // In a run of their own, see ava.callers.config.js.
+    '!platform/dist/misbehaving-callers/**',
+  ],
   timeout: '3m',
   concurrency: 4,
 };
