A caller that resets its connection after a CONNECT ends no process

Callers saw all requests of a VM break off. Cause: Node.js removes the server's listeners, the one for errors too, from the socket of a CONNECT request before it hands the socket over; the 501 was written without a listener, and a reset became an exception that nothing caught. Each caller's connection now has a listener for errors from its opening to its end; the end of a request is logged where the request ends, as before.

The two tests of CONNECT in misbehaving-callers/connections failed before (write ECONNRESET, the process ended) and pass now.

--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -520,6 +520,8 @@
   const handleClientError = makeClientErrorHandler(order, log);
   callerServer.on('clientError', handleClientError);
   callerServer.on('connect', (_, socket) => handleClientError(connectError, socket));
+  // The server removes its own listener from the socket of a CONNECT request before it hands it over.
+  callerServer.on('connection', (socket) => socket.on('error', () => {}));
   // `close` calls it; Node's own also destroys connections whose ended response isn't flushed.
   callerServer.closeIdleConnections = order.closeIdleConnections;
   callerServer.headersTimeout = defaultHeaderTimeoutMs;
