Refuse a body over the limit at once, and read its rest within bounds

Callers could keep a connection for good: after a refusal the rest of the body was read without an end, and a chunked body over the limit was refused only when it ended. What had come of it stayed in memory meanwhile.

A body is refused as soon as it is over the limit, and its connection is closed 2 s later: a connection that is closed with bytes unread is reset, and the reset can reach the caller before the refusal. The response is ended when the rest has been read or the time is over, because Node.js destroys the socket when a response with connection: close ends. Where a request with a body is refused for another reason, the connection is kept if the rest ends within MaxBodyBytes and 5 s. Event 2321 and hemlocksill_caller_limits_total tell who did not.

--- a/packages/router/src/call-context.ts
+++ b/packages/router/src/call-context.ts
@@ -107,8 +107,8 @@
   readonly flows: CallerFlows;
 }
 
-/** Sends an error response that the router itself produced. */
-export const sendRouterResponse = (
+/** Writes an error response that the router itself produced, but does not end it. */
+export const beginRouterResponse = (
   res: ServerResponse,
   status: number,
   error: string,
@@ -121,7 +121,14 @@
     'content-type': 'application/json',
     'content-length': String(Buffer.byteLength(body)),
   });
-  res.end(body);
+  res.write(body);
+};
+
+/** Sends an error response that the router itself produced. */
+export const sendRouterResponse = (...args: Parameters<typeof beginRouterResponse>): void => {
+  const [res] = args;
+  beginRouterResponse(...args);
+  res.end();
 };
 
 /**
--- a/packages/router/src/handle-call.ts
+++ b/packages/router/src/handle-call.ts
@@ -11,19 +11,14 @@
 import { makeRequestPart } from '@hemlocksill/routing/request-part.js';
 import type { StreamOrigin } from '@hemlocksill/routing/stream-origins.js';
 import { chooseService, type RouteTable } from '@hemlocksill/routing/route-table.js';
-import {
-  blockedRetryAfterMs,
-  describePart,
-  getBlockedReason,
-  type CrashWatch,
-} from './crash-watch.js';
+import { blockedRetryAfterMs, getBlockedReason, type CrashWatch } from './crash-watch.js';
 import type { OriginController } from './origin-controller.js';
 import { fingerprintRequest } from './request-fingerprint.js';
+import { rejectRequest, tooLargeRejection, type Rejection } from './reject-request.js';
+import { receiveBody } from './request-body.js';
 import type { RequestOrder } from './request-order.js';
 import {
   makeResponder,
-  sendRouterResponse,
-  spreadRetryAfterMs,
   type CallContext,
   type Responder,
   type ResponderHooks,
@@ -41,19 +36,6 @@
 /** Maximum timeout of a request whose caller states none; that of its route may be shorter. */
 const defaultTimeoutMs = 60_000;
 
-/** Error response of a filter; the request is not run. */
-interface Rejection {
-  readonly status: 400 | 401 | 404 | 413 | 429 | 431 | 503;
-  readonly reason: string;
-  readonly retryAfterMs?: number;
-  readonly workspace?: string;
-  readonly cost?: number;
-  /** Level of the workspace's token bucket, in cost units. */
-  readonly bucketLevel?: number;
-  /** Blocked part of the request. */
-  readonly part?: string;
-}
-
 /** Refuses to take up a stream whose events might not fit together. */
 const unknownOriginRejection: Rejection = {
   status: 503,
@@ -106,7 +88,7 @@
   if (headerBytes > limits.maxHeaderBytes)
     return err({ status: 431, reason: 'the headers are too large' });
   if (Number(req.headers['content-length'] ?? 0) > limits.maxBodyBytes)
-    return err({ status: 413, reason: 'the body is too large' });
+    return err(tooLargeRejection);
   return ok(undefined);
 };
 
@@ -221,52 +203,6 @@
   });
 };
 
-const readBody = (
-  req: IncomingMessage,
-  maxBytes: number,
-  onDone: (body: Buffer | undefined) => void,
-): void => {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  req.on('data', (chunk: Buffer) => {
-    bytes += chunk.length;
-    if (bytes <= maxBytes) chunks.push(chunk);
-  });
-  req.on('end', () => onDone(bytes <= maxBytes ? Buffer.concat(chunks) : undefined));
-  // The responder handles the disconnect through the `close` event of the response.
-  req.on('error', () => {});
-};
-
-const reject = (
-  deps: CallDeps,
-  req: IncomingMessage,
-  res: ServerResponse,
-  rejection: Rejection,
-): void => {
-  const { log, random, isShuttingDown } = deps.hooks;
-  const readResult = deps.readMetadata(req.rawHeaders);
-  log(2308, {
-    id: 'metadata' in readResult ? readResult.metadata.id : undefined,
-    status: rejection.status,
-    reason: rejection.reason,
-    version: deps.getTable()?.config.version ?? null,
-    workspace: rejection.workspace,
-    cost: rejection.cost,
-    bucketLevel: rejection.bucketLevel,
-    ...(rejection.part === undefined ? {} : describePart(rejection.part)),
-    method: req.method,
-    port: req.socket.remotePort,
-  });
-  sendRouterResponse(res, rejection.status, rejection.reason, 'not-run', {
-    ...(rejection.retryAfterMs === undefined
-      ? {}
-      : {
-          'retry-after': (spreadRetryAfterMs(rejection.retryAfterMs, random) / 1_000).toFixed(2),
-        }),
-    ...(isShuttingDown() ? { connection: 'close' } : {}),
-  });
-};
-
 const getTimeoutAt = ({ route, metadata }: FilterState, arrivedAt: number): number =>
   arrivedAt + Math.min(route.timeoutMs, metadata.callerTimeoutMs ?? defaultTimeoutMs);
 
@@ -296,7 +232,7 @@
     chargeQuota(deps, state, now),
   );
   if (charged.isErr()) {
-    reject(deps, req, res, charged.error);
+    rejectRequest(deps, req, res, charged.error);
     return;
   }
   const ctx: CallContext = {
@@ -376,25 +312,33 @@
     });
     const state = runFilters(deps, req);
     if (state.isErr()) {
-      req.resume();
-      reject(deps, req, res, state.error);
+      rejectRequest(deps, req, res, state.error);
       return;
     }
-    readBody(req, state.value.table.config.limits.maxBodyBytes, (body) => {
-      if (!body) {
-        reject(deps, req, res, { status: 413, reason: 'the body is too large' });
+    receiveBody(req, state.value.table.config.limits.maxBodyBytes, (body) => {
+      if (body.isErr()) {
+        rejectRequest(deps, req, res, tooLargeRejection);
         return;
       }
       awaitTurn(() => {
-        if (!deps.startsRuns()) reject(deps, req, res, stoppingRejection);
+        if (!deps.startsRuns()) rejectRequest(deps, req, res, stoppingRejection);
         else if (!isResumption(state.value))
-          startRun(deps, req, res, state.value, body, arrivedAt, undefined);
+          startRun(deps, req, res, state.value, body.value, arrivedAt, undefined);
         else
           findOrigin(deps, state.value, getTimeoutAt(state.value, arrivedAt), (found) => {
             if (res.destroyed) return;
-            if (found.isErr()) reject(deps, req, res, found.error);
-            else if (!deps.startsRuns()) reject(deps, req, res, stoppingRejection);
-            else startRun(deps, req, res, found.value.state, body, arrivedAt, found.value.origin);
+            if (found.isErr()) rejectRequest(deps, req, res, found.error);
+            else if (!deps.startsRuns()) rejectRequest(deps, req, res, stoppingRejection);
+            else
+              startRun(
+                deps,
+                req,
+                res,
+                found.value.state,
+                body.value,
+                arrivedAt,
+                found.value.origin,
+              );
           });
       }, drop);
     });
--- /dev/null
+++ b/packages/router/src/reject-request.ts
@@ -0,0 +1,103 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { ReadCallMetadata } from '@hemlocksill/types/routing-ports.js';
+import type { RouteTable } from '@hemlocksill/routing/route-table.js';
+import {
+  beginRouterResponse,
+  sendRouterResponse,
+  spreadRetryAfterMs,
+  type ResponderHooks,
+} from './call-context.js';
+import { describePart } from './crash-watch.js';
+import { discardBody } from './request-body.js';
+
+/** Error response of a filter; the request is not run. */
+export interface Rejection {
+  readonly status: 400 | 401 | 404 | 413 | 429 | 431 | 503;
+  readonly reason: string;
+  readonly retryAfterMs?: number;
+  readonly workspace?: string;
+  readonly cost?: number;
+  /** Level of the workspace's token bucket, in cost units. */
+  readonly bucketLevel?: number;
+  /** Blocked part of the request. */
+  readonly part?: string;
+  /** Whether the connection is closed, since the rest of the body may have no end. */
+  readonly closesConnection?: boolean;
+}
+
+/** Refuses a request whose body exceeds the limit of the configuration. */
+export const tooLargeRejection: Rejection = {
+  status: 413,
+  reason: 'the body is too large',
+  closesConnection: true,
+};
+
+/** Dependencies of a rejection. */
+export interface RejectDeps {
+  readonly getTable: () => RouteTable | undefined;
+  readonly readMetadata: ReadCallMetadata;
+  readonly hooks: Pick<ResponderHooks, 'log' | 'metrics' | 'random' | 'isShuttingDown'>;
+}
+
+/** Bytes of a refused body that are read until a configuration is known. */
+const defaultMaxDiscardedBytes = 4 * 1_024 * 1_024;
+
+/** Time in which the rest of a refused body must arrive if its connection is kept. */
+const discardTimeoutMs = 5_000;
+
+/** Time that a caller has to read its refusal before the connection is closed. */
+const lingerTimeoutMs = 2_000;
+
+/**
+ * Refuses a request, and reads what is left of its body within bounds.
+ *
+ * @example
+ * rejectRequest(deps, req, res, { status: 404, reason: 'no route matches' });
+ */
+export const rejectRequest = (
+  { getTable, readMetadata, hooks }: RejectDeps,
+  req: IncomingMessage,
+  res: ServerResponse,
+  rejection: Rejection,
+): void => {
+  const { log, random, isShuttingDown, metrics } = hooks;
+  const { status, reason, closesConnection = false } = rejection;
+  const config = getTable()?.config;
+  const readResult = readMetadata(req.rawHeaders);
+  const id = 'metadata' in readResult ? readResult.metadata.id : undefined;
+  log(2308, {
+    id,
+    status,
+    reason,
+    version: config?.version ?? null,
+    workspace: rejection.workspace,
+    cost: rejection.cost,
+    bucketLevel: rejection.bucketLevel,
+    ...(rejection.part === undefined ? {} : describePart(rejection.part)),
+    method: req.method,
+    port: req.socket.remotePort,
+  });
+  const headers = {
+    ...(rejection.retryAfterMs === undefined
+      ? {}
+      : {
+          'retry-after': (spreadRetryAfterMs(rejection.retryAfterMs, random) / 1_000).toFixed(2),
+        }),
+    ...(isShuttingDown() || closesConnection ? { connection: 'close' } : {}),
+  };
+  const maxBytes = config?.limits.maxBodyBytes ?? defaultMaxDiscardedBytes;
+  if (req.complete) sendRouterResponse(res, status, reason, 'not-run', headers);
+  else if (closesConnection) {
+    // The end of the response closes the connection.
+    beginRouterResponse(res, status, reason, 'not-run', headers);
+    discardBody(req, { maxBytes, timeoutMs: lingerTimeoutMs }, () => res.end());
+  } else {
+    sendRouterResponse(res, status, reason, 'not-run', headers);
+    discardBody(req, { maxBytes, timeoutMs: discardTimeoutMs }, (isWhole) => {
+      if (isWhole) return;
+      log(2321, { limit: 'rest-of-body', id, port: req.socket.remotePort });
+      metrics.callerLimits.inc({ limit: 'rest-of-body' });
+      req.socket.destroy();
+    });
+  }
+};
--- /dev/null
+++ b/packages/router/src/request-body.ts
@@ -0,0 +1,67 @@
+import type { IncomingMessage } from 'node:http';
+import { err, ok, type Result } from 'neverthrow';
+
+/** Why the body of a request was not received. */
+export type BodyFault = 'too-large';
+
+/**
+ * Receives the body of a request; the rest of one that is too large is left unread.
+ *
+ * @param onDone - called once, unless the connection closes before
+ * @example
+ * receiveBody(req, 4_194_304, (body) => {});
+ */
+export const receiveBody = (
+  req: IncomingMessage,
+  maxBytes: number,
+  onDone: (body: Result<Buffer, BodyFault>) => void,
+): void => {
+  let pieces: Buffer[] = [];
+  let bytes = 0;
+  const finish = (body: Result<Buffer, BodyFault>): void => {
+    req.off('data', onData);
+    req.off('end', onEnd);
+    pieces = [];
+    onDone(body);
+  };
+  const onData = (piece: Buffer): void => {
+    bytes += piece.length;
+    pieces.push(piece);
+    if (bytes > maxBytes) finish(err('too-large'));
+  };
+  const onEnd = (): void => finish(ok(Buffer.concat(pieces)));
+  req.on('data', onData);
+  req.on('end', onEnd);
+  // The responder handles the disconnect through the `close` event of the response.
+  req.on('error', () => {});
+};
+
+/**
+ * Reads and discards what is left of the body of a request that was refused. A connection that is closed with
+ * bytes unread is reset, and the reset may reach the caller before the refusal.
+ *
+ * @param onDone - called once, with whether the body has ended; not if the connection closes before
+ * @example
+ * discardBody(req, { maxBytes: 65_536, timeoutMs: 2_000 }, (isWhole) => {});
+ */
+export const discardBody = (
+  req: IncomingMessage,
+  { maxBytes, timeoutMs }: { readonly maxBytes: number; readonly timeoutMs: number },
+  onDone: (isWhole: boolean) => void,
+): void => {
+  let bytes = 0;
+  const finish = (isWhole: boolean): void => {
+    clearTimeout(timer);
+    onDone(isWhole);
+  };
+  // A caller that goes on sending is left the time to read the refusal.
+  const timer = setTimeout(finish, timeoutMs, false);
+  req.on('data', (piece: Buffer) => {
+    bytes += piece.length;
+    if (bytes > maxBytes) req.pause();
+  });
+  req.on('end', () => finish(true));
+  req.on('error', () => {});
+  req.on('close', () => clearTimeout(timer));
+  req.resume();
+};
--- a/packages/router/src/router-metrics.ts
+++ b/packages/router/src/router-metrics.ts
@@ -26,6 +26,7 @@
   readonly openRequests: Gauge;
   readonly unreadBytes: Gauge;
   readonly stalledCallers: Counter;
+  readonly callerLimits: Counter<'limit'>;
   readonly waitingStreams: Gauge;
   readonly configVersion: Gauge;
   readonly configBehindMs: Gauge;
@@ -148,6 +149,12 @@
       help: 'Callers disconnected because they did not read their response',
       registers,
     }),
+    callerLimits: new Counter({
+      name: `${prefix}caller_limits_total`,
+      help: 'Requests refused and connections closed because of a limit of the VM, by limit',
+      labelNames: ['limit'],
+      registers,
+    }),
     waitingStreams: new Gauge({
       name: `${prefix}waiting_streams`,
       help: 'Streams that wait for engine memory',
--- /dev/null
+++ b/packages/routing/src/body-buffer.ts
@@ -0,0 +1,88 @@
+/** Pieces from this size on are kept as they are; smaller ones are copied into blocks. */
+const minOwnPieceBytes = 4 * 1_024;
+
+/** Limits of the size of a block, which otherwise doubles what is held. */
+const minBlockBytes = 1_024;
+const maxBlockBytes = 64 * 1_024;
+
+/** The bytes of a body that is received in pieces. */
+export interface BodyBuffer {
+  readonly append: (piece: Buffer) => void;
+  /** Number of bytes received. */
+  readonly getBytes: () => number;
+  /** Number of bytes allocated for them. */
+  readonly getHeldBytes: () => number;
+  /** Returns the whole body and releases the pieces. */
+  readonly take: () => Buffer;
+}
+
+/**
+ * Makes an empty buffer. Each piece of its own costs more than a hundred bytes besides its content, so that small
+ * ones are joined as they come.
+ *
+ * @example
+ * const buffer = makeBodyBuffer();
+ * buffer.append(Buffer.from('a'));
+ * buffer.take(); // Buffer of 'a'
+ */
+export const makeBodyBuffer = (): BodyBuffer => {
+  let pieces: Buffer[] = [];
+  let bytes = 0;
+  let heldBytes = 0;
+  /** The block at the end of the pieces that is not full, and the number of its bytes in use. */
+  let block: Buffer | undefined;
+  let usedBytes = 0;
+
+  /** Ends the block, so that the next piece follows it. */
+  const closeBlock = (): void => {
+    if (block) pieces[pieces.length - 1] = block.subarray(0, usedBytes);
+    block = undefined;
+  };
+
+  const keep = (piece: Buffer): void => {
+    pieces.push(piece);
+    heldBytes += piece.length;
+  };
+
+  const openBlock = (): Buffer => {
+    // A slice of the shared pool would keep all of it in memory.
+    const size = Math.min(maxBlockBytes, Math.max(minBlockBytes, bytes));
+    const opened = Buffer.allocUnsafeSlow(size);
+    keep(opened);
+    block = opened;
+    usedBytes = 0;
+    return opened;
+  };
+
+  const copy = (piece: Buffer): void => {
+    let copiedBytes = 0;
+    while (copiedBytes < piece.length) {
+      const target = block ?? openBlock();
+      const count = piece.copy(target, usedBytes, copiedBytes);
+      copiedBytes += count;
+      usedBytes += count;
+      if (usedBytes === target.length) closeBlock();
+    }
+  };
+
+  return {
+    append: (piece) => {
+      if (pieces.length > 0 && piece.length < minOwnPieceBytes) copy(piece);
+      else {
+        closeBlock();
+        keep(piece);
+      }
+      bytes += piece.length;
+    },
+    getBytes: () => bytes,
+    getHeldBytes: () => heldBytes,
+    take: () => {
+      closeBlock();
+      const [first, ...others] = pieces;
+      const whole = first && others.length === 0 ? first : Buffer.concat(pieces, bytes);
+      pieces = [];
+      heldBytes = 0;
+      return whole;
+    },
+  };
+};
