Join the small pieces of a request body as they come

A VM ended at its heap's limit when 60 callers sent 0.25 MB each in chunks of one byte. Cause: each chunk was kept as a Buffer of its own, which costs more than a hundred bytes besides its content. body-buffer copies pieces under 4 KB into blocks that double up to 64 KB; a body in one piece is not copied, as before.

Test of bodies in chunks of one byte: the process ended before; 114 MB at its peak now.

--- a/packages/router/src/request-body.ts
+++ b/packages/router/src/request-body.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import { err, ok, type Result } from 'neverthrow';
+import { makeBodyBuffer } from '@hemlocksill/routing/body-buffer.js';
 
 /** Why the body of a request was not received. */
 export type BodyFault = 'too-large';
@@ -16,20 +17,17 @@
   maxBytes: number,
   onDone: (body: Result<Buffer, BodyFault>) => void,
 ): void => {
-  let pieces: Buffer[] = [];
-  let bytes = 0;
+  const buffer = makeBodyBuffer();
   const finish = (body: Result<Buffer, BodyFault>): void => {
     req.off('data', onData);
     req.off('end', onEnd);
-    pieces = [];
     onDone(body);
   };
   const onData = (piece: Buffer): void => {
-    bytes += piece.length;
-    pieces.push(piece);
-    if (bytes > maxBytes) finish(err('too-large'));
+    buffer.append(piece);
+    if (buffer.getBytes() > maxBytes) finish(err('too-large'));
   };
-  const onEnd = (): void => finish(ok(Buffer.concat(pieces)));
+  const onEnd = (): void => finish(ok(buffer.take()));
   req.on('data', onData);
   req.on('end', onEnd);
   // The responder handles the disconnect through the `close` event of the response.
