A body that does not end is given up at the deadline of its request

Callers that sent a byte now and then, or stopped short of the end of a body, kept the body, its connection and its descriptor for good: nothing bounded the time of a body. It must now have arrived by the deadline that the request has anyway, the earlier of its caller's and its route's; else the request is refused with 408, which promises that it has not run, and its connection is closed.

--- a/packages/router/src/handle-call.ts
+++ b/packages/router/src/handle-call.ts
@@ -14,7 +14,12 @@
 import { blockedRetryAfterMs, getBlockedReason, type CrashWatch } from './crash-watch.js';
 import type { OriginController } from './origin-controller.js';
 import { fingerprintRequest } from './request-fingerprint.js';
-import { rejectRequest, tooLargeRejection, type Rejection } from './reject-request.js';
+import {
+  bodyRejections,
+  rejectRequest,
+  tooLargeRejection,
+  type Rejection,
+} from './reject-request.js';
 import { receiveBody } from './request-body.js';
 import type { RequestOrder } from './request-order.js';
 import {
@@ -315,9 +320,14 @@
       rejectRequest(deps, req, res, state.error);
       return;
     }
-    receiveBody(req, state.value.table.config.limits.maxBodyBytes, (body) => {
+    const bodyLimits = {
+      maxBytes: state.value.table.config.limits.maxBodyBytes,
+      timeoutAt: getTimeoutAt(state.value, arrivedAt),
+      now: deps.hooks.now,
+    };
+    receiveBody(req, bodyLimits, (body) => {
       if (body.isErr()) {
-        rejectRequest(deps, req, res, tooLargeRejection);
+        rejectRequest(deps, req, res, bodyRejections[body.error]);
         return;
       }
       awaitTurn(() => {
--- a/packages/router/src/reject-request.ts
+++ b/packages/router/src/reject-request.ts
@@ -8,11 +8,11 @@
   type ResponderHooks,
 } from './call-context.js';
 import { describePart } from './crash-watch.js';
-import { discardBody } from './request-body.js';
+import { discardBody, type BodyFault } from './request-body.js';
 
 /** Error response of a filter; the request is not run. */
 export interface Rejection {
-  readonly status: 400 | 401 | 404 | 413 | 429 | 431 | 503;
+  readonly status: 400 | 401 | 404 | 408 | 413 | 429 | 431 | 503;
   readonly reason: string;
   readonly retryAfterMs?: number;
   readonly workspace?: string;
@@ -23,6 +23,8 @@
   readonly part?: string;
   /** Whether the connection is closed, since the rest of the body may have no end. */
   readonly closesConnection?: boolean;
+  /** Limit of the VM that the caller met. */
+  readonly limit?: 'body-time';
 }
 
 /** Refuses a request whose body exceeds the limit of the configuration. */
@@ -32,6 +34,20 @@
   closesConnection: true,
 };
 
+/** Refuses a request whose body has not ended when its time is over. */
+const lateRejection: Rejection = {
+  status: 408,
+  reason: 'the body did not arrive in time',
+  closesConnection: true,
+  limit: 'body-time',
+};
+
+/** The refusals of requests whose bodies were not received. */
+export const bodyRejections: Readonly<Record<BodyFault, Rejection>> = {
+  'too-large': tooLargeRejection,
+  late: lateRejection,
+};
+
 /** Dependencies of a rejection. */
 export interface RejectDeps {
   readonly getTable: () => RouteTable | undefined;
@@ -77,6 +93,7 @@
     method: req.method,
     port: req.socket.remotePort,
   });
+  if (rejection.limit !== undefined) metrics.callerLimits.inc({ limit: rejection.limit });
   const headers = {
     ...(rejection.retryAfterMs === undefined
       ? {}
--- a/packages/router/src/request-body.ts
+++ b/packages/router/src/request-body.ts
@@ -3,24 +3,40 @@
 import { makeBodyBuffer } from '@hemlocksill/routing/body-buffer.js';
 
 /** Why the body of a request was not received. */
-export type BodyFault = 'too-large';
+export type BodyFault = 'too-large' | 'late';
+
+/** Bounds of a body. */
+export interface BodyLimits {
+  readonly maxBytes: number;
+  /** Time by which the body must have arrived, on the clock of `now`. */
+  readonly timeoutAt: number;
+  readonly now: () => number;
+}
+
+/** Whether the head of a request announces a body. */
+const hasBody = ({ headers }: IncomingMessage): boolean =>
+  headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
 
 /**
- * Receives the body of a request; the rest of one that is too large is left unread.
+ * Receives the body of a request; the rest of one that exceeds its bounds is left unread.
  *
  * @param onDone - called once, unless the connection closes before
  * @example
- * receiveBody(req, 4_194_304, (body) => {});
+ * receiveBody(req, { maxBytes: 4_194_304, timeoutAt: now() + 14_000, now }, (body) => {});
  */
 export const receiveBody = (
   req: IncomingMessage,
-  maxBytes: number,
+  { maxBytes, timeoutAt, now }: BodyLimits,
   onDone: (body: Result<Buffer, BodyFault>) => void,
 ): void => {
   const buffer = makeBodyBuffer();
-  const finish = (body: Result<Buffer, BodyFault>): void => {
+  const stop = (): void => {
+    clearTimeout(timer);
     req.off('data', onData);
     req.off('end', onEnd);
+  };
+  const finish = (body: Result<Buffer, BodyFault>): void => {
+    stop();
     onDone(body);
   };
   const onData = (piece: Buffer): void => {
@@ -28,10 +44,14 @@
     if (buffer.getBytes() > maxBytes) finish(err('too-large'));
   };
   const onEnd = (): void => finish(ok(buffer.take()));
+  const timer = hasBody(req)
+    ? setTimeout(() => finish(err('late')), Math.max(0, timeoutAt - now()))
+    : undefined;
   req.on('data', onData);
   req.on('end', onEnd);
   // The responder handles the disconnect through the `close` event of the response.
   req.on('error', () => {});
+  req.on('close', stop);
 };
 
 /**
