Bound what the requests of all callers hold together

200 callers whose chunked bodies stopped just short of 1 MiB raised a VM to 291 MB; 60 that sent bodies ahead of their turn raised it to 585 MB. Cause: each body had a bound, their sum had none.

request-memory accounts for heads, bodies and requests sent ahead of all callers, with the same part of the process's memory that unread responses have (setting all-requests-bytes), and always room for one body at the limit. Over it those give way that hold at least an equal share: who makes no progress first, then who holds most; a request that runs does not. The refusal is 503, or a reset behind other responses.

--- a/packages/config/src/config.test.ts
+++ b/packages/config/src/config.test.ts
@@ -185,18 +185,23 @@
   );
 });
 
-test('bounds on unread bytes are read from their section, and an error names the key', (t) => {
+test('bounds on what callers hold are read from their section, and an error names the key', (t) => {
   const readMemory = (text: string) => readRouterSettings(`${routerText}[memory]\n${text}`);
   t.deepEqual(readRouterSettings(routerText)._unsafeUnwrap().memory, {
     callerBytes: undefined,
     allCallersBytes: undefined,
     callerStallMs: 15_000,
+    allRequestsBytes: undefined,
   });
-  t.deepEqual(
-    readMemory('caller-bytes = 1000\nall-callers-bytes = 0\ncaller-stall-ms = 5')._unsafeUnwrap()
-      .memory,
-    { callerBytes: 1_000, allCallersBytes: 0, callerStallMs: 5 },
-  );
+  const set =
+    'caller-bytes = 1000\nall-callers-bytes = 0\ncaller-stall-ms = 5\nall-requests-bytes = 9';
+  t.deepEqual(readMemory(set)._unsafeUnwrap().memory, {
+    callerBytes: 1_000,
+    allCallersBytes: 0,
+    callerStallMs: 5,
+    allRequestsBytes: 9,
+  });
+  t.regex(readMemory('all-requests-bytes = -1')._unsafeUnwrapErr().message, /all-requests-bytes/);
   t.regex(readMemory('caller-bytes = much')._unsafeUnwrapErr().message, /memory\.caller-bytes/);
   t.regex(readMemory('callers = 1')._unsafeUnwrapErr().message, /memory\.callers/);
 });
--- a/packages/config/src/router-settings.ts
+++ b/packages/config/src/router-settings.ts
@@ -10,14 +10,16 @@
   type Endpoint,
 } from './settings.js';
 
-/** Bounds on response bytes that callers have not read. */
+/** Bounds on what callers make the VM hold. */
 export interface MemorySettings {
-  /** For one caller; 0 for none, undefined for a share of the process's memory. */
+  /** Unread response bytes of one caller; 0 for no bound, undefined for a share of the process's memory. */
   readonly callerBytes: number | undefined;
   /** For all callers together, in the same way. */
   readonly allCallersBytes: number | undefined;
   /** Time without progress after which a caller is disconnected; 0 for never. */
   readonly callerStallMs: number;
+  /** Bytes of the requests of all callers, in the same way. */
+  readonly allRequestsBytes: number | undefined;
 }
 
 /** The settings of a router process. */
@@ -139,6 +141,7 @@
 const memorySchema = z.strictObject({
   'caller-bytes': wholeNumber(0).optional(),
   'all-callers-bytes': wholeNumber(0).optional(),
+  'all-requests-bytes': wholeNumber(0).optional(),
   'caller-stall-ms': wholeNumber(0, 600_000).default(15_000),
 });
 
@@ -192,6 +195,7 @@
       callerBytes: memory['caller-bytes'],
       allCallersBytes: memory['all-callers-bytes'],
       callerStallMs: memory['caller-stall-ms'],
+      allRequestsBytes: memory['all-requests-bytes'],
     },
     recordsOrigins: values['origin-records'],
     coldOverage: values['cold-overage'],
--- a/packages/router/src/handle-call.ts
+++ b/packages/router/src/handle-call.ts
@@ -11,6 +11,7 @@
 import { makeRequestPart } from '@hemlocksill/routing/request-part.js';
 import type { StreamOrigin } from '@hemlocksill/routing/stream-origins.js';
 import { chooseService, type RouteTable } from '@hemlocksill/routing/route-table.js';
+import type { CallerConnections } from './caller-connections.js';
 import { blockedRetryAfterMs, getBlockedReason, type CrashWatch } from './crash-watch.js';
 import type { OriginController } from './origin-controller.js';
 import { fingerprintRequest } from './request-fingerprint.js';
@@ -71,6 +72,7 @@
   readonly quota: FleetQuota;
   readonly hooks: ResponderHooks;
   readonly order: RequestOrder;
+  readonly connections: Pick<CallerConnections, 'addRequest'>;
   /** False late in the shutdown, when a new request might not finish. */
   readonly acceptsRequests: () => boolean;
   /** False from the end of the grace period on. */
@@ -294,7 +296,7 @@
  * createServer(makeCallHandler(deps));
  */
 export const makeCallHandler = (deps: CallDeps) => {
-  const { order } = deps;
+  const { order, connections } = deps;
   return (req: IncomingMessage, res: ServerResponse): void => {
     const arrivedAt = deps.hooks.now();
     // No response can be sent any more; the caller may repeat a request that was not run.
@@ -310,6 +312,8 @@
       drop();
       return;
     }
+    const callerRequest = connections.addRequest(req, res);
+    if (!callerRequest) return;
     const awaitTurn = order.add(req, res);
     res.on('finish', () => {
       // A head sent before the shutdown carries no `connection: close`.
@@ -324,6 +328,7 @@
       maxBytes: state.value.table.config.limits.maxBodyBytes,
       timeoutAt: getTimeoutAt(state.value, arrivedAt),
       now: deps.hooks.now,
+      callerRequest,
     };
     receiveBody(req, bodyLimits, (body) => {
       if (body.isErr()) {
--- a/packages/router/src/reject-request.ts
+++ b/packages/router/src/reject-request.ts
@@ -42,10 +42,19 @@
   limit: 'body-time',
 };
 
+/** Refuses a request for whose body there is no memory; another VM may have some. */
+const noRoomRejection: Rejection = {
+  status: 503,
+  reason: 'no memory for the body',
+  retryAfterMs: 1_000,
+  closesConnection: true,
+};
+
 /** The refusals of requests whose bodies were not received. */
 export const bodyRejections: Readonly<Record<BodyFault, Rejection>> = {
   'too-large': tooLargeRejection,
   late: lateRejection,
+  'no-room': noRoomRejection,
 };
 
 /** Dependencies of a rejection. */
--- a/packages/router/src/request-body.ts
+++ b/packages/router/src/request-body.ts
@@ -1,9 +1,10 @@
 import type { IncomingMessage } from 'node:http';
 import { err, ok, type Result } from 'neverthrow';
 import { makeBodyBuffer } from '@hemlocksill/routing/body-buffer.js';
+import type { CallerRequest } from './caller-connections.js';
 
 /** Why the body of a request was not received. */
-export type BodyFault = 'too-large' | 'late';
+export type BodyFault = 'too-large' | 'late' | 'no-room';
 
 /** Bounds of a body. */
 export interface BodyLimits {
@@ -11,6 +12,7 @@
   /** Time by which the body must have arrived, on the clock of `now`. */
   readonly timeoutAt: number;
   readonly now: () => number;
+  readonly callerRequest: CallerRequest;
 }
 
 /** Whether the head of a request announces a body. */
@@ -22,11 +24,11 @@
  *
  * @param onDone - called once, unless the connection closes before
  * @example
- * receiveBody(req, { maxBytes: 4_194_304, timeoutAt: now() + 14_000, now }, (body) => {});
+ * receiveBody(req, { maxBytes: 4_194_304, timeoutAt: now() + 14_000, now, callerRequest }, (body) => {});
  */
 export const receiveBody = (
   req: IncomingMessage,
-  { maxBytes, timeoutAt, now }: BodyLimits,
+  { maxBytes, timeoutAt, now, callerRequest }: BodyLimits,
   onDone: (body: Result<Buffer, BodyFault>) => void,
 ): void => {
   const buffer = makeBodyBuffer();
@@ -39,14 +41,24 @@
     stop();
     onDone(body);
   };
+  const fail = (fault: BodyFault): void => {
+    // The request stays until its rest has been read.
+    buffer.clear();
+    callerRequest.recordBody(0);
+    finish(err(fault));
+  };
   const onData = (piece: Buffer): void => {
     buffer.append(piece);
-    if (buffer.getBytes() > maxBytes) finish(err('too-large'));
+    if (buffer.getBytes() > maxBytes) fail('too-large');
+    else callerRequest.recordBody(buffer.getHeldBytes());
+  };
+  const onEnd = (): void => {
+    const body = buffer.take();
+    callerRequest.recordBody(body.length);
+    finish(ok(body));
   };
-  const onEnd = (): void => finish(ok(buffer.take()));
-  const timer = hasBody(req)
-    ? setTimeout(() => finish(err('late')), Math.max(0, timeoutAt - now()))
-    : undefined;
+  const timer = hasBody(req) ? setTimeout(fail, Math.max(0, timeoutAt - now()), 'late') : undefined;
+  callerRequest.onNoRoom(() => fail('no-room'));
   req.on('data', onData);
   req.on('end', onEnd);
   // The responder handles the disconnect through the `close` event of the response.
--- a/packages/router/src/router-metrics.ts
+++ b/packages/router/src/router-metrics.ts
@@ -27,6 +27,7 @@
   readonly unreadBytes: Gauge;
   readonly stalledCallers: Counter;
   readonly callerLimits: Counter<'limit'>;
+  readonly requestBytes: Gauge;
   readonly waitingStreams: Gauge;
   readonly configVersion: Gauge;
   readonly configBehindMs: Gauge;
@@ -155,6 +156,11 @@
       labelNames: ['limit'],
       registers,
     }),
+    requestBytes: new Gauge({
+      name: `${prefix}request_bytes`,
+      help: 'Bytes that the requests of callers hold',
+      registers,
+    }),
     waitingStreams: new Gauge({
       name: `${prefix}waiting_streams`,
       help: 'Streams that wait for engine memory',
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -16,6 +16,7 @@
 import { makeFleetQuota } from '@hemlocksill/routing/fleet-quota.js';
 import { measureMemory } from '@hemlocksill/routing/measure-memory.js';
 import type { PlacementView } from '@hemlocksill/routing/place-work.js';
+import { deriveRequestBytes } from '@hemlocksill/routing/request-memory.js';
 import { makeRetryBudget, type RetryBudget } from '@hemlocksill/routing/retry-budget.js';
 import { makeResponseTimes } from '@hemlocksill/routing/response-times.js';
 import { makeServerDirectory } from '@hemlocksill/routing/server-directory.js';
@@ -28,6 +29,7 @@
 } from '@hemlocksill/routing/stream-admission.js';
 import { joinQueues, makeStreamQueue } from '@hemlocksill/routing/stream-queue.js';
 import type { LogRouterEvent } from './events.js';
+import { makeCallerConnections } from './caller-connections.js';
 import { makeCallerFlows, readMemoryLimit } from './caller-flows.js';
 import { connectError, makeClientErrorHandler } from './client-errors.js';
 import { makeCallHandler } from './handle-call.js';
@@ -479,14 +481,23 @@
   );
   const plainDeps: PlainDeps = { ...runDeps, placement: plainPlacement };
 
-  const flows = makeCallerFlows(deriveMemoryLimits(settings.memory, readMemoryLimit()), {
+  const order = makeRequestOrder();
+
+  const processBytes = readMemoryLimit();
+  const memoryLimits = deriveMemoryLimits(settings.memory, processBytes);
+  const flows = makeCallerFlows(memoryLimits, { log, metrics, now });
+  const connections = makeCallerConnections({
+    getMaxRequestBytes: () =>
+      deriveRequestBytes(
+        settings.memory.allRequestsBytes,
+        processBytes,
+        view.getTable()?.config.limits.maxBodyBytes ?? 0,
+      ),
     log,
     metrics,
     now,
   });
 
-  const order = makeRequestOrder();
-
   const callerServer = createServer(
     { maxHeaderSize: maxParsedHeaderBytes, requestTimeout: 0, keepAlive: true },
     makeCallHandler({
@@ -503,6 +514,7 @@
         flows,
       },
       order,
+      connections,
       acceptsRequests: () => !isRefusing,
       startsRuns: () => !isAbandoning,
       recordRequest: (service) => getRetryBudget(service).recordRequest(now()),
@@ -522,6 +534,7 @@
   callerServer.on('connect', (_, socket) => handleClientError(connectError, socket));
   // The server removes its own listener from the socket of a CONNECT request before it hands it over.
   callerServer.on('connection', (socket) => socket.on('error', () => {}));
+  callerServer.prependListener('connection', connections.add);
   // `close` calls it; Node's own also destroys connections whose ended response isn't flushed.
   callerServer.closeIdleConnections = order.closeIdleConnections;
   callerServer.headersTimeout = defaultHeaderTimeoutMs;
--- a/packages/routing/src/body-buffer.ts
+++ b/packages/routing/src/body-buffer.ts
@@ -14,6 +14,8 @@
   readonly getHeldBytes: () => number;
   /** Returns the whole body and releases the pieces. */
   readonly take: () => Buffer;
+  /** Releases the pieces. */
+  readonly clear: () => void;
 }
 
 /**
@@ -65,7 +67,14 @@
     }
   };
 
+  const clear = (): void => {
+    pieces = [];
+    block = undefined;
+    heldBytes = 0;
+  };
+
   return {
+    clear,
     append: (piece) => {
       if (pieces.length > 0 && piece.length < minOwnPieceBytes) copy(piece);
       else {
@@ -80,8 +89,7 @@
       closeBlock();
       const [first, ...others] = pieces;
       const whole = first && others.length === 0 ? first : Buffer.concat(pieces, bytes);
-      pieces = [];
-      heldBytes = 0;
+      clear();
       return whole;
     },
   };
--- a/packages/routing/src/caller-memory.ts
+++ b/packages/routing/src/caller-memory.ts
@@ -20,6 +20,18 @@
  */
 const pressedStallMs = 1_000;
 
+/**
+ * Returns the part of the process's memory that callers may hold in one direction, in bytes.
+ *
+ * @example
+ * deriveAllCallersBytes(2 ** 27); // 16777216
+ */
+export const deriveAllCallersBytes = (processBytes: number): number =>
+  Math.min(
+    maxAllCallersBytes,
+    Math.max(minAllCallersBytes, Math.floor(processBytes * allCallersShare)),
+  );
+
 /**
  * Completes the limits from the memory that the process may use.
  *
@@ -34,8 +46,7 @@
   },
   processBytes: number,
 ): CallerMemoryLimits => {
-  const share = Math.floor(processBytes * allCallersShare);
-  const derived = Math.min(maxAllCallersBytes, Math.max(minAllCallersBytes, share));
+  const derived = deriveAllCallersBytes(processBytes);
   const allCallersBytes = settings.allCallersBytes ?? derived;
   const callerBytes =
     settings.callerBytes ?? Math.floor((allCallersBytes || derived) * callerShare);
