Requests sent ahead do not keep those before them in memory

A VM ended at its heap's limit when callers sent requests ahead without reading their responses. One cause: each request waited on the response before it in a closure that outlived the wait, and the listeners of that response kept the one before it, so that all requests of a connection stayed in memory as long as one was open. The list of open responses was also copied for each request of a connection, which is quadratic.

Requests that wait are now entries of a list, and each response starts the first of them when it closes.

--- a/packages/router/src/request-order.ts
+++ b/packages/router/src/request-order.ts
@@ -17,11 +17,19 @@
   readonly closeIdleConnections: () => void;
 }
 
+/** A request whose response isn't flushed. */
+interface OpenRequest {
+  readonly res: ServerResponse;
+  /** Runs when all requests before it are answered; unset until it may run. */
+  start: (() => void) | undefined;
+}
+
 /** A caller's connection that has carried a request. */
 interface CallerConnection {
   readonly socket: Socket;
-  /** Responses that aren't flushed, in the order of their requests. */
-  readonly openResponses: Set<ServerResponse>;
+  /** In the order of their arrival. */
+  readonly openRequests: Set<OpenRequest>;
+  latestResponse: ServerResponse | undefined;
   /** Number of requests that haven't arrived whole; a response may end before. */
   arrivingRequests: number;
   /** Bytes received when the last request or response ended; more belong to the next request. */
@@ -42,46 +50,60 @@
     const { socket } = req;
     const known = connections.get(socket);
     if (known) return known;
-    const openResponses = new Set<ServerResponse>();
-    const connection = { socket, openResponses, arrivingRequests: 0, readBytes: 0 };
+    const connection: CallerConnection = {
+      socket,
+      openRequests: new Set(),
+      latestResponse: undefined,
+      arrivingRequests: 0,
+      readBytes: 0,
+    };
     connections.set(socket, connection);
     socket.once('close', () => connections.delete(socket));
     return connection;
   };
 
-  const listOpenResponses = (socket: Duplex): ServerResponse[] => [
-    ...(connections.get(socket)?.openResponses ?? []),
-  ];
+  const getFirst = ({ openRequests }: CallerConnection): OpenRequest | undefined => {
+    const [first] = openRequests;
+    return first;
+  };
 
   return {
     add: (req, res) => {
       const { socket } = req;
       const connection = findConnection(req);
-      const previous = listOpenResponses(socket).pop();
-      connection.openResponses.add(res);
+      const open: OpenRequest = { res, start: undefined };
+      connection.latestResponse = res;
+      connection.openRequests.add(open);
       connection.arrivingRequests += 1;
       req.on('end', () => {
         connection.arrivingRequests -= 1;
         connection.readBytes = socket.bytesRead;
       });
       res.on('close', () => {
-        connection.openResponses.delete(res);
+        connection.openRequests.delete(open);
+        if (connection.latestResponse === res) connection.latestResponse = undefined;
         connection.readBytes = socket.bytesRead;
+        getFirst(connection)?.start?.();
       });
       return (start, onClosed) => {
-        const startIfOpen = (): void => (socket.writable ? start() : onClosed());
-        if (!previous || previous.closed) startIfOpen();
-        else previous.once('close', startIfOpen);
+        const startOnce = (): void => {
+          open.start = undefined;
+          if (socket.writable) start();
+          else onClosed();
+        };
+        if (getFirst(connection) === open) startOnce();
+        else open.start = startOnce;
       };
     },
-    isLast: (req, res) => listOpenResponses(req.socket).pop() === res,
+    isLast: (req, res) => connections.get(req.socket)?.latestResponse === res,
     findOpenResponse: (socket) =>
-      listOpenResponses(socket)
+      [...(connections.get(socket)?.openRequests ?? [])]
+        .map(({ res }) => res)
         .filter(({ req }) => req.complete)
         .pop(),
     closeIdleConnections: () => {
-      connections.forEach(({ socket, openResponses, arrivingRequests, readBytes }) => {
-        const isBusy = openResponses.size > 0 || arrivingRequests > 0;
+      connections.forEach(({ socket, openRequests, arrivingRequests, readBytes }) => {
+        const isBusy = openRequests.size > 0 || arrivingRequests > 0;
         if (!isBusy && socket.bytesRead === readBytes) socket.destroy();
       });
     },
