Read callers in turns, and not far ahead of their answers

With 60 connections that sent requests ahead without the usual headers, and read nothing, the process ended at its heap's limit, or an ordinary caller got no answer in 45 s. Bodies in chunks of one byte blocked the event loop for 0.5 to 0.8 s at a time.

Causes: a read of 64 KB holds up to 2,700 requests or 10,900 chunks, libuv reads up to 32 times in a row from a connection, and the connections of a crowd are read one after the other before anything else: what they hold is released only after that, and timers and other callers wait for it. Refusals were written without regard to what the caller reads.

Requests without a host or with an unknown expectation are refused by the filters, since the HTTP server answered them past the account. The server looks for late heads each second instead of every 30 s.

A first try paused connections in a listener that ran before the HTTP server's own, which resumed them: blocked for 0.6 s as before.

--- a/packages/router/src/call-context.ts
+++ b/packages/router/src/call-context.ts
@@ -107,28 +107,31 @@
   readonly flows: CallerFlows;
 }
 
-/** Writes an error response that the router itself produced, but does not end it. */
-export const beginRouterResponse = (
+/** Writes the head of an error response that the router itself produced, and returns its body. */
+const writeErrorHead = (
   res: ServerResponse,
   status: number,
   error: string,
   outcome: 'not-run' | 'outcome-unknown',
   headers: Readonly<Record<string, string>>,
-): void => {
+): string => {
   const body = JSON.stringify({ error, outcome });
   res.writeHead(status, {
     ...headers,
     'content-type': 'application/json',
     'content-length': String(Buffer.byteLength(body)),
   });
-  res.write(body);
+  return body;
 };
 
 /** Sends an error response that the router itself produced. */
-export const sendRouterResponse = (...args: Parameters<typeof beginRouterResponse>): void => {
-  const [res] = args;
-  beginRouterResponse(...args);
-  res.end();
+export const sendRouterResponse = (...args: Parameters<typeof writeErrorHead>): void => {
+  args[0].end(writeErrorHead(...args));
+};
+
+/** Sends an error response without ending it, which would close the connection. */
+export const beginRouterResponse = (...args: Parameters<typeof writeErrorHead>): void => {
+  args[0].write(writeErrorHead(...args));
 };
 
 /**
--- a/packages/router/src/handle-call.ts
+++ b/packages/router/src/handle-call.ts
@@ -11,7 +11,7 @@
 import { makeRequestPart } from '@hemlocksill/routing/request-part.js';
 import type { StreamOrigin } from '@hemlocksill/routing/stream-origins.js';
 import { chooseService, type RouteTable } from '@hemlocksill/routing/route-table.js';
-import type { CallerConnections } from './caller-connections.js';
+import type { CallerConnections, CallerRequest } from './caller-connections.js';
 import { blockedRetryAfterMs, getBlockedReason, type CrashWatch } from './crash-watch.js';
 import type { OriginController } from './origin-controller.js';
 import { fingerprintRequest } from './request-fingerprint.js';
@@ -22,7 +22,7 @@
   type Rejection,
 } from './reject-request.js';
 import { receiveBody } from './request-body.js';
-import type { RequestOrder } from './request-order.js';
+import type { AwaitTurn, RequestOrder } from './request-order.js';
 import {
   makeResponder,
   type CallContext,
@@ -99,6 +99,17 @@
   return ok(undefined);
 };
 
+const continuePattern = /(?:^|\W)100-continue(?:$|\W)/i;
+
+/** Checks what the HTTP server would else answer by itself, past the account of requests. */
+const checkHead = ({ headers, httpVersion }: IncomingMessage): Result<void, Rejection> => {
+  if (httpVersion !== '1.1') return ok(undefined);
+  if (headers.host === undefined) return err({ status: 400, reason: 'the request has no host' });
+  if (headers.expect !== undefined && !continuePattern.test(headers.expect))
+    return err({ status: 417, reason: 'the expectation is not supported' });
+  return ok(undefined);
+};
+
 const findRoute = (table: RouteTable, req: IncomingMessage): Result<Route, Rejection> => {
   const route = table.match(req.headers.host ?? '', req.url ?? '');
   return route ? ok(route) : err({ status: 404, reason: 'no route matches' });
@@ -143,6 +154,8 @@
   const table = deps.getTable();
   if (!table)
     return err({ status: 503, reason: 'no configuration yet', retryAfterMs: noConfigRetryAfterMs });
+  const head = checkHead(req);
+  if (head.isErr()) return err(head.error);
   const withinLimits = checkLimits(table, req);
   if (withinLimits.isErr()) return err(withinLimits.error);
   const route = findRoute(table, req);
@@ -289,8 +302,65 @@
       );
   });
 
+/** A request that has arrived on a caller's connection. */
+interface ArrivedRequest {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly callerRequest: CallerRequest;
+  readonly awaitTurn: AwaitTurn;
+  readonly arrivedAt: number;
+}
+
+/** Closes a connection on which no response can be sent; the caller may repeat a request that was not run. */
+const dropRequest = (deps: CallDeps, req: IncomingMessage): void => {
+  deps.hooks.log(2308, {
+    reason: 'the connection was ended before',
+    method: req.method,
+    port: req.socket.remotePort,
+  });
+  req.socket.destroy();
+};
+
+/** Runs the filters in order, receives the body, and runs the request in its turn. */
+const handleRequest = (
+  deps: CallDeps,
+  { req, res, callerRequest, awaitTurn, arrivedAt }: ArrivedRequest,
+): void => {
+  const state = runFilters(deps, req);
+  if (state.isErr()) {
+    rejectRequest(deps, req, res, state.error);
+    return;
+  }
+  const timeoutAt = getTimeoutAt(state.value, arrivedAt);
+  const { maxBodyBytes: maxBytes } = state.value.table.config.limits;
+  receiveBody(req, { maxBytes, timeoutAt, now: deps.hooks.now, callerRequest }, (body) => {
+    if (body.isErr()) {
+      rejectRequest(deps, req, res, bodyRejections[body.error]);
+      return;
+    }
+    const start = (foundState: FilterState, origin: StreamOrigin | undefined): void => {
+      if (deps.startsRuns()) startRun(deps, req, res, foundState, body.value, arrivedAt, origin);
+      else rejectRequest(deps, req, res, stoppingRejection);
+    };
+    awaitTurn(
+      () => {
+        if (!deps.startsRuns() || !isResumption(state.value)) {
+          start(state.value, undefined);
+          return;
+        }
+        findOrigin(deps, state.value, timeoutAt, (found) => {
+          if (res.destroyed) return;
+          if (found.isErr()) rejectRequest(deps, req, res, found.error);
+          else start(found.value.state, found.value.origin);
+        });
+      },
+      () => dropRequest(deps, req),
+    );
+  });
+};
+
 /**
- * Makes the handler of callers' requests: runs the filters in order, then the request.
+ * Makes the handler of callers' requests.
  *
  * @example
  * createServer(makeCallHandler(deps));
@@ -299,63 +369,20 @@
   const { order, connections } = deps;
   return (req: IncomingMessage, res: ServerResponse): void => {
     const arrivedAt = deps.hooks.now();
-    // No response can be sent any more; the caller may repeat a request that was not run.
-    const drop = (): void => {
-      deps.hooks.log(2308, {
-        reason: 'the connection was ended before',
-        method: req.method,
-        port: req.socket.remotePort,
-      });
-      req.socket.destroy();
-    };
+    // Requests that were read together with the one after which the connection was closed.
+    if (req.socket.destroyed) return;
     if (!req.socket.writable) {
-      drop();
+      dropRequest(deps, req);
       return;
     }
     const callerRequest = connections.addRequest(req, res);
+    // The connection had to give way, which is logged.
     if (!callerRequest) return;
     const awaitTurn = order.add(req, res);
     res.on('finish', () => {
       // A head sent before the shutdown carries no `connection: close`.
       if (deps.hooks.isShuttingDown() && order.isLast(req, res)) req.socket.end();
     });
-    const state = runFilters(deps, req);
-    if (state.isErr()) {
-      rejectRequest(deps, req, res, state.error);
-      return;
-    }
-    const bodyLimits = {
-      maxBytes: state.value.table.config.limits.maxBodyBytes,
-      timeoutAt: getTimeoutAt(state.value, arrivedAt),
-      now: deps.hooks.now,
-      callerRequest,
-    };
-    receiveBody(req, bodyLimits, (body) => {
-      if (body.isErr()) {
-        rejectRequest(deps, req, res, bodyRejections[body.error]);
-        return;
-      }
-      awaitTurn(() => {
-        if (!deps.startsRuns()) rejectRequest(deps, req, res, stoppingRejection);
-        else if (!isResumption(state.value))
-          startRun(deps, req, res, state.value, body.value, arrivedAt, undefined);
-        else
-          findOrigin(deps, state.value, getTimeoutAt(state.value, arrivedAt), (found) => {
-            if (res.destroyed) return;
-            if (found.isErr()) rejectRequest(deps, req, res, found.error);
-            else if (!deps.startsRuns()) rejectRequest(deps, req, res, stoppingRejection);
-            else
-              startRun(
-                deps,
-                req,
-                res,
-                found.value.state,
-                body.value,
-                arrivedAt,
-                found.value.origin,
-              );
-          });
-      }, drop);
-    });
+    callerRequest.run(() => handleRequest(deps, { req, res, callerRequest, awaitTurn, arrivedAt }));
   };
 };
--- a/packages/router/src/reject-request.ts
+++ b/packages/router/src/reject-request.ts
@@ -8,11 +8,11 @@
   type ResponderHooks,
 } from './call-context.js';
 import { describePart } from './crash-watch.js';
-import { discardBody, type BodyFault } from './request-body.js';
+import { discardBody, hasBody, type BodyFault } from './request-body.js';
 
 /** Error response of a filter; the request is not run. */
 export interface Rejection {
-  readonly status: 400 | 401 | 404 | 408 | 413 | 429 | 431 | 503;
+  readonly status: 400 | 401 | 404 | 408 | 413 | 417 | 429 | 431 | 503;
   readonly reason: string;
   readonly retryAfterMs?: number;
   readonly workspace?: string;
@@ -112,7 +112,7 @@
     ...(isShuttingDown() || closesConnection ? { connection: 'close' } : {}),
   };
   const maxBytes = config?.limits.maxBodyBytes ?? defaultMaxDiscardedBytes;
-  if (req.complete) sendRouterResponse(res, status, reason, 'not-run', headers);
+  if (req.complete || !hasBody(req)) sendRouterResponse(res, status, reason, 'not-run', headers);
   else if (closesConnection) {
     // The end of the response closes the connection.
     beginRouterResponse(res, status, reason, 'not-run', headers);
--- a/packages/router/src/request-body.ts
+++ b/packages/router/src/request-body.ts
@@ -15,8 +15,13 @@
   readonly callerRequest: CallerRequest;
 }
 
-/** Whether the head of a request announces a body. */
-const hasBody = ({ headers }: IncomingMessage): boolean =>
+/**
+ * Whether the head of a request announces a body.
+ *
+ * @example
+ * hasBody(req); // false for most GET requests
+ */
+export const hasBody = ({ headers }: IncomingMessage): boolean =>
   headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
 
 /**
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -67,6 +67,9 @@
 /** Header limit of the HTTP parser; the limit of the configuration is checked afterwards. */
 const maxParsedHeaderBytes = 64 * 1_024;
 
+/** Interval at which the HTTP server looks for heads that don't arrive in time; they last that much longer at most. */
+const timeoutCheckIntervalMs = 1_000;
+
 /** Timeouts of callers' connections until a configuration is known. */
 const defaultHeaderTimeoutMs = 5_000;
 const defaultIdleTimeoutMs = 15_000;
@@ -498,43 +501,54 @@
     now,
   });
 
+  const handleCall = makeCallHandler({
+    getTable: view.getTable,
+    readMetadata: ports.readMetadata,
+    quota,
+    hooks: {
+      log,
+      metrics,
+      random: Math.random,
+      now,
+      isShuttingDown: () => isShuttingDown,
+      abandonAtStop,
+      flows,
+    },
+    order,
+    connections,
+    acceptsRequests: () => !isRefusing,
+    startsRuns: () => !isAbandoning,
+    recordRequest: (service) => getRetryBudget(service).recordRequest(now()),
+    crashWatch,
+    origins,
+    notifyLowBucket: () => peers.notifyChange({ kind: 'low-rate' }),
+    runPlain: (ctx, responder) => runPlain(plainDeps, ctx, responder),
+    runStream: (ctx, responder) => {
+      const ownAdmission = findAdmission(ctx.service.name);
+      const deps = ownAdmission && { ...runDeps, queue: ownAdmission, admission: ownAdmission };
+      runStream(deps ?? runDeps, ctx, responder);
+    },
+  });
+
   const callerServer = createServer(
-    { maxHeaderSize: maxParsedHeaderBytes, requestTimeout: 0, keepAlive: true },
-    makeCallHandler({
-      getTable: view.getTable,
-      readMetadata: ports.readMetadata,
-      quota,
-      hooks: {
-        log,
-        metrics,
-        random: Math.random,
-        now,
-        isShuttingDown: () => isShuttingDown,
-        abandonAtStop,
-        flows,
-      },
-      order,
-      connections,
-      acceptsRequests: () => !isRefusing,
-      startsRuns: () => !isAbandoning,
-      recordRequest: (service) => getRetryBudget(service).recordRequest(now()),
-      crashWatch,
-      origins,
-      notifyLowBucket: () => peers.notifyChange({ kind: 'low-rate' }),
-      runPlain: (ctx, responder) => runPlain(plainDeps, ctx, responder),
-      runStream: (ctx, responder) => {
-        const ownAdmission = findAdmission(ctx.service.name);
-        const deps = ownAdmission && { ...runDeps, queue: ownAdmission, admission: ownAdmission };
-        runStream(deps ?? runDeps, ctx, responder);
-      },
-    }),
+    {
+      maxHeaderSize: maxParsedHeaderBytes,
+      requestTimeout: 0,
+      connectionsCheckingInterval: timeoutCheckIntervalMs,
+      keepAlive: true,
+      // The filters check it.
+      requireHostHeader: false,
+    },
+    handleCall,
   );
+  callerServer.on('checkExpectation', handleCall);
   const handleClientError = makeClientErrorHandler(order, log);
   callerServer.on('clientError', handleClientError);
   callerServer.on('connect', (_, socket) => handleClientError(connectError, socket));
   // The server removes its own listener from the socket of a CONNECT request before it hands it over.
   callerServer.on('connection', (socket) => socket.on('error', () => {}));
-  callerServer.prependListener('connection', connections.add);
+  // After the server's own listener, which would resume a connection that was paused before.
+  callerServer.on('connection', connections.add);
   // `close` calls it; Node's own also destroys connections whose ended response isn't flushed.
   callerServer.closeIdleConnections = order.closeIdleConnections;
   callerServer.headersTimeout = defaultHeaderTimeoutMs;
