Bound the connections of callers, and close those that hold one for nothing

Callers that open connections and send no request took all descriptors of a VM, which had none left for the store, the backend servers and ordinary callers. Cause: nothing bounded their connections.

Callers may have five eighths of the descriptors (setting descriptors, given by the platform's template; by default the limit of the operating system). Over it the connection is closed that has had no request for longest, else the one whose request arrives for longest, else the newest. Heads that have not ended count in the account of requests, and a caller that takes nothing of its responses for caller-stall-ms is disconnected though its requests were refused: it was looked after only while a request ran.

Reading in turns has a module of its own.

--- a/packages/config/src/router-settings.test.ts
+++ b/packages/config/src/router-settings.test.ts
@@ -19,15 +19,28 @@
   t.deepEqual([set.coldOverage, set.coldSlack, set.evacuateMs], [1.25, 0, 3_000]);
 });
 
-test('an invalid bound is an error that names its field', (t) => {
-  ['cold-overage = 0.5', 'cold-overage = much', 'cold-slack = -1', 'evacuate-ms = 0'].forEach(
-    (line) => {
-      const { message } = readRouterSettings(routerSection + line)._unsafeUnwrapErr();
-      t.true(message.includes(line.split(' ')[0] ?? ''), message);
-    },
+test('the number of descriptors can be set', (t) => {
+  t.is(readRouterSettings(routerSection)._unsafeUnwrap().descriptors, undefined);
+  t.is(
+    readRouterSettings(`${routerSection}descriptors = 4100\n`)._unsafeUnwrap().descriptors,
+    4_100,
   );
 });
 
+test('an invalid bound is an error that names its field', (t) => {
+  [
+    'descriptors = 63',
+    'descriptors = many',
+    'cold-overage = 0.5',
+    'cold-overage = much',
+    'cold-slack = -1',
+    'evacuate-ms = 0',
+  ].forEach((line) => {
+    const { message } = readRouterSettings(routerSection + line)._unsafeUnwrapErr();
+    t.true(message.includes(line.split(' ')[0] ?? ''), message);
+  });
+});
+
 const listProblems = (text: string): string[] => {
   const result = readRouterSettings(text);
   return result.isErr()
--- a/packages/config/src/router-settings.ts
+++ b/packages/config/src/router-settings.ts
@@ -66,6 +66,8 @@
   /** Number of configurations that a VM sends to others at the same time; 0 for any number. */
   readonly configTransfers: number;
   readonly memory: MemorySettings;
+  /** Number of descriptors that the process may open; undefined for that of the operating system. */
+  readonly descriptors: number | undefined;
   readonly logLevel: 'debug' | 'info' | 'warn' | 'error';
   /** Whether streams are placed by free memory alone, or also by the rates of single engines. */
   readonly streamPlacement: 'memory' | 'engine-rates';
@@ -113,6 +115,7 @@
   'cold-overage': decimal.pipe(z.number().min(1, 'must be at least 1')).default(1.5),
   'cold-slack': decimal.default(5),
   'evacuate-ms': wholeNumber(1, 600_000).default(5_000),
+  descriptors: wholeNumber(64).optional(),
   'log-level': z.enum(['debug', 'info', 'warn', 'error']).default('info'),
 });
 
@@ -197,6 +200,7 @@
       callerStallMs: memory['caller-stall-ms'],
       allRequestsBytes: memory['all-requests-bytes'],
     },
+    descriptors: values.descriptors,
     recordsOrigins: values['origin-records'],
     coldOverage: values['cold-overage'],
     coldSlack: values['cold-slack'],
--- /dev/null
+++ b/packages/router/src/caller-connections.test.ts
@@ -0,0 +1,177 @@
+import { EventEmitter } from 'node:events';
+import test from 'ava';
+import {
+  makeCallerConnections,
+  type CallerMessage,
+  type CallerResponse,
+  type CallerSocket,
+} from './caller-connections.js';
+import { makeRouterMetrics } from './router-metrics.js';
+
+class FakeSocket extends EventEmitter {
+  bytesRead = 0;
+
+  bytesWritten = 0;
+
+  writableLength = 0;
+
+  destroyed = false;
+
+  isReset = false;
+
+  isStopped = false;
+
+  remoteAddress = '127.0.0.1';
+
+  remotePort = 1;
+
+  isPaused = () => this.isStopped;
+
+  pause = () => {
+    this.isStopped = true;
+    return this;
+  };
+
+  resume = () => {
+    this.isStopped = false;
+    this.emit('resume');
+    return this;
+  };
+
+  destroy = () => {
+    this.destroyed = true;
+    this.emit('close');
+    return this;
+  };
+
+  resetAndDestroy = () => {
+    this.isReset = true;
+    return this.destroy();
+  };
+}
+
+const asSocket = (socket: FakeSocket): CallerSocket => socket as unknown as CallerSocket;
+
+const makeConnections = (overrides = {}) => {
+  const clock = { now: 0 };
+  const connections = makeCallerConnections({
+    getMaxRequestBytes: () => 100_000,
+    maxConnections: 3,
+    stallMs: 15_000,
+    log: () => {},
+    metrics: makeRouterMetrics(),
+    now: () => clock.now,
+    ...overrides,
+  });
+  const open = (): FakeSocket => {
+    const socket = new FakeSocket();
+    connections.add(asSocket(socket));
+    return socket;
+  };
+  const send = (socket: FakeSocket) => {
+    const req = Object.assign(new EventEmitter(), {
+      socket: asSocket(socket),
+      rawHeaders: ['a', 'b'],
+      url: '/',
+    });
+    const res = new EventEmitter();
+    const request = connections.addRequest(
+      req as unknown as CallerMessage,
+      res as unknown as CallerResponse,
+    );
+    return { req, res, request };
+  };
+  return { connections, clock, open, send };
+};
+
+// Guards against callers without a request that leave no room for others.
+test('over the limit the connection closes that has had no request for longest', (t) => {
+  const { open, send } = makeConnections();
+  const busy = open();
+  const arriving = open();
+  const idle = open();
+  send(busy).req.emit('end');
+  send(arriving);
+  const fourth = open();
+  t.true(idle.destroyed);
+  send(fourth).req.emit('end');
+  // None is without a request.
+  open();
+  t.true(arriving.destroyed);
+  t.false(busy.destroyed);
+  t.false(fourth.destroyed);
+});
+
+test('a connection that is idle again counts from the end of its request', (t) => {
+  const { open, send } = makeConnections();
+  const [first, second] = [open(), open(), open()];
+  const { req, res } = send(first);
+  req.emit('end');
+  res.emit('close');
+  open();
+  t.false(first.destroyed);
+  t.true(second.destroyed);
+});
+
+test('a connection with many open requests is read again when most have ended', (t) => {
+  const { open, send } = makeConnections({ getMaxRequestBytes: () => 0 });
+  const socket = open();
+  const sent = Array.from({ length: 16 }, () => send(socket));
+  t.true(socket.isStopped);
+  sent.slice(0, 8).forEach(({ res }) => res.emit('close'));
+  t.true(socket.isStopped);
+  sent[8]?.res.emit('close');
+  t.false(socket.isStopped);
+});
+
+// Guards against requests sent ahead that have no bound together, and against a request that is cut off for them.
+test('who sent requests ahead gives way, who has one that runs does not', (t) => {
+  const { open, send } = makeConnections();
+  const running = open();
+  const { req, request } = send(running);
+  request?.recordBody(60_000);
+  req.emit('end');
+  const ahead = open();
+  for (let n = 0; n < 8; n += 1) send(ahead);
+  t.true(ahead.isReset);
+  t.is(send(ahead).request, undefined);
+  t.false(running.destroyed);
+});
+
+test('a body for which there is no room is refused', (t) => {
+  const { open, send } = makeConnections();
+  let refused = 0;
+  const socket = open();
+  const { request } = send(socket);
+  request?.onNoRoom(() => {
+    refused += 1;
+  });
+  request?.recordBody(100_000);
+  t.is(refused, 1);
+  t.false(socket.destroyed);
+});
+
+// Guards against heads that hold memory without being requests yet.
+test('an unfinished head counts', (t) => {
+  const { connections, open } = makeConnections();
+  const socket = open();
+  socket.bytesRead = 100_001;
+  connections.check();
+  t.true(socket.isReset);
+});
+
+test('a caller that takes nothing of its responses is disconnected, one that takes some is not', (t) => {
+  const { connections, clock, open } = makeConnections();
+  const [stalled, slow] = [open(), open()];
+  [stalled, slow].forEach((socket) =>
+    Object.assign(socket, { bytesWritten: 1_000, writableLength: 500 }),
+  );
+  connections.check();
+  clock.now = 10_000;
+  slow.writableLength = 400;
+  connections.check();
+  clock.now = 16_000;
+  connections.check();
+  t.true(stalled.isReset);
+  t.false(slow.destroyed);
+});
--- a/packages/router/src/caller-connections.ts
+++ b/packages/router/src/caller-connections.ts
@@ -2,20 +2,41 @@
 import type { Socket } from 'node:net';
 import { makeRequestMemory } from '@hemlocksill/routing/request-memory.js';
 import type { LogRouterEvent } from './events.js';
+import { makeReadTurns, type ReadTurns } from './read-turns.js';
 import type { RouterMetrics } from './router-metrics.js';
 
+/** Number of open requests on a connection from which on it is not read, and below which it is read again. */
+const maxOpenRequests = 16;
+const resumeOpenRequests = 8;
+
 /** What a request costs besides its head and body: objects of the HTTP server and of the router. */
 const requestBytes = 8 * 1_024;
 
-/** Number of requests and pieces of bodies in one read after which a connection waits for its turn. */
-const maxPiecesPerRead = 128;
+/** Interval of the checks. */
+export const connectionCheckPeriodMs = 1_000;
 
-/** Number of requests that waited for their turn and are handled in it. */
-const requestsPerTurn = 64;
+/** What is needed of a caller's connection. */
+export type CallerSocket = Pick<
+  Socket,
+  | 'bytesRead'
+  | 'bytesWritten'
+  | 'writableLength'
+  | 'destroyed'
+  | 'remoteAddress'
+  | 'remotePort'
+  | 'isPaused'
+  | 'pause'
+  | 'resume'
+  | 'on'
+  | 'destroy'
+  | 'resetAndDestroy'
+>;
 
-/** Number of open requests on a connection from which on it is not read, and below which it is read again. */
-const maxOpenRequests = 16;
-const resumeOpenRequests = 8;
+/** What is needed of a request and of its response. */
+export type CallerMessage = Pick<IncomingMessage, 'rawHeaders' | 'url' | 'once' | 'on'> & {
+  readonly socket: CallerSocket;
+};
+export type CallerResponse = Pick<ServerResponse, 'once'>;
 
 /** A request on a connection, until its response has ended. */
 export interface CallerRequest {
@@ -29,145 +50,85 @@
 
 /** The connections of callers, and what their requests make the VM hold. */
 export interface CallerConnections {
-  readonly add: (socket: Socket) => void;
-  /** Adds a request; undefined if its connection has been closed. */
-  readonly addRequest: (req: IncomingMessage, res: ServerResponse) => CallerRequest | undefined;
+  readonly add: (socket: CallerSocket) => void;
+  /** Adds a request; undefined if its connection had to give way. */
+  readonly addRequest: (req: CallerMessage, res: CallerResponse) => CallerRequest | undefined;
+  /** Looks for callers that don't read, and for heads that don't end. */
+  readonly check: () => void;
 }
 
 /** Dependencies of the connections. */
 export interface CallerConnectionsDeps {
   /** Bound on what all requests hold together, in bytes; 0 for none. */
   readonly getMaxRequestBytes: () => number;
+  readonly maxConnections: number;
+  /** Time without progress after which a caller that does not read is disconnected; 0 for never. */
+  readonly stallMs: number;
   readonly log: LogRouterEvent;
-  readonly metrics: Pick<RouterMetrics, 'callerLimits' | 'requestBytes'>;
+  readonly metrics: Pick<
+    RouterMetrics,
+    'callerConnections' | 'callerLimits' | 'requestBytes' | 'stalledCallers'
+  >;
   readonly now: () => number;
 }
 
 interface Connection {
-  readonly socket: Socket;
+  readonly socket: CallerSocket;
+  readonly turns: ReadTurns;
   openRequests: number;
   /** Requests whose bodies have not ended. */
   arrivingRequests: number;
   /** Bytes of heads and bodies. */
   heldBytes: number;
+  /** Bytes received when the connection became idle; more belong to an unfinished head. */
+  idleReadBytes: number;
+  /** Bytes that the operating system has taken of responses, and when it last took some or there were none. */
+  takenBytes: number;
+  takenAt: number;
   /** Refuses the request whose body arrives. */
   refuse: (() => void) | undefined;
   /** Whether it had to give way: it is closed, or will be. */
   isGivenUp: boolean;
-  /** Bytes received up to the latest read, and the requests and pieces in it. */
-  readBytes: number;
-  piecesInRead: number;
-  /** Whether it is not read until others had their turn. */
-  isWaiting: boolean;
-  /** Handles the requests that were read, but wait, too. */
-  readonly deferred: (() => void)[];
-  /** Whether it is not read because of the requests that were sent ahead. */
-  isAhead: boolean;
 }
 
-const countHeadBytes = ({ rawHeaders, url }: IncomingMessage): number =>
+const countHeadBytes = ({ rawHeaders, url }: CallerMessage): number =>
   rawHeaders.reduce((sum, text) => sum + text.length, (url ?? '').length);
 
 /**
- * Makes the registry of callers' connections. It bounds what their requests hold together, how far requests are
- * read ahead of their turn, and how much is read from one connection before others are.
+ * Makes the registry of callers' connections. It bounds their number, what their requests hold together, and how
+ * far requests are read ahead of their answers.
  *
  * @example
  * const connections = makeCallerConnections(deps);
  * server.on('connection', connections.add);
+ * setInterval(connections.check, connectionCheckPeriodMs);
  */
 export const makeCallerConnections = (deps: CallerConnectionsDeps): CallerConnections => {
-  const { log, metrics, now } = deps;
+  const { log, metrics, now, stallMs } = deps;
   const memory = makeRequestMemory<Connection>(deps.getMaxRequestBytes);
-  const connections = new Map<Socket, Connection>();
-
-  /** Connections that wait to be read, in order. */
-  const waiting = new Set<Connection>();
+  const readTurns = makeReadTurns();
+  const connections = new Map<CallerSocket, Connection>();
+  /** Connections without a request, and those with one that arrives, in the order in which they became so. */
+  const idle = new Set<Connection>();
+  const arriving = new Set<Connection>();
 
-  const isPaused = ({ isWaiting, isAhead }: Connection): boolean => isWaiting || isAhead;
-
-  const resume = (connection: Connection): void => {
-    if (!isPaused(connection)) connection.socket.resume();
-  };
-
-  /**
-   * Lets one connection go on in each turn of the event loop. A read of 64 KB can hold thousands of requests or
-   * pieces; with those of a whole crowd in one turn, nobody else is served in time and leases lapse.
-   */
-  const scheduleTurn = (): void => {
-    setImmediate(() => {
-      const [next] = waiting;
-      if (!next) return;
-      waiting.delete(next);
-      next.deferred.splice(0, requestsPerTurn).forEach((handle) => handle());
-      if (next.deferred.length > 0) waiting.add(next);
-      else {
-        next.isWaiting = false;
-        resume(next);
-      }
-      if (waiting.size > 0) scheduleTurn();
-    });
-  };
-
-  /** Connections that are not read for the rest of this turn of the event loop. */
-  const held = new Set<Connection>();
-  let areOthersHeld = false;
-
-  const releaseOthers = (): void => {
-    areOthersHeld = false;
-    const released = [...held];
-    held.clear();
-    released.forEach(resume);
-  };
-
-  /** Leaves the reads of all others to the next turn; the memory of this one is released in between. */
-  const holdOthers = (connection: Connection): void => {
-    if (areOthersHeld) return;
-    areOthersHeld = true;
-    connections.forEach((other) => {
-      if (other === connection || other.socket.isPaused()) return;
-      held.add(other);
-      other.socket.pause();
-    });
-    setImmediate(releaseOthers);
-  };
-
-  const recordPiece = (connection: Connection): void => {
-    const { bytesRead } = connection.socket;
-    if (connection.readBytes !== bytesRead) {
-      connection.readBytes = bytesRead;
-      connection.piecesInRead = 0;
-    }
-    connection.piecesInRead += 1;
-    if (connection.isWaiting || connection.piecesInRead <= maxPiecesPerRead) return;
-    connection.isWaiting = true;
-    connection.socket.pause();
-    holdOthers(connection);
-    if (waiting.size === 0) scheduleTurn();
-    waiting.add(connection);
-  };
+  const describe = ({ socket, openRequests }: Connection) => ({
+    openRequests,
+    address: socket.remoteAddress,
+    port: socket.remotePort,
+  });
 
-  const updateAhead = (connection: Connection): void => {
-    const { openRequests, isAhead, socket } = connection;
-    if (!isAhead && openRequests >= maxOpenRequests) {
-      connection.isAhead = true;
-      socket.pause();
-    } else if (isAhead && openRequests < resumeOpenRequests) {
-      connection.isAhead = false;
-      resume(connection);
-    }
+  const remove = (connection: Connection): void => {
+    connections.delete(connection.socket);
+    memory.remove(connection);
+    idle.delete(connection);
+    arriving.delete(connection);
   };
 
   const giveWay = (connection: Connection): void => {
     const { socket, openRequests, heldBytes, refuse } = connection;
-    log(2321, {
-      limit: 'request-memory',
-      heldBytes,
-      allBytes: memory.getBytes(),
-      openRequests,
-      address: socket.remoteAddress,
-      port: socket.remotePort,
-    });
+    const allBytes = memory.getBytes();
+    log(2321, { limit: 'request-memory', heldBytes, allBytes, ...describe(connection) });
     metrics.callerLimits.inc({ limit: 'request-memory' });
     connection.isGivenUp = true;
     memory.remove(connection);
@@ -176,60 +137,84 @@
     else socket.resetAndDestroy();
   };
 
-  const makeRoom = (): void => {
-    for (let victim = memory.chooseVictim(now()); victim; victim = memory.chooseVictim(now()))
-      giveWay(victim);
-  };
-
-  const update = (connection: Connection): void => {
+  const updateMemory = (connection: Connection): void => {
     if (connection.isGivenUp) return;
     const { heldBytes, openRequests, arrivingRequests } = connection;
     const bytesAhead = Math.max(0, openRequests - 1) * requestBytes;
-    const canGiveWay = arrivingRequests > 0 || openRequests > 1;
+    // A single request that has arrived may run.
+    const canGiveWay = arrivingRequests > 0 || openRequests !== 1;
     memory.update(connection, { bytes: heldBytes + bytesAhead, canGiveWay }, now());
-    makeRoom();
+    for (let victim = memory.chooseVictim(now()); victim; victim = memory.chooseVictim(now()))
+      giveWay(victim);
     metrics.requestBytes.set(memory.getBytes());
   };
 
+  const updateIdle = (connection: Connection): void => {
+    const { openRequests, arrivingRequests, socket } = connection;
+    if (arrivingRequests === 0) arriving.delete(connection);
+    if (openRequests > 0 || arrivingRequests > 0 || !connections.has(socket)) return;
+    connection.idleReadBytes = socket.bytesRead;
+    idle.add(connection);
+  };
+
+  /** Closes the connection that has had no request for longest, else the one whose request arrives for longest. */
+  const closeOldest = (newest: Connection): void => {
+    const [oldestIdle] = idle;
+    const [oldestArriving] = arriving;
+    const oldest = oldestIdle ?? oldestArriving ?? newest;
+    log(2321, { limit: 'connections', connections: connections.size, ...describe(oldest) });
+    metrics.callerLimits.inc({ limit: 'connections' });
+    oldest.isGivenUp = true;
+    remove(oldest);
+    oldest.socket.destroy();
+  };
+
+  const checkUnread = (connection: Connection): void => {
+    const { socket } = connection;
+    const unread = socket.writableLength;
+    const takenBytes = socket.bytesWritten - unread;
+    if (unread === 0 || takenBytes !== connection.takenBytes) {
+      connection.takenBytes = takenBytes;
+      connection.takenAt = now();
+    } else if (stallMs > 0 && now() - connection.takenAt >= stallMs) {
+      log(2315, { unread, ...describe(connection) });
+      metrics.stalledCallers.inc();
+      socket.resetAndDestroy();
+    }
+  };
+
   return {
     add: (socket) => {
       const connection: Connection = {
         socket,
+        turns: readTurns.add(socket),
         openRequests: 0,
         arrivingRequests: 0,
         heldBytes: 0,
+        idleReadBytes: 0,
+        takenBytes: 0,
+        takenAt: now(),
         refuse: undefined,
         isGivenUp: false,
-        readBytes: 0,
-        piecesInRead: 0,
-        isWaiting: false,
-        deferred: [],
-        isAhead: false,
       };
       connections.set(socket, connection);
-      // The HTTP server resumes a connection whenever the body of a request is read.
-      socket.on('resume', () => {
-        if (areOthersHeld) held.add(connection);
-        if (areOthersHeld || isPaused(connection)) socket.pause();
-      });
-      socket.on('close', () => {
-        connections.delete(socket);
-        waiting.delete(connection);
-        held.delete(connection);
-        connection.deferred.length = 0;
-        memory.remove(connection);
-      });
+      if (connections.size > deps.maxConnections) closeOldest(connection);
+      if (connection.isGivenUp) return;
+      idle.add(connection);
+      socket.on('close', () => remove(connection));
     },
     addRequest: (req, res) => {
       const { socket } = req;
       const connection = connections.get(socket);
-      if (!connection || connection.isGivenUp || socket.destroyed) return undefined;
+      if (!connection || connection.isGivenUp) return undefined;
+      if (idle.delete(connection)) connection.heldBytes = 0;
+      arriving.add(connection);
       let requestHeldBytes = 0;
       const hold = (bytes: number): void => {
         if (bytes === requestHeldBytes) return;
         connection.heldBytes += bytes - requestHeldBytes;
         requestHeldBytes = bytes;
-        update(connection);
+        updateMemory(connection);
       };
       const headBytes = countHeadBytes(req);
       connection.openRequests += 1;
@@ -237,32 +222,39 @@
       req.once('end', () => {
         connection.arrivingRequests -= 1;
         connection.refuse = undefined;
-        update(connection);
+        updateMemory(connection);
+        updateIdle(connection);
       });
       res.once('close', () => {
         connection.openRequests -= 1;
         hold(0);
-        updateAhead(connection);
+        if (connection.openRequests < resumeOpenRequests) connection.turns.setAhead(false);
+        updateIdle(connection);
       });
       hold(headBytes);
       if (connection.isGivenUp) return undefined;
-      recordPiece(connection);
-      updateAhead(connection);
+      connection.turns.recordPiece();
+      if (connection.openRequests >= maxOpenRequests) connection.turns.setAhead(true);
       return {
-        run: (handle) => {
-          const handleOpen = (): void => {
+        run: (handle) =>
+          connection.turns.run(() => {
             if (socket.destroyed) return;
-            req.on('data', () => recordPiece(connection));
+            req.on('data', connection.turns.recordPiece);
             handle();
-          };
-          if (connection.isWaiting) connection.deferred.push(handleOpen);
-          else handleOpen();
-        },
+          }),
         recordBody: (heldBytes) => hold(headBytes + heldBytes),
         onNoRoom: (refuse) => {
           connection.refuse = refuse;
         },
       };
     },
+    check: () => {
+      idle.forEach((connection) => {
+        connection.heldBytes = connection.socket.bytesRead - connection.idleReadBytes;
+        updateMemory(connection);
+      });
+      connections.forEach(checkUnread);
+      metrics.callerConnections.set(connections.size);
+    },
   };
 };
--- a/packages/router/src/caller-flows.ts
+++ b/packages/router/src/caller-flows.ts
@@ -1,6 +1,4 @@
 import type { ServerResponse } from 'node:http';
-import { totalmem } from 'node:os';
-import { getHeapStatistics } from 'node:v8';
 import type { ResponseFlow } from '@hemlocksill/types/routing-ports.js';
 import { makeCallerMemory, type CallerMemoryLimits } from '@hemlocksill/routing/caller-memory.js';
 import type { LogRouterEvent } from './events.js';
@@ -9,20 +7,6 @@
 /** Interval at which callers with unread bytes are checked. */
 const checkPeriodMs = 100;
 
-/**
- * Returns the memory that the process may use: the least of the heap's limit, which the start command sets
- * for the VM, the control group's and the machine's.
- */
-export const readMemoryLimit = (): number => {
-  // Without a control group the number is larger than any machine's.
-  const constrained = process.constrainedMemory();
-  return Math.min(
-    getHeapStatistics().heap_size_limit,
-    totalmem(),
-    constrained > 0 ? constrained : Number.POSITIVE_INFINITY,
-  );
-};
-
 /** The flow of one response to its caller. */
 export interface CallerFlow extends ResponseFlow {
   /** Records bytes that were written to the response. */
--- /dev/null
+++ b/packages/router/src/read-turns.ts
@@ -0,0 +1,141 @@
+import type { Socket } from 'node:net';
+
+/** Number of requests and pieces of bodies in one read after which a connection waits for its turn. */
+const maxPiecesPerRead = 128;
+
+/** Number of requests that waited for their turn and are handled in it. */
+const requestsPerTurn = 64;
+
+/** What the turns need of a connection. */
+export type TurnSocket = Pick<
+  Socket,
+  'bytesRead' | 'destroyed' | 'isPaused' | 'pause' | 'resume' | 'on'
+>;
+
+/** The reads of one connection. */
+export interface ReadTurns {
+  /** Records a request, or a piece of a body, that was read. */
+  readonly recordPiece: () => void;
+  /** Handles a request, later if the connection has to wait for its turn. */
+  readonly run: (handle: () => void) => void;
+  /** Sets whether the connection is not read because of the requests that were sent ahead. */
+  readonly setAhead: (isAhead: boolean) => void;
+}
+
+interface Reader {
+  readonly socket: TurnSocket;
+  /** Bytes received up to the latest read, and the requests and pieces in it. */
+  readBytes: number;
+  piecesInRead: number;
+  isWaiting: boolean;
+  isAhead: boolean;
+  /** Handles the requests that were read, but wait. */
+  deferred: (() => void)[];
+}
+
+/**
+ * Makes the turns in which connections are read. A read of 64 KB can hold thousands of requests or pieces; with
+ * those of a whole crowd in one turn of the event loop, nobody else is served in time, leases lapse, and what the
+ * connections hold adds up. After such a read a connection waits until others had their turn, and no other one is
+ * read in the same turn of the event loop.
+ *
+ * @example
+ * const turns = makeReadTurns();
+ * server.on('connection', (socket) => turns.add(socket));
+ */
+export const makeReadTurns = (): { readonly add: (socket: TurnSocket) => ReadTurns } => {
+  const readers = new Set<Reader>();
+  /** Those that wait for their turn, in order. */
+  const waiting = new Set<Reader>();
+  /** Those that are not read for the rest of this turn of the event loop. */
+  const held = new Set<Reader>();
+  let areOthersHeld = false;
+
+  const isPaused = ({ isWaiting, isAhead }: Reader): boolean => isWaiting || isAhead;
+
+  const resume = (reader: Reader): void => {
+    if (!isPaused(reader)) reader.socket.resume();
+  };
+
+  const scheduleTurn = (): void => {
+    setImmediate(() => {
+      const [next] = waiting;
+      if (!next) return;
+      waiting.delete(next);
+      next.deferred.splice(0, requestsPerTurn).forEach((handle) => handle());
+      if (next.deferred.length > 0) waiting.add(next);
+      else {
+        next.isWaiting = false;
+        resume(next);
+      }
+      if (waiting.size > 0) scheduleTurn();
+    });
+  };
+
+  const holdOthers = (reader: Reader): void => {
+    if (areOthersHeld) return;
+    areOthersHeld = true;
+    readers.forEach((other) => {
+      if (other === reader || other.socket.isPaused()) return;
+      held.add(other);
+      other.socket.pause();
+    });
+    setImmediate(() => {
+      areOthersHeld = false;
+      const released = [...held];
+      held.clear();
+      released.forEach(resume);
+    });
+  };
+
+  const recordPiece = (reader: Reader): void => {
+    const { bytesRead } = reader.socket;
+    if (reader.readBytes !== bytesRead) {
+      reader.readBytes = bytesRead;
+      reader.piecesInRead = 0;
+    }
+    reader.piecesInRead += 1;
+    if (reader.isWaiting || reader.piecesInRead <= maxPiecesPerRead) return;
+    reader.isWaiting = true;
+    reader.socket.pause();
+    holdOthers(reader);
+    if (waiting.size === 0) scheduleTurn();
+    waiting.add(reader);
+  };
+
+  return {
+    add: (socket) => {
+      const reader: Reader = {
+        socket,
+        readBytes: 0,
+        piecesInRead: 0,
+        isWaiting: false,
+        isAhead: false,
+        deferred: [],
+      };
+      readers.add(reader);
+      // The HTTP server resumes a connection whenever the body of a request is read.
+      socket.on('resume', () => {
+        if (areOthersHeld) held.add(reader);
+        if (areOthersHeld || isPaused(reader)) socket.pause();
+      });
+      socket.on('close', () => {
+        [readers, waiting, held].forEach((set) => set.delete(reader));
+        reader.deferred = [];
+      });
+      return {
+        recordPiece: () => recordPiece(reader),
+        run: (handle) => {
+          if (reader.isWaiting) reader.deferred.push(handle);
+          else handle();
+        },
+        setAhead: (isAhead) => {
+          if (isAhead === reader.isAhead) return;
+          reader.isAhead = isAhead;
+          if (isAhead) socket.pause();
+          else resume(reader);
+        },
+      };
+    },
+  };
+};
--- a/packages/router/src/router-metrics.ts
+++ b/packages/router/src/router-metrics.ts
@@ -26,6 +26,7 @@
   readonly openRequests: Gauge;
   readonly unreadBytes: Gauge;
   readonly stalledCallers: Counter;
+  readonly callerConnections: Gauge;
   readonly callerLimits: Counter<'limit'>;
   readonly requestBytes: Gauge;
   readonly waitingStreams: Gauge;
@@ -150,6 +151,11 @@
       help: 'Callers disconnected because they did not read their response',
       registers,
     }),
+    callerConnections: new Gauge({
+      name: `${prefix}caller_connections`,
+      help: 'Open connections of callers',
+      registers,
+    }),
     callerLimits: new Counter({
       name: `${prefix}caller_limits_total`,
       help: 'Requests refused and connections closed because of a limit of the VM, by limit',
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -10,6 +10,7 @@
   StoreFormat,
 } from '@hemlocksill/types/routing-ports.js';
 import { deriveMemoryLimits } from '@hemlocksill/routing/caller-memory.js';
+import { deriveMaxConnections } from '@hemlocksill/routing/connection-limit.js';
 import { chooseWatchWaitMs } from '@hemlocksill/routing/choose-watchers.js';
 import { makeEngineLedger } from '@hemlocksill/routing/engine-ledger.js';
 import { makeEngineRates } from '@hemlocksill/routing/engine-rates.js';
@@ -29,14 +30,15 @@
 } from '@hemlocksill/routing/stream-admission.js';
 import { joinQueues, makeStreamQueue } from '@hemlocksill/routing/stream-queue.js';
 import type { LogRouterEvent } from './events.js';
-import { makeCallerConnections } from './caller-connections.js';
-import { makeCallerFlows, readMemoryLimit } from './caller-flows.js';
+import { connectionCheckPeriodMs, makeCallerConnections } from './caller-connections.js';
+import { makeCallerFlows } from './caller-flows.js';
 import { connectError, makeClientErrorHandler } from './client-errors.js';
 import { makeCallHandler } from './handle-call.js';
 import { makeIdleConnections } from './idle-connections.js';
 import { makeLoopDelay } from './loop-delay.js';
 import { makeRequestOrder } from './request-order.js';
 import { sleep } from './sleep.js';
+import { readMemoryLimit, readProcessLimits } from './process-limits.js';
 import { makePeersController } from './peers-controller.js';
 import { servePeerViews } from './peer-views.js';
 import { textResponse, serveSimpleHttp } from './simple-http-server.js';
@@ -496,6 +498,8 @@
         processBytes,
         view.getTable()?.config.limits.maxBodyBytes ?? 0,
       ),
+    maxConnections: deriveMaxConnections(settings.descriptors, readProcessLimits),
+    stallMs: memoryLimits.stallMs,
     log,
     metrics,
     now,
@@ -635,6 +639,8 @@
     }
   }, tickPeriodMs);
 
+  const connectionCheck = setInterval(connections.check, connectionCheckPeriodMs);
+
   callerServer.listen(settings.callers.port, settings.callers.host);
   view.start();
   peers.start();
@@ -657,6 +663,7 @@
       }
       log(2004, {});
       clearInterval(tick);
+      clearInterval(connectionCheck);
       view.stop();
       plainOutbox.stop();
       await peers.stop();
