Read plain services no faster while callers hold too much of their answers

100 callers that asked for answers of 4 MB raised a VM to 821 MB: a plain answer is gathered whole before it is sent, each with a bound, their sum without one.

What is gathered now counts together with what is unread. Over all-callers-bytes a server is not read, but for the oldest answer, without which all that are gathered could wait for each other, and for those below an equal share, which belong to ordinary callers. A request whose answer is held back is not slow through its server: it is neither sent to another one, nor is the server marked.

--- a/packages/router/src/caller-flows.ts
+++ b/packages/router/src/caller-flows.ts
@@ -13,8 +13,17 @@
   readonly recordWrite: (bytes: number) => void;
 }
 
+/** The flow of a response that is gathered whole before it is sent. */
+export interface GatheredFlow extends ResponseFlow {
+  /** Records bytes that were received of the response. */
+  readonly recordRead: (bytes: number) => void;
+  /** Called when the response is sent or given up. */
+  readonly close: () => void;
+}
+
 /** The flows of all responses. */
 export interface CallerFlows {
+  readonly openGathered: () => GatheredFlow;
   /** `fields` name the request in the log. */
   readonly open: (res: ServerResponse, fields: Readonly<Record<string, string>>) => CallerFlow;
 }
@@ -37,20 +46,50 @@
   const memory = makeCallerMemory(limits);
   /** Checks of the responses with unread bytes. */
   const checks = new Set<() => void>();
+  /** Checks of the gathered responses that are not read for now. */
+  const gatheredChecks = new Set<() => void>();
   let timer: NodeJS.Timeout | undefined;
 
+  const checkGathered = (): void => gatheredChecks.forEach((check) => check());
+
   const scheduleCheck = (): void => {
-    if (timer || checks.size === 0) return;
+    if (timer || checks.size + gatheredChecks.size === 0) return;
     timer = setTimeout(() => {
       timer = undefined;
       checks.forEach((check) => check());
+      checkGathered();
       deps.metrics.unreadBytes.set(memory.getUnreadBytes());
       scheduleCheck();
     }, checkPeriodMs);
     timer.unref();
   };
 
+  const openGathered = (): GatheredFlow => {
+    const bytes = memory.openGathered();
+    let resume = (): void => {};
+    const check = (): void => {
+      if (bytes.isFull()) return;
+      gatheredChecks.delete(check);
+      resume();
+    };
+    return {
+      isFull: bytes.isFull,
+      onRoom: (callback) => {
+        resume = callback;
+        gatheredChecks.add(check);
+        scheduleCheck();
+      },
+      recordRead: bytes.add,
+      close: () => {
+        bytes.close();
+        gatheredChecks.delete(check);
+        checkGathered();
+      },
+    };
+  };
+
   return {
+    openGathered,
     open: (res, fields) => {
       const account = memory.open();
       let written = 0;
--- a/packages/router/src/plain-attempt.ts
+++ b/packages/router/src/plain-attempt.ts
@@ -6,6 +6,7 @@
   ResponseHead,
 } from '@hemlocksill/types/routing-ports.js';
 import type { CallContext } from './call-context.js';
+import type { GatheredFlow } from './caller-flows.js';
 import type { CrashWatch } from './crash-watch.js';
 import type { RunDeps } from './run-deps.js';
 
@@ -32,8 +33,17 @@
 export type AttemptDeps = Pick<RunDeps, 'plainLedger' | 'now'> & {
   readonly backends: Pick<BackendClient, 'send'>;
   readonly crashWatch: Pick<CrashWatch, 'watchRun'>;
+  /** Opens the flow of a response, which holds back servers while callers hold too much. */
+  readonly openGathered: () => GatheredFlow;
 };
 
+/** An attempt in progress. */
+export interface PlainAttempt {
+  readonly cancel: CancelCall;
+  /** Whether the response is not read for now, so that it is late through no fault of its server. */
+  readonly isHeldBack: () => boolean;
+}
+
 /** Whether a response is an error of its server. */
 export const isServerError = ({ status }: ResponseHead): boolean => status >= 500;
 
@@ -41,19 +51,19 @@
  * Sends a request to a plain backend server and buffers the complete response.
  *
  * @param onDone - called once, unless the attempt is cancelled before; possibly before the return
- * @returns a function that cancels the attempt
  * @example
- * const cancel = sendPlainAttempt(deps, ctx, server, (outcome) => {});
+ * const { cancel } = sendPlainAttempt(deps, ctx, server, (outcome) => {});
  */
 export const sendPlainAttempt = (
-  { backends, plainLedger, crashWatch, now }: AttemptDeps,
+  { backends, plainLedger, crashWatch, openGathered, now }: AttemptDeps,
   { call, crashParts, timeoutAt }: Pick<CallContext, 'call' | 'crashParts' | 'timeoutAt'>,
   server: BackendServer,
   onDone: (outcome: AttemptOutcome) => void,
-): CancelCall => {
+): PlainAttempt => {
   const allocation = plainLedger.addDecode(server.id, 0);
   const runWatch = crashWatch.watchRun(crashParts, server);
-  const bufferedChunks: Buffer[] = [];
+  const flow = openGathered();
+  let bufferedChunks: Buffer[] = [];
   let bufferedBytes = 0;
   let head: ResponseHead | undefined;
   let isFinished = false;
@@ -65,6 +75,8 @@
     allocation.release();
     runWatch.stop();
     action();
+    bufferedChunks = [];
+    flow.close();
   };
 
   const onFault = (fault: CallFault, isCrashing = false): void =>
@@ -73,7 +85,7 @@
   cancelSend = backends.send(
     server,
     call,
-    { remainingMs: timeoutAt - now() },
+    { remainingMs: timeoutAt - now(), flow },
     {
       start: (receivedHead) => {
         head = receivedHead;
@@ -82,6 +94,7 @@
       },
       data: (chunk) => {
         bufferedBytes += chunk.length;
+        flow.recordRead(chunk.length);
         if (bufferedBytes <= maxBufferedBytes) bufferedChunks.push(chunk);
         else
           finishOnce(() => {
@@ -101,5 +114,5 @@
         finishOnce(() => onFault(fault, fault.kind === 'unknown' && runWatch.recordBreak())),
     },
   );
-  return () => finishOnce(cancelSend);
+  return { cancel: () => finishOnce(cancelSend), isHeldBack: flow.isFull };
 };
--- a/packages/router/src/run-plain.test.ts
+++ b/packages/router/src/run-plain.test.ts
@@ -64,6 +64,8 @@
   readonly policy?: 'slots' | 'expected-time';
   /** Maximum share of second attempts for late answers. */
   readonly share?: number;
+  /** Whether responses are held back. */
+  readonly isHeldBack?: boolean;
   /** Usual response times of the servers and their route, which 100 requests have shown. */
   readonly usualMs?: readonly number[];
 }
@@ -79,6 +81,7 @@
   policy = 'slots',
   share = 0,
   usualMs = [],
+  isHeldBack = false,
 }: RunOptions = {}) => {
   const attempts: { server: string; observer: ResponseObserver }[] = [];
   const cancelled: string[] = [];
@@ -136,6 +139,12 @@
         },
       },
       plainLedger,
+      openGathered: () => ({
+        isFull: () => isHeldBack,
+        onRoom: () => {},
+        recordRead: () => {},
+        close: () => {},
+      }),
       crashWatch: {
         isSuspect: () => isSuspect,
         findBlocked: () => (isBlocked ? 'request:f1' : undefined),
@@ -299,6 +308,16 @@
   t.deepEqual(run.outcomes, ['200 from 1']);
 });
 
+// Guards against a second attempt, and a bad mark for the server, while the VM itself does not read.
+test('a request whose response is held back stays at its server', async (t) => {
+  const run = startRun({ isHeldBack: true });
+  await sleep(longMs);
+  t.deepEqual(run.listServers(), ['i-1']);
+  t.deepEqual(run.healthRecords, []);
+  run.respond(1);
+  t.deepEqual(run.outcomes, ['200 from 1']);
+});
+
 test('a retry is given back if no server is left to send it to', (t) => {
   const run = startRun({ serverCount: 1 });
   run.fail(1, broken);
--- a/packages/router/src/run-plain.ts
+++ b/packages/router/src/run-plain.ts
@@ -1,5 +1,5 @@
 import type { BackendServer } from '@hemlocksill/types/routing.js';
-import type { CallFault, CancelCall } from '@hemlocksill/types/routing-ports.js';
+import type { CallFault } from '@hemlocksill/types/routing-ports.js';
 import type { PlainChoice } from '@hemlocksill/routing/place-plain.js';
 import type { CallContext, Responder } from './call-context.js';
 import {
@@ -13,6 +13,7 @@
   isServerError,
   sendPlainAttempt,
   type AttemptDeps,
+  type PlainAttempt,
   type PlainResponse,
 } from './plain-attempt.js';
 import type { PlainPlacement } from './plain-placement.js';
@@ -84,7 +85,8 @@
   readonly isHedge: boolean;
   /** Whether another attempt was made because this one is slow. */
   isSlow: boolean;
-  cancel: CancelCall;
+  /** Unset while it is being sent. */
+  call: PlainAttempt | undefined;
 }
 
 /**
@@ -119,8 +121,8 @@
   /** Whether the request has got a second attempt because its answer was later than usual. */
   let isHedged = false;
 
-  const cancelAttempt = ({ server, sentAt, cancel }: RunningAttempt): void => {
-    cancel();
+  const cancelAttempt = ({ server, sentAt, call: plainCall }: RunningAttempt): void => {
+    plainCall?.cancel();
     placement.recordGivenUp(server, deps.now() - sentAt);
     if (isHedged) deps.metrics.secondAttempts.inc({ outcome: 'cancelled', reason: '' });
   };
@@ -297,12 +299,12 @@
       isRetry,
       isHedge,
       isSlow: false,
-      cancel: () => {},
+      call: undefined,
     };
     triedServers.add(server.id);
     running.add(attempt);
     sends += 1;
-    attempt.cancel = sendPlainAttempt(deps, ctx, server, (outcome) => {
+    attempt.call = sendPlainAttempt(deps, ctx, server, (outcome) => {
       running.delete(attempt);
       if (outcome.kind === 'response') {
         onResponse(attempt, outcome.response);
@@ -326,6 +328,7 @@
 
   const considerHedge = (attempt: RunningAttempt, lateAt: number): void => {
     if (!running.has(attempt) || running.size > 1 || isHedged) return;
+    if (attempt.call?.isHeldBack()) return;
     // On a busy VM a timer fires early: it counts from the beginning of the turn in which it was set.
     const earlyMs = lateAt - deps.now();
     if (earlyMs > 0) {
@@ -372,12 +375,12 @@
   };
 
   /**
-   * Makes another attempt beside a slow one. Without another server or a retry in the budget, the slow
-   * one stays alone and the question comes up again later.
+   * Makes another attempt beside a slow one. Without another server or a retry in the budget, or while its
+   * response is held back, the slow one stays alone and the question comes up again later.
    */
   const retrySlowAttempt = (attempt: RunningAttempt): void => {
     if (!canSendElsewhere() || !canRetry()) return;
-    const server = chooseServer();
+    const server = attempt.call?.isHeldBack() ? undefined : chooseServer();
     if (server && findBlocked() !== undefined) return;
     if (!server || !tryTakeRetry()) {
       scheduleSlowRetry(deps.now() + slowAfterMs);
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -484,7 +484,11 @@
     },
     settings.secondAttemptShare,
   );
-  const plainDeps: PlainDeps = { ...runDeps, placement: plainPlacement };
+  const plainDeps: PlainDeps = {
+    ...runDeps,
+    placement: plainPlacement,
+    openGathered: () => flows.openGathered(),
+  };
 
   const order = makeRequestOrder();
 
--- a/packages/routing/src/caller-memory.ts
+++ b/packages/routing/src/caller-memory.ts
@@ -64,9 +64,18 @@
   readonly close: () => void;
 }
 
+/** The bytes of a response that is gathered whole before it is sent. */
+export interface GatheredBytes {
+  readonly add: (bytes: number) => void;
+  /** Whether no more of the response must be read for now. */
+  readonly isFull: () => boolean;
+  readonly close: () => void;
+}
+
 /** The bytes of all responses. */
 export interface CallerMemory {
   readonly open: () => CallerAccount;
+  readonly openGathered: () => GatheredBytes;
   readonly getUnreadBytes: () => number;
 }
 
@@ -81,11 +90,15 @@
   let allUnread = 0;
   /** Number of callers with unread bytes. */
   let holders = 0;
+  let allGathered = 0;
+  /** Responses that are gathered, in the order of their beginning. */
+  const gathered = new Set<symbol>();
+
+  const isOver = (bytes: number): boolean =>
+    limits.allCallersBytes > 0 && bytes > limits.allCallersBytes;
 
   const isOverShare = (unread: number): boolean =>
-    limits.allCallersBytes > 0 &&
-    allUnread > limits.allCallersBytes &&
-    unread >= limits.allCallersBytes / holders;
+    isOver(allUnread) && unread >= limits.allCallersBytes / holders;
 
   const count = (before: number, after: number): void => {
     allUnread += after - before;
@@ -94,6 +107,30 @@
 
   return {
     getUnreadBytes: () => allUnread,
+    openGathered: () => {
+      const key = Symbol('gathered');
+      let bytes = 0;
+      gathered.add(key);
+      return {
+        add: (added) => {
+          bytes += added;
+          allGathered += added;
+        },
+        isFull: () => {
+          // What is small goes on, since it belongs to ordinary callers.
+          if (bytes < limits.allCallersBytes / gathered.size) return false;
+          if (isOver(allUnread)) return true;
+          // The oldest goes on, since all that are gathered could else wait for each other.
+          const [oldest] = gathered;
+          return key !== oldest && isOver(allUnread + allGathered);
+        },
+        close: () => {
+          allGathered -= bytes;
+          bytes = 0;
+          gathered.delete(key);
+        },
+      };
+    },
     open: () => {
       let unreadBytes = 0;
       let readBytes = 0;
