A connection of a crowd goes on only after the others were read

The test of bodies in chunks of one byte failed in eight of nine runs: the ordinary request got 408, or no answer in 45 s. A connection that waited for its turn was resumed together with those that it had held back, and came before them in the next poll, so that a few connections of the crowd were read again and again. And the time limit of heads counted time in which the VM did not read.

A connection now goes on only after a turn of the event loop in which the others could be read. A late head is refused only if its connection was read for a second more; that also spares callers whose heads wait in the kernel while a VM stands still.

--- a/packages/router/src/caller-connections.ts
+++ b/packages/router/src/caller-connections.ts
@@ -15,6 +15,9 @@
 /** Interval of the checks. */
 export const connectionCheckPeriodMs = 1_000;
 
+/** Time that a head has that is late because the VM did not read it, or stood still. */
+const lateHeadMs = 1_000;
+
 /** What is needed of a caller's connection. */
 export type CallerSocket = Pick<
   Socket,
@@ -55,6 +58,8 @@
   readonly addRequest: (req: CallerMessage, res: CallerResponse) => CallerRequest | undefined;
   /** Looks for callers that don't read, and for heads that don't end. */
   readonly check: () => void;
+  /** Calls back if the head of a request does not end, though the VM reads it. */
+  readonly awaitHead: (socket: CallerSocket, onLate: () => void) => void;
 }
 
 /** Dependencies of the connections. */
@@ -75,6 +80,7 @@
 interface Connection {
   readonly socket: CallerSocket;
   readonly turns: ReadTurns;
+  requests: number;
   openRequests: number;
   /** Requests whose bodies have not ended. */
   arrivingRequests: number;
@@ -188,6 +194,7 @@
       const connection: Connection = {
         socket,
         turns: readTurns.add(socket),
+        requests: 0,
         openRequests: 0,
         arrivingRequests: 0,
         heldBytes: 0,
@@ -217,6 +224,7 @@
         updateMemory(connection);
       };
       const headBytes = countHeadBytes(req);
+      connection.requests += 1;
       connection.openRequests += 1;
       connection.arrivingRequests += 1;
       req.once('end', () => {
@@ -248,6 +256,21 @@
         },
       };
     },
+    awaitHead: (socket, onLate) => {
+      const connection = connections.get(socket);
+      if (!connection) return;
+      const { requests, turns } = connection;
+      const wait = (): void => {
+        const { bytesRead } = socket;
+        const holds = turns.countHolds();
+        setTimeout(() => {
+          if (!connections.has(socket) || connection.requests !== requests) return;
+          if (socket.bytesRead === bytesRead && turns.countHolds() !== holds) wait();
+          else onLate();
+        }, lateHeadMs);
+      };
+      wait();
+    },
     check: () => {
       idle.forEach((connection) => {
         connection.heldBytes = connection.socket.bytesRead - connection.idleReadBytes;
--- a/packages/router/src/client-errors.ts
+++ b/packages/router/src/client-errors.ts
@@ -1,4 +1,6 @@
 import type { Duplex } from 'node:stream';
+import type { Socket } from 'node:net';
+import type { CallerConnections } from './caller-connections.js';
 import type { LogRouterEvent } from './events.js';
 import type { RequestOrder } from './request-order.js';
 
@@ -10,12 +12,14 @@
   { code: connectCode },
 );
 
+const lateHeadCode = 'ERR_HTTP_REQUEST_TIMEOUT';
+
 /** Statuses for errors of the HTTP parser; 400 for all others. */
 const statusLines: Readonly<Record<string, string>> = {
   [connectCode]: '501 Not Implemented',
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
   HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+  [lateHeadCode]: '408 Request Timeout',
 };
 
 /**
@@ -23,11 +27,15 @@
  * connection is closed, but not before the requests that it carried earlier are answered.
  *
  * @example
- * server.on('clientError', makeClientErrorHandler(order, log));
+ * server.on('clientError', makeClientErrorHandler(order, connections, log));
  */
-export const makeClientErrorHandler = (order: RequestOrder, log: LogRouterEvent) => {
+export const makeClientErrorHandler = (
+  order: RequestOrder,
+  connections: Pick<CallerConnections, 'awaitHead'>,
+  log: LogRouterEvent,
+) => {
   const closing = new WeakSet<Duplex>();
-  return (error: NodeJS.ErrnoException, socket: Duplex): void => {
+  const handle = (error: NodeJS.ErrnoException, socket: Duplex): void => {
     if (closing.has(socket)) return;
     closing.add(socket);
     const close = (): void => {
@@ -47,4 +55,9 @@
     if (openResponse && socket.writable && !hasLeft) openResponse.once('close', close);
     else close();
   };
+  return (error: NodeJS.ErrnoException, socket: Socket | Duplex): void => {
+    if (error.code === lateHeadCode && 'bytesRead' in socket)
+      connections.awaitHead(socket, () => handle(error, socket));
+    else handle(error, socket);
+  };
 };
--- a/packages/router/src/read-turns.ts
+++ b/packages/router/src/read-turns.ts
@@ -20,6 +20,8 @@
   readonly run: (handle: () => void) => void;
   /** Sets whether the connection is not read because of the requests that were sent ahead. */
   readonly setAhead: (isAhead: boolean) => void;
+  /** Returns how often the connection was not read because of others or of requests sent ahead. */
+  readonly countHolds: () => number;
 }
 
 interface Reader {
@@ -29,6 +31,7 @@
   piecesInRead: number;
   isWaiting: boolean;
   isAhead: boolean;
+  holds: number;
   /** Handles the requests that were read, but wait. */
   deferred: (() => void)[];
 }
@@ -50,6 +53,7 @@
   /** Those that are not read for the rest of this turn of the event loop. */
   const held = new Set<Reader>();
   let areOthersHeld = false;
+  let isEndScheduled = false;
 
   const isPaused = ({ isWaiting, isAhead }: Reader): boolean => isWaiting || isAhead;
 
@@ -57,19 +61,40 @@
     if (!isPaused(reader)) reader.socket.resume();
   };
 
-  const scheduleTurn = (): void => {
-    setImmediate(() => {
-      const [next] = waiting;
-      if (!next) return;
-      waiting.delete(next);
-      next.deferred.splice(0, requestsPerTurn).forEach((handle) => handle());
-      if (next.deferred.length > 0) waiting.add(next);
-      else {
-        next.isWaiting = false;
-        resume(next);
-      }
-      if (waiting.size > 0) scheduleTurn();
-    });
+  const runTurn = (): void => {
+    const [next] = waiting;
+    if (!next) return;
+    waiting.delete(next);
+    next.deferred.splice(0, requestsPerTurn).forEach((handle) => handle());
+    if (next.deferred.length > 0) waiting.add(next);
+    else {
+      next.isWaiting = false;
+      resume(next);
+    }
+  };
+
+  const releaseOthers = (): void => {
+    areOthersHeld = false;
+    const released = [...held];
+    held.clear();
+    released.forEach(resume);
+  };
+
+  /**
+   * Ends a turn of the event loop. A connection that waits goes on only after one in which the others could be
+   * read; it would else be read before them again.
+   */
+  const endTurn = (): void => {
+    isEndScheduled = false;
+    if (areOthersHeld) releaseOthers();
+    else runTurn();
+    if (waiting.size > 0) scheduleEnd();
+  };
+
+  const scheduleEnd = (): void => {
+    if (isEndScheduled) return;
+    isEndScheduled = true;
+    setImmediate(endTurn);
   };
 
   const holdOthers = (reader: Reader): void => {
@@ -78,14 +103,9 @@
     readers.forEach((other) => {
       if (other === reader || other.socket.isPaused()) return;
       held.add(other);
+      other.holds += 1;
       other.socket.pause();
     });
-    setImmediate(() => {
-      areOthersHeld = false;
-      const released = [...held];
-      held.clear();
-      released.forEach(resume);
-    });
   };
 
   const recordPiece = (reader: Reader): void => {
@@ -99,8 +119,8 @@
     reader.isWaiting = true;
     reader.socket.pause();
     holdOthers(reader);
-    if (waiting.size === 0) scheduleTurn();
     waiting.add(reader);
+    scheduleEnd();
   };
 
   return {
@@ -111,6 +131,7 @@
         piecesInRead: 0,
         isWaiting: false,
         isAhead: false,
+        holds: 0,
         deferred: [],
       };
       readers.add(reader);
@@ -129,9 +150,15 @@
           if (reader.isWaiting) reader.deferred.push(handle);
           else handle();
         },
+        countHolds: () => {
+          // One that goes on counts again, so that the number differs from any before.
+          if (isPaused(reader)) reader.holds += 1;
+          return reader.holds;
+        },
         setAhead: (isAhead) => {
           if (isAhead === reader.isAhead) return;
           reader.isAhead = isAhead;
+          reader.holds += 1;
           if (isAhead) socket.pause();
           else resume(reader);
         },
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -550,7 +550,7 @@
     handleCall,
   );
   callerServer.on('checkExpectation', handleCall);
-  const handleClientError = makeClientErrorHandler(order, log);
+  const handleClientError = makeClientErrorHandler(order, connections, log);
   callerServer.on('clientError', handleClientError);
   callerServer.on('connect', (_, socket) => handleClientError(connectError, socket));
   // The server removes its own listener from the socket of a CONNECT request before it hands it over.
