A connection that waits is not read, also if it was resumed just before

The HTTP server resumes a connection for the body of a request in the next tick. If the connection was paused in between, its stream counts as paused, so that a further pause did nothing, and the reads that the server's listener had started went on. Found by reading; the test of read-turns fails without it. What requests hold is shown once a second instead of at each piece.

--- a/packages/router/src/caller-connections.ts
+++ b/packages/router/src/caller-connections.ts
@@ -31,6 +31,7 @@
   | 'pause'
   | 'resume'
   | 'on'
+  | 'emit'
   | 'destroy'
   | 'resetAndDestroy'
 >;
@@ -152,7 +153,6 @@
     memory.update(connection, { bytes: heldBytes + bytesAhead, canGiveWay }, now());
     for (let victim = memory.chooseVictim(now()); victim; victim = memory.chooseVictim(now()))
       giveWay(victim);
-    metrics.requestBytes.set(memory.getBytes());
   };
 
   const updateIdle = (connection: Connection): void => {
@@ -278,6 +278,7 @@
       });
       connections.forEach(checkUnread);
       metrics.callerConnections.set(connections.size);
+      metrics.requestBytes.set(memory.getBytes());
     },
   };
 };
--- a/packages/router/src/read-turns.test.ts
+++ b/packages/router/src/read-turns.test.ts
@@ -88,3 +88,17 @@
   t.false(socket.isStopped);
   t.not(reads.countHolds(), holds);
 });
+
+// Guards against reads that the HTTP server starts for a stream that was paused before it could be resumed.
+test('a connection that is resumed while it waits is not read', (t) => {
+  const turns = makeReadTurns();
+  const { socket, read } = openReader(turns);
+  let stops = 0;
+  socket.on('pause', () => {
+    stops += 1;
+  });
+  read(129);
+  socket.emit('resume');
+  t.true(socket.isStopped);
+  t.is(stops, 1);
+});
--- a/packages/router/src/read-turns.ts
+++ b/packages/router/src/read-turns.ts
@@ -9,7 +9,7 @@
 /** What the turns need of a connection. */
 export type TurnSocket = Pick<
   Socket,
-  'bytesRead' | 'destroyed' | 'isPaused' | 'pause' | 'resume' | 'on'
+  'bytesRead' | 'destroyed' | 'isPaused' | 'pause' | 'resume' | 'on' | 'emit'
 >;
 
 /** The reads of one connection. */
@@ -137,8 +137,11 @@
       readers.add(reader);
       // The HTTP server resumes a connection whenever the body of a request is read.
       socket.on('resume', () => {
+        if (!areOthersHeld && !isPaused(reader)) return;
         if (areOthersHeld) held.add(reader);
-        if (areOthersHeld || isPaused(reader)) socket.pause();
+        // After a resume and a pause in one turn, the server's listener reads from a stream that counts as paused.
+        if (socket.isPaused()) socket.emit('pause');
+        else socket.pause();
       });
       socket.on('close', () => {
         [readers, waiting, held].forEach((set) => set.delete(reader));
