Log each connection of a caller that is closed between two requests

A caller that lost a request on a kept connection had no counterpart in the lines of its VM: the closing of idle connections, at the idle limit and at a shutdown, was silent. Event 2322 names the reason, the bytes read and the caller's port; 2004 counts what is still open when the process ends. No behaviour changes.

--- a/packages/router/src/caller-connections.ts
+++ b/packages/router/src/caller-connections.ts
@@ -61,6 +61,8 @@
   readonly check: () => void;
   /** Calls back if the head of a request does not end, though the VM reads it. */
   readonly awaitHead: (socket: CallerSocket, onLate: () => void) => void;
+  /** Number of open connections. */
+  readonly count: () => number;
 }
 
 /** Dependencies of the connections. */
@@ -271,6 +273,7 @@
       };
       wait();
     },
+    count: () => connections.size,
     check: () => {
       idle.forEach((connection) => {
         connection.heldBytes = connection.socket.bytesRead - connection.idleReadBytes;
--- a/packages/router/src/idle-connections.test.ts
+++ b/packages/router/src/idle-connections.test.ts
@@ -21,6 +21,7 @@
   const idleConnections = makeIdleConnections({
     getLimitMs: () => state.limitMs,
     now: () => state.now,
+    log: () => {},
     runAfterReads: (callback) => reads.push(callback),
   });
   const res = new EventEmitter();
--- a/packages/router/src/idle-connections.ts
+++ b/packages/router/src/idle-connections.ts
@@ -1,11 +1,12 @@
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import type { LogRouterEvent } from './events.js';
 
 /** Time for which a connection stays open after its limit, for a request that is on its way. */
 const closeDelayMs = 1_000;
 
 /** What the idle limits need of a connection. */
-export type IdleSocket = Pick<Socket, 'bytesRead' | 'setTimeout' | 'destroy'>;
+export type IdleSocket = Pick<Socket, 'bytesRead' | 'remotePort' | 'setTimeout' | 'destroy'>;
 
 /** When a connection became idle, and the limit that its caller was told then. */
 interface IdleState {
@@ -18,6 +19,7 @@
   /** Current limit on the time between two requests, as it is told to callers. */
   readonly getLimitMs: () => number;
   readonly now: () => number;
+  readonly log: LogRouterEvent;
   /** Runs a callback after the bytes that have arrived by now were read. */
   readonly runAfterReads: (callback: () => void) => void;
 }
@@ -56,7 +58,10 @@
       }
       const { bytesRead } = socket;
       deps.runAfterReads(() => {
-        if (socket.bytesRead === bytesRead) socket.destroy();
+        if (socket.bytesRead !== bytesRead) return;
+        const idleMs = idle && Math.round(deps.now() - idle.since);
+        deps.log(2322, { reason: 'idle-limit', idleMs, bytesRead, port: socket.remotePort });
+        socket.destroy();
       });
     },
   };
--- a/packages/router/src/request-order.ts
+++ b/packages/router/src/request-order.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
+import type { LogRouterEvent } from './events.js';
 
 /** Calls `start` in turn, or `onClosed` if the connection closed before and can carry no response. */
 export type AwaitTurn = (start: () => void, onClosed: () => void) => void;
@@ -41,9 +42,9 @@
  * response may have to close the connection, and the second request would have run without an answer.
  *
  * @example
- * makeRequestOrder().add(req, res)(() => run(req, res), () => {});
+ * makeRequestOrder(log).add(req, res)(() => run(req, res), () => {});
  */
-export const makeRequestOrder = (): RequestOrder => {
+export const makeRequestOrder = (log: LogRouterEvent): RequestOrder => {
   const connections = new Map<Duplex, CallerConnection>();
 
   const findConnection = (req: IncomingMessage): CallerConnection => {
@@ -104,7 +105,9 @@
     closeIdleConnections: () => {
       connections.forEach(({ socket, openRequests, arrivingRequests, readBytes }) => {
         const isBusy = openRequests.size > 0 || arrivingRequests > 0;
-        if (!isBusy && socket.bytesRead === readBytes) socket.destroy();
+        if (isBusy || socket.bytesRead !== readBytes) return;
+        log(2322, { reason: 'shutdown', bytesRead: readBytes, port: socket.remotePort });
+        socket.destroy();
       });
     },
   };
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -490,7 +490,7 @@
     openGathered: () => flows.openGathered(),
   };
 
-  const order = makeRequestOrder();
+  const order = makeRequestOrder(log);
 
   const processBytes = readMemoryLimit();
   const memoryLimits = deriveMemoryLimits(settings.memory, processBytes);
@@ -565,6 +565,7 @@
   const idleConnections = makeIdleConnections({
     getLimitMs: () => callerServer.keepAliveTimeout,
     now,
+    log,
     runAfterReads: setImmediate,
   });
   callerServer.prependListener('request', (req, res) =>
@@ -665,7 +666,7 @@
         abandonAtStop.forEach((abandon) => abandon());
         await Promise.race([closed, sleep(abandonedFlushMs)]);
       }
-      log(2004, {});
+      log(2004, { openRequests: abandonAtStop.size, openConnections: connections.count() });
       clearInterval(tick);
       clearInterval(connectionCheck);
       view.stop();
