Close idle connections only after the reads that are due

Callers lost requests on kept connections when a VM stopped: a reset, up to as long after they had sent as the process was late. Cause: after a pause of the process, timers run before reads, and the shutdown compared the bytes read at that moment with those of the last request. What the operating system had received by then counted as not sent. The same holds for a connection that is not read because others have their turn, at the shutdown and at the idle limit.

The idle limit waits for a connection that is not read. The process ends after reads, too.

--- a/packages/router/src/idle-connections.test.ts
+++ b/packages/router/src/idle-connections.test.ts
@@ -3,12 +3,20 @@
 import { makeIdleConnections, type IdleSocket } from './idle-connections.js';
 
 const makeConnection = () => {
-  const state = { now: 0, limitMs: 4_000, bytesRead: 0, timeoutMs: 0, isClosed: false };
+  const state = {
+    now: 0,
+    limitMs: 4_000,
+    bytesRead: 0,
+    timeoutMs: 0,
+    isPaused: false,
+    isClosed: false,
+  };
   const reads: (() => void)[] = [];
   const socket = {
     get bytesRead() {
       return state.bytesRead;
     },
+    isPaused: () => state.isPaused,
     setTimeout: (timeoutMs: number) => {
       state.timeoutMs = timeoutMs;
       return socket;
@@ -78,3 +86,16 @@
   runTimeout(60_000, 1);
   t.false(state.isClosed);
 });
+
+// Guards against the loss of a request on a connection that is not read while others have their turn.
+test('a connection that is not read at its limit is closed only once it was read', (t) => {
+  const { state, startRequest, finishResponse, runTimeout } = makeConnection();
+  startRequest();
+  finishResponse();
+  state.isPaused = true;
+  runTimeout(60_000);
+  t.deepEqual([state.timeoutMs, state.isClosed], [1_000, false]);
+  state.isPaused = false;
+  runTimeout(61_000);
+  t.true(state.isClosed);
+});
--- a/packages/router/src/idle-connections.ts
+++ b/packages/router/src/idle-connections.ts
@@ -1,12 +1,16 @@
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { LogRouterEvent } from './events.js';
+import type { RunAfterReads } from './run-after-reads.js';
 
 /** Time for which a connection stays open after its limit, for a request that is on its way. */
 const closeDelayMs = 1_000;
 
 /** What the idle limits need of a connection. */
-export type IdleSocket = Pick<Socket, 'bytesRead' | 'remotePort' | 'setTimeout' | 'destroy'>;
+export type IdleSocket = Pick<
+  Socket,
+  'bytesRead' | 'remotePort' | 'isPaused' | 'setTimeout' | 'destroy'
+>;
 
 /** When a connection became idle, and the limit that its caller was told then. */
 interface IdleState {
@@ -20,8 +24,7 @@
   readonly getLimitMs: () => number;
   readonly now: () => number;
   readonly log: LogRouterEvent;
-  /** Runs a callback after the bytes that have arrived by now were read. */
-  readonly runAfterReads: (callback: () => void) => void;
+  readonly runAfterReads: RunAfterReads;
 }
 
 /** Closes callers' connections that are idle for too long. */
@@ -59,6 +62,11 @@
       const { bytesRead } = socket;
       deps.runAfterReads(() => {
         if (socket.bytesRead !== bytesRead) return;
+        // A request may have arrived on a connection that is not read now.
+        if (socket.isPaused()) {
+          socket.setTimeout(closeDelayMs);
+          return;
+        }
         const idleMs = idle && Math.round(deps.now() - idle.since);
         deps.log(2322, { reason: 'idle-limit', idleMs, bytesRead, port: socket.remotePort });
         socket.destroy();
--- a/packages/router/src/request-order.ts
+++ b/packages/router/src/request-order.ts
@@ -14,7 +14,10 @@
   readonly isLast: (req: IncomingMessage, res: ServerResponse) => boolean;
   /** Returns the response to the last request on a connection that was read whole, if it is open. */
   readonly findOpenResponse: (socket: Duplex) => ServerResponse | undefined;
-  /** Closes the connections between two requests, whose last response was flushed. */
+  /**
+   * Closes the connections between two requests, whose last response was flushed; to be called after reads.
+   * One that is not read now is left open, since a request may have arrived on it.
+   */
   readonly closeIdleConnections: () => void;
 }
 
@@ -105,7 +108,7 @@
     closeIdleConnections: () => {
       connections.forEach(({ socket, openRequests, arrivingRequests, readBytes }) => {
         const isBusy = openRequests.size > 0 || arrivingRequests > 0;
-        if (isBusy || socket.bytesRead !== readBytes) return;
+        if (isBusy || socket.isPaused() || socket.bytesRead !== readBytes) return;
         log(2322, { reason: 'shutdown', bytesRead: readBytes, port: socket.remotePort });
         socket.destroy();
       });
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -37,6 +37,7 @@
 import { makeIdleConnections } from './idle-connections.js';
 import { makeLoopDelay } from './loop-delay.js';
 import { makeRequestOrder } from './request-order.js';
+import { runAfterReads, waitForReads } from './run-after-reads.js';
 import { sleep } from './sleep.js';
 import { readMemoryLimit, readProcessLimits } from './process-limits.js';
 import { makePeersController } from './peers-controller.js';
@@ -566,7 +567,7 @@
     getLimitMs: () => callerServer.keepAliveTimeout,
     now,
     log,
-    runAfterReads: setImmediate,
+    runAfterReads,
   });
   callerServer.prependListener('request', (req, res) =>
     idleConnections.recordRequest(req.socket, res),
@@ -659,8 +660,12 @@
       log(2003, { graceMs: settings.graceMs });
       await sleep(Math.min(lameDuckMs, settings.graceMs / 2));
       isRefusing = true;
+      await waitForReads();
       const closed = closeServer(callerServer);
+      const idleCheck = setInterval(() => runAfterReads(order.closeIdleConnections), tickPeriodMs);
       await Promise.race([closed, sleep(Math.max(0, shutdownDeadline - now()))]);
+      clearInterval(idleCheck);
+      await waitForReads();
       isAbandoning = true;
       if (abandonAtStop.size > 0) {
         abandonAtStop.forEach((abandon) => abandon());
@@ -676,6 +681,7 @@
         Promise.all([readyServer, metricsServer, peerServer].map(closeServer)),
         sleep(10),
       ]);
+      await waitForReads();
     },
   };
 };
