Accept the connections that wait before a VM stops listening

Callers that connected just before a VM stopped listening got a reset after they had sent their request, without an answer. Cause: closing a listener resets the connections in its queue. The queue is longer than it seems: libuv accepts one connection in each turn of the event loop, so that a process that is late, or whose turns are long, has many waiting.

The shutdown now accepts until a turn brings no connection, then stops listening. Those requests are refused as not run, with the time to go to another VM.

--- a/packages/router/src/run-after-reads.ts
+++ b/packages/router/src/run-after-reads.ts
@@ -1,3 +1,5 @@
+import type { Server } from 'node:net';
+
 /** Runs a callback once what the operating system has received by now was read. */
 export type RunAfterReads = (callback: () => void) => void;
 
@@ -23,3 +25,27 @@
   new Promise((resolve) => {
     runAfterReads(resolve);
   });
+
+/** Turns of the event loop in which waiting connections are accepted; a listener takes one in each. */
+const maxAcceptTurns = 2_048;
+
+/**
+ * Resolves once a listener has accepted the connections that wait. To stop listening resets those that it has
+ * not accepted, and with them the requests that were sent on them.
+ *
+ * @example
+ * await acceptWaiting(server);
+ * server.close();
+ */
+export const acceptWaiting = async (server: Pick<Server, 'on' | 'off'>): Promise<void> => {
+  let hasAccepted = true;
+  const recordAccept = (): void => {
+    hasAccepted = true;
+  };
+  server.on('connection', recordAccept);
+  for (let turn = 0; hasAccepted && turn < maxAcceptTurns; turn += 1) {
+    hasAccepted = false;
+    await waitForReads();
+  }
+  server.off('connection', recordAccept);
+};
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -37,7 +37,7 @@
 import { makeIdleConnections } from './idle-connections.js';
 import { makeLoopDelay } from './loop-delay.js';
 import { makeRequestOrder } from './request-order.js';
-import { runAfterReads, waitForReads } from './run-after-reads.js';
+import { acceptWaiting, runAfterReads, waitForReads } from './run-after-reads.js';
 import { sleep } from './sleep.js';
 import { readMemoryLimit, readProcessLimits } from './process-limits.js';
 import { makePeersController } from './peers-controller.js';
@@ -660,7 +660,7 @@
       log(2003, { graceMs: settings.graceMs });
       await sleep(Math.min(lameDuckMs, settings.graceMs / 2));
       isRefusing = true;
-      await waitForReads();
+      await acceptWaiting(callerServer);
       const closed = closeServer(callerServer);
       const idleCheck = setInterval(() => runAfterReads(order.closeIdleConnections), tickPeriodMs);
       await Promise.race([closed, sleep(Math.max(0, shutdownDeadline - now()))]);
