Refuse requests that are still arriving when a VM stops

A caller whose request was still arriving, or waited for the software version that began its stream, at the end of the grace period got a closed connection and no answer. Cause: only requests that had begun to run were in the list of what is abandoned at the stop.

A request is now in that list from its head on, and is refused as not run until it starts.

--- a/packages/router/src/handle-call.ts
+++ b/packages/router/src/handle-call.ts
@@ -333,12 +333,23 @@
   }
   const timeoutAt = getTimeoutAt(state.value, arrivedAt);
   const { maxBodyBytes: maxBytes } = state.value.table.config.limits;
+  const { abandonAtStop } = deps.hooks;
+  const refuseAtStop = (): void => {
+    if (!res.headersSent) rejectRequest(deps, req, res, stoppingRejection);
+  };
+  const endWait = (): boolean => abandonAtStop.delete(refuseAtStop);
+  abandonAtStop.add(refuseAtStop);
+  res.once('close', endWait);
   receiveBody(req, { maxBytes, timeoutAt, now: deps.hooks.now, callerRequest }, (body) => {
+    if (res.headersSent) return;
     if (body.isErr()) {
+      endWait();
       rejectRequest(deps, req, res, bodyRejections[body.error]);
       return;
     }
     const start = (foundState: FilterState, origin: StreamOrigin | undefined): void => {
+      endWait();
+      if (res.headersSent) return;
       if (deps.startsRuns()) startRun(deps, req, res, foundState, body.value, arrivedAt, origin);
       else rejectRequest(deps, req, res, stoppingRejection);
     };
@@ -349,9 +360,11 @@
           return;
         }
         findOrigin(deps, state.value, timeoutAt, (found) => {
-          if (res.destroyed) return;
-          if (found.isErr()) rejectRequest(deps, req, res, found.error);
-          else start(found.value.state, found.value.origin);
+          if (res.destroyed || res.headersSent) return;
+          if (found.isErr()) {
+            endWait();
+            rejectRequest(deps, req, res, found.error);
+          } else start(found.value.state, found.value.origin);
         });
       },
       () => dropRequest(deps, req),
