Over the limit of connections, close one only after the reads that are due

A caller whose connection seemed to have no request for longest could lose one that had arrived and was not read, when another caller opened a connection over the limit.

A connection over the limit is now chosen after reads, and one that is not read only if there is no other.

"over the limit a connection is closed only after the reads that are due" failed before: the connection with the request was closed.

--- a/packages/router/src/caller-connections.test.ts
+++ b/packages/router/src/caller-connections.test.ts
@@ -60,6 +60,7 @@
     stallMs: 15_000,
     log: () => {},
     metrics: makeRouterMetrics(),
+    runAfterReads: (callback) => callback(),
     now: () => clock.now,
     ...overrides,
   });
@@ -102,6 +103,32 @@
   t.false(fourth.destroyed);
 });
 
+// Guards against the loss of a request that has arrived, but was not read when its connection was chosen.
+test('over the limit a connection is closed only after the reads that are due', (t) => {
+  const reads: (() => void)[] = [];
+  const { open, send } = makeConnections({
+    maxConnections: 10,
+    runAfterReads: (callback: () => void) => reads.push(callback),
+  });
+  const opened = Array.from({ length: 11 }, open);
+  const [oldest, paused, next] = opened;
+  paused?.pause();
+  t.false(opened.some(({ destroyed }) => destroyed));
+  if (oldest) send(oldest);
+  reads.splice(0).forEach((callback) => callback());
+  t.deepEqual(
+    opened.filter(({ destroyed }) => destroyed),
+    [next],
+  );
+});
+
+// Guards against a crowd that opens connections faster than they are closed after reads.
+test('far over the limit connections are closed at once', (t) => {
+  const { open } = makeConnections({ maxConnections: 10, runAfterReads: () => {} });
+  const opened = Array.from({ length: 20 }, open);
+  t.is(opened.filter(({ destroyed }) => !destroyed).length, 12);
+});
+
 test('a connection that is idle again counts from the end of its request', (t) => {
   const { open, send } = makeConnections();
   const [first, second] = [open(), open(), open()];
--- a/packages/router/src/caller-connections.ts
+++ b/packages/router/src/caller-connections.ts
@@ -3,6 +3,7 @@
 import { makeRequestMemory } from '@hemlocksill/routing/request-memory.js';
 import type { LogRouterEvent } from './events.js';
 import { makeReadTurns, type ReadTurns } from './read-turns.js';
+import type { RunAfterReads } from './run-after-reads.js';
 import type { RouterMetrics } from './router-metrics.js';
 
 /** Number of open requests on a connection from which on it is not read, and below which it is read again. */
@@ -12,6 +13,12 @@
 /** What a request costs besides its head and body: objects of the HTTP server and of the router. */
 const requestBytes = 8 * 1_024;
 
+/**
+ * Multiple of the maximum number of connections above which the oldest one is closed at once. Below it, that waits
+ * for reads: a request may have arrived on a connection that seems to have none.
+ */
+const maxExcess = 1.2;
+
 /** Interval of the checks. */
 export const connectionCheckPeriodMs = 1_000;
 
@@ -77,6 +84,7 @@
     RouterMetrics,
     'callerConnections' | 'callerLimits' | 'requestBytes' | 'stalledCallers'
   >;
+  readonly runAfterReads: RunAfterReads;
   readonly now: () => number;
 }
 
@@ -165,9 +173,16 @@
     idle.add(connection);
   };
 
+  /** Finds the connection without a request for longest, one that is read if there is one. */
+  const findOldestIdle = (): Connection | undefined => {
+    for (const connection of idle) if (!connection.socket.isPaused()) return connection;
+    const [oldest] = idle;
+    return oldest;
+  };
+
   /** Closes the connection that has had no request for longest, else the one whose request arrives for longest. */
   const closeOldest = (newest: Connection): void => {
-    const [oldestIdle] = idle;
+    const oldestIdle = findOldestIdle();
     const [oldestArriving] = arriving;
     const oldest = oldestIdle ?? oldestArriving ?? newest;
     log(2321, { limit: 'connections', connections: connections.size, ...describe(oldest) });
@@ -207,10 +222,14 @@
         isGivenUp: false,
       };
       connections.set(socket, connection);
-      if (connections.size > deps.maxConnections) closeOldest(connection);
+      if (connections.size > deps.maxConnections * maxExcess) closeOldest(connection);
       if (connection.isGivenUp) return;
       idle.add(connection);
       socket.on('close', () => remove(connection));
+      if (connections.size <= deps.maxConnections) return;
+      deps.runAfterReads(() => {
+        if (connections.size > deps.maxConnections) closeOldest(connection);
+      });
     },
     addRequest: (req, res) => {
       const { socket } = req;
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -507,6 +507,7 @@
     stallMs: memoryLimits.stallMs,
     log,
     metrics,
+    runAfterReads,
     now,
   });
 
