Count the grace period of a VM from its signal, not from when it handles it

Callers of a VM that was late when it was told to stop got a closed connection instead of an answer: the VM was killed at the end of the grace period, 0.4 s before it would have ended its open requests by itself. Cause: both times of the shutdown counted from the moment at which the process handled the signal, and a reserve of 0.4 s was all that a late process had. For the same reason it accepted requests for longer than it may.

Both count now from the earliest time at which the signal can have come: the run of the 100 ms task before the latest one, one second before at most. A VM that is not late loses 0.1 to 0.2 s of its grace period.

"a VM that handles its signal to stop late answers before the grace period ends" failed before (0.8 s late, nothing received) and passes now. Event 2003 tells the delay.

--- a/packages/router/src/loop-delay.ts
+++ b/packages/router/src/loop-delay.ts
@@ -11,6 +11,8 @@
 export interface LoopDelay {
   /** Records a run of the task. */
   readonly recordTick: (now: number) => void;
+  /** Returns the time of the run before the latest one; what is handled now has not arrived earlier. */
+  readonly getEarlierTickAt: () => number | undefined;
 }
 
 /** Dependencies of the measurement. */
@@ -31,8 +33,13 @@
  */
 export const makeLoopDelay = ({ periodMs, metrics, log }: LoopDelayDeps): LoopDelay => {
   let expectedAt: number | undefined;
+  let latestAt: number | undefined;
+  let earlierAt: number | undefined;
   return {
+    getEarlierTickAt: () => earlierAt,
     recordTick: (now) => {
+      earlierAt = latestAt;
+      latestAt = now;
       const delayMs = Math.max(0, now - (expectedAt ?? now));
       expectedAt = now + periodMs;
       metrics.loopDelayMs.observe(delayMs);
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -87,6 +87,12 @@
 /** Part of the grace period that remains after open requests are abandoned, to close the router. */
 const graceReserveMs = 400;
 
+/**
+ * Maximum time for which a signal is taken to have waited until the process ran. The grace period counts from the
+ * signal; a process that does not run for longer has been suspended.
+ */
+const maxSignalDelayMs = 1_000;
+
 /** Time for which the responses of abandoned requests are sent. */
 const abandonedFlushMs = 100;
 
@@ -656,10 +662,16 @@
   return {
     applySettings: ({ secondAttemptShare }) => plainPlacement.setShare(secondAttemptShare),
     shutDown: async () => {
-      const shutdownDeadline = now() + settings.graceMs - graceReserveMs;
+      const handledAt = now();
+      const signalledAt = Math.max(
+        loopDelay.getEarlierTickAt() ?? handledAt,
+        handledAt - maxSignalDelayMs,
+      );
+      const shutdownDeadline = signalledAt + settings.graceMs - graceReserveMs;
+      const refuseAt = signalledAt + Math.min(lameDuckMs, settings.graceMs / 2);
       isShuttingDown = true;
-      log(2003, { graceMs: settings.graceMs });
-      await sleep(Math.min(lameDuckMs, settings.graceMs / 2));
+      log(2003, { graceMs: settings.graceMs, signalDelayMs: Math.round(handledAt - signalledAt) });
+      await sleep(Math.max(0, refuseAt - now()));
       isRefusing = true;
       await acceptWaiting(callerServer);
       const closed = closeServer(callerServer);
