Disconnect a caller that does not read only after the writes that are due

A caller that reads its response lost it if the VM itself did not run for `caller-stall-ms`: the check came before the writes, took the standstill of the VM for one of the caller, and reset the connection.

"a caller that takes nothing while the VM is late is not disconnected if it takes some then" failed before.

--- a/packages/router/src/caller-connections.test.ts
+++ b/packages/router/src/caller-connections.test.ts
@@ -202,3 +202,22 @@
   t.true(stalled.isReset);
   t.false(slow.destroyed);
 });
+
+// Guards against the loss of a response that its caller reads while the process itself does not run.
+test('a caller that takes nothing while the VM is late is not disconnected if it takes some then', (t) => {
+  const reads: (() => void)[] = [];
+  const { connections, clock, open } = makeConnections({
+    runAfterReads: (callback: () => void) => reads.push(callback),
+  });
+  const [stalled, slow] = [open(), open()];
+  [stalled, slow].forEach((socket) =>
+    Object.assign(socket, { bytesWritten: 1_000, writableLength: 500 }),
+  );
+  connections.check();
+  clock.now = 16_000;
+  connections.check();
+  slow.writableLength = 400;
+  reads.splice(0).forEach((callback) => callback());
+  t.true(stalled.isReset);
+  t.false(slow.destroyed);
+});
--- a/packages/router/src/caller-connections.ts
+++ b/packages/router/src/caller-connections.ts
@@ -192,18 +192,26 @@
     oldest.socket.destroy();
   };
 
+  const countTaken = ({ socket }: Connection): number =>
+    socket.bytesWritten - socket.writableLength;
+
+  /** Disconnects a caller that still takes nothing once the writes that are due were made. */
+  const closeUnread = (connection: Connection): void =>
+    deps.runAfterReads(() => {
+      const { socket } = connection;
+      const isTaking = countTaken(connection) !== connection.takenBytes;
+      if (isTaking || socket.writableLength === 0 || socket.destroyed) return;
+      log(2315, { unread: socket.writableLength, ...describe(connection) });
+      metrics.stalledCallers.inc();
+      socket.resetAndDestroy();
+    });
+
   const checkUnread = (connection: Connection): void => {
-    const { socket } = connection;
-    const unread = socket.writableLength;
-    const takenBytes = socket.bytesWritten - unread;
-    if (unread === 0 || takenBytes !== connection.takenBytes) {
+    const takenBytes = countTaken(connection);
+    if (connection.socket.writableLength === 0 || takenBytes !== connection.takenBytes) {
       connection.takenBytes = takenBytes;
       connection.takenAt = now();
-    } else if (stallMs > 0 && now() - connection.takenAt >= stallMs) {
-      log(2315, { unread, ...describe(connection) });
-      metrics.stalledCallers.inc();
-      socket.resetAndDestroy();
-    }
+    } else if (stallMs > 0 && now() - connection.takenAt >= stallMs) closeUnread(connection);
   };
 
   return {
--- a/packages/router/src/run-after-reads.ts
+++ b/packages/router/src/run-after-reads.ts
@@ -1,6 +1,6 @@
 import type { Server } from 'node:net';
 
-/** Runs a callback once what the operating system has received by now was read. */
+/** Runs a callback once what the operating system has received by now was read, and what it takes was written. */
 export type RunAfterReads = (callback: () => void) => void;
 
 /**
