Deliver an answer that a late VM reads after the timeout of its request

Callers got 504 "no answer before the timeout", and streams were broken off, although the backend server had answered in time and the answer had reached the VM. Cause: the timeout of a request is a timer, and timers run before the process reads what is due. After a pause the request was abandoned with its answer unread.

The timeout now ends only after the reads that are due. A server that is silent is given up one turn later.

"an answer that comes in time is delivered though the VM reads it after the timeout" (a real VM, stopped from 0 to 1.3 s with a timeout of 1 s, answered after 0.1 s) failed before with 504 and passes now.

--- a/packages/router/src/call-context.ts
+++ b/packages/router/src/call-context.ts
@@ -9,6 +9,7 @@
 import type { RouteTable } from '@hemlocksill/routing/route-table.js';
 import type { CallerFlows } from './caller-flows.js';
 import type { LogRouterEvent } from './events.js';
+import { startReadTimeout } from './read-timeout.js';
 import type { RouterMetrics } from './router-metrics.js';
 
 /** Limits of the Retry-After of a refusal, including its jitter. */
@@ -255,7 +256,7 @@
       disconnectCallbacks.push(callback);
     },
     onAbandon: (callback) => {
-      const timer = setTimeout(
+      const cancelTimeout = startReadTimeout(
         () => {
           if (!isEnded) callback(504, 'before the timeout');
         },
@@ -267,7 +268,7 @@
       };
       hooks.abandonAtStop.add(abandonAtStop);
       res.on('close', () => {
-        clearTimeout(timer);
+        cancelTimeout();
         hooks.abandonAtStop.delete(abandonAtStop);
       });
     },
