--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -121,6 +121,8 @@
 export interface Router {
   /** Finishes the requests in progress within the grace period, then closes the router. */
   readonly shutDown: () => Promise<void>;
+  /** Whether the router has been ready for requests. */
+  readonly hasBeenReady: () => boolean;
   /** Applies the settings that may change while the router runs. */
   readonly applySettings: (settings: Pick<RouterSettings, 'secondAttemptShare'>) => void;
 }
@@ -660,6 +662,7 @@
   log(2001, { vm: settings.vm, incarnation, dataCentre: settings.dataCentre });
 
   return {
+    hasBeenReady: () => hasLoggedReady,
     applySettings: ({ secondAttemptShare }) => plainPlacement.setShare(secondAttemptShare),
     shutDown: async () => {
       const handledAt = now();
