Leave a stopping VM's connections open for the request that follows a response

A caller that sent its next request as soon as it had the last byte of a stream got a closed connection without an answer, if the head of the stream had been sent before the VM was told to stop. Cause: such a head can't announce that the connection closes, so the connection was ended together with the response, just when callers use it again.

The connection now stays open, and closes when it has had no request for 0.2 s, as all idle connections do once the VM refuses. A request that comes before is answered with "connection: close".

--- a/packages/router/src/handle-call.ts
+++ b/packages/router/src/handle-call.ts
@@ -392,10 +392,6 @@
     // The connection had to give way, which is logged.
     if (!callerRequest) return;
     const awaitTurn = order.add(req, res);
-    res.on('finish', () => {
-      // A head sent before the shutdown carries no `connection: close`.
-      if (deps.hooks.isShuttingDown() && order.isLast(req, res)) req.socket.end();
-    });
     callerRequest.run(() => handleRequest(deps, { req, res, callerRequest, awaitTurn, arrivedAt }));
   };
 };
--- a/packages/router/src/request-order.ts
+++ b/packages/router/src/request-order.ts
@@ -16,9 +16,18 @@
   readonly findOpenResponse: (socket: Duplex) => ServerResponse | undefined;
   /**
    * Closes the connections between two requests, whose last response was flushed; to be called after reads.
-   * One that is not read now is left open, since a request may have arrived on it.
+   * One that is not read now is left open, since a request may have arrived on it, and so is one whose last
+   * response has just ended: its caller may be sending the next request.
+   *
+   * @param endedFrom - earliest end of the last request or response of those that are closed; all by default
    */
-  readonly closeIdleConnections: () => void;
+  readonly closeIdleConnections: (endedFrom?: number) => void;
+}
+
+/** Dependencies of the order. */
+export interface RequestOrderDeps {
+  readonly log: LogRouterEvent;
+  readonly now: () => number;
 }
 
 /** A request whose response isn't flushed. */
@@ -28,6 +37,9 @@
   start: (() => void) | undefined;
 }
 
+/** Time after a response within which callers mostly send the next request, if they have one. */
+const reuseMs = 200;
+
 /** A caller's connection that has carried a request. */
 interface CallerConnection {
   readonly socket: Socket;
@@ -38,6 +50,8 @@
   arrivingRequests: number;
   /** Bytes received when the last request or response ended; more belong to the next request. */
   readBytes: number;
+  /** Time at which the last request or response ended. */
+  endedAt: number;
 }
 
 /**
@@ -45,9 +59,9 @@
  * response may have to close the connection, and the second request would have run without an answer.
  *
  * @example
- * makeRequestOrder(log).add(req, res)(() => run(req, res), () => {});
+ * makeRequestOrder({ log, now }).add(req, res)(() => run(req, res), () => {});
  */
-export const makeRequestOrder = (log: LogRouterEvent): RequestOrder => {
+export const makeRequestOrder = ({ log, now }: RequestOrderDeps): RequestOrder => {
   const connections = new Map<Duplex, CallerConnection>();
 
   const findConnection = (req: IncomingMessage): CallerConnection => {
@@ -60,12 +74,18 @@
       latestResponse: undefined,
       arrivingRequests: 0,
       readBytes: 0,
+      endedAt: now(),
     };
     connections.set(socket, connection);
     socket.once('close', () => connections.delete(socket));
     return connection;
   };
 
+  const recordEnd = (connection: CallerConnection): void => {
+    connection.readBytes = connection.socket.bytesRead;
+    connection.endedAt = now();
+  };
+
   const getFirst = ({ openRequests }: CallerConnection): OpenRequest | undefined => {
     const [first] = openRequests;
     return first;
@@ -81,12 +101,12 @@
       connection.arrivingRequests += 1;
       req.on('end', () => {
         connection.arrivingRequests -= 1;
-        connection.readBytes = socket.bytesRead;
+        recordEnd(connection);
       });
       res.on('close', () => {
         connection.openRequests.delete(open);
         if (connection.latestResponse === res) connection.latestResponse = undefined;
-        connection.readBytes = socket.bytesRead;
+        recordEnd(connection);
         getFirst(connection)?.start?.();
       });
       return (start, onClosed) => {
@@ -105,10 +125,12 @@
         .map(({ res }) => res)
         .filter(({ req }) => req.complete)
         .pop(),
-    closeIdleConnections: () => {
-      connections.forEach(({ socket, openRequests, arrivingRequests, readBytes }) => {
+    closeIdleConnections: (endedFrom = 0) => {
+      connections.forEach(({ socket, openRequests, arrivingRequests, readBytes, endedAt }) => {
         const isBusy = openRequests.size > 0 || arrivingRequests > 0;
-        if (isBusy || socket.isPaused() || socket.bytesRead !== readBytes) return;
+        const mayBeReused = now() - endedAt < reuseMs;
+        if (isBusy || mayBeReused || endedAt < endedFrom) return;
+        if (socket.isPaused() || socket.bytesRead !== readBytes) return;
         log(2322, { reason: 'shutdown', bytesRead: readBytes, port: socket.remotePort });
         socket.destroy();
       });
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -499,7 +499,7 @@
     openGathered: () => flows.openGathered(),
   };
 
-  const order = makeRequestOrder(log);
+  const order = makeRequestOrder({ log, now });
 
   const processBytes = readMemoryLimit();
   const memoryLimits = deriveMemoryLimits(settings.memory, processBytes);
@@ -568,7 +568,7 @@
   // After the server's own listener, which would resume a connection that was paused before.
   callerServer.on('connection', connections.add);
   // `close` calls it; Node's own also destroys connections whose ended response isn't flushed.
-  callerServer.closeIdleConnections = order.closeIdleConnections;
+  callerServer.closeIdleConnections = () => order.closeIdleConnections();
   callerServer.headersTimeout = defaultHeaderTimeoutMs;
   callerServer.keepAliveTimeout = defaultIdleTimeoutMs;
 
@@ -674,11 +674,15 @@
       const refuseAt = signalledAt + Math.min(lameDuckMs, settings.graceMs / 2);
       isShuttingDown = true;
       log(2003, { graceMs: settings.graceMs, signalDelayMs: Math.round(handledAt - signalledAt) });
+      // Heads that were sent before announce no end of their connection; the others do.
+      const idleCheck = setInterval(
+        () => runAfterReads(() => order.closeIdleConnections(isRefusing ? 0 : handledAt)),
+        tickPeriodMs,
+      );
       await sleep(Math.max(0, refuseAt - now()));
       isRefusing = true;
       await acceptWaiting(callerServer);
       const closed = closeServer(callerServer);
-      const idleCheck = setInterval(() => runAfterReads(order.closeIdleConnections), tickPeriodMs);
       await Promise.race([closed, sleep(Math.max(0, shutdownDeadline - now()))]);
       clearInterval(idleCheck);
       await waitForReads();
