Keep the result of a prefill that a late VM has not read

Streams were refused 503 "the prompt could not be read", or their prompt was read twice, although the prefill engine had answered in time. Cause: as for the timeout of a request, the timer of a prefill ran before the read that was due, after a pause of the process. The engine also counted as broken.

The timeout of a prefill now ends only after the reads that are due.

--- a/packages/router/src/stream-engines.ts
+++ b/packages/router/src/stream-engines.ts
@@ -13,6 +13,7 @@
 import { maxStreamLifeMs } from '@hemlocksill/routing/version-history.js';
 import type { MemoryAllocation } from '@hemlocksill/routing/engine-ledger.js';
 import type { CallContext } from './call-context.js';
+import { startReadTimeout } from './read-timeout.js';
 import type { RunDeps } from './run-deps.js';
 
 /** A prefill counts as failed after twice its predicted duration plus this margin. */
@@ -263,12 +264,12 @@
       const tryFinish = (): boolean => {
         if (!isRunning) return false;
         isRunning = false;
-        clearTimeout(timer);
+        cancelTimeout();
         // Other VMs are not notified: they reduce the load of a prefill at the assumed rate.
         deps.engineLedger.removePrefill(prefill.id, promptTokens);
         return true;
       };
-      const timer = setTimeout(
+      const cancelTimeout = startReadTimeout(
         () => {
           if (!tryFinish()) return;
           cancel();
