Answer requests that have arrived behind others when a VM stops

A caller that sends requests one behind the other on a connection, and whose VM receives SIGTERM before the first one is answered, got the first answer only: the connection ended, and the requests behind it, which the VM had read whole long before, had none.

From the signal on, every response carried `Connection: close`, and the HTTP server closes the connection after such a response. The response now closes it only if no request has arrived behind its own; the last one does.

--- a/packages/router/src/call-context.ts
+++ b/packages/router/src/call-context.ts
@@ -101,13 +101,21 @@
   readonly metrics: RouterMetrics;
   readonly random: () => number;
   readonly now: () => number;
-  /** Whether connections must be closed after their response. */
+  /** Whether connections must be closed after their last response. */
   readonly isShuttingDown: () => boolean;
+  /** Whether no request has arrived behind the one of a response. */
+  readonly isLast: (res: ServerResponse) => boolean;
   /** Callbacks that abandon the responses in progress, for the end of the grace period. */
   readonly abandonAtStop: Set<() => void>;
   readonly flows: CallerFlows;
 }
 
+/** Whether the connection is to be closed after a response; requests that have arrived behind it are answered first. */
+export const isLastAtStop = (
+  { isShuttingDown, isLast }: Pick<ResponderHooks, 'isShuttingDown' | 'isLast'>,
+  res: ServerResponse,
+): boolean => isShuttingDown() && isLast(res);
+
 /** Writes the head of an error response that the router itself produced, and returns its body. */
 const writeErrorHead = (
   res: ServerResponse,
@@ -205,7 +213,7 @@
         res.shouldKeepAlive = false;
       } else if (!headers.some(isLength)) headers.push(['content-length', String(length)]);
     }
-    if (hooks.isShuttingDown()) headers.push(['connection', 'close']);
+    if (isLastAtStop(hooks, res)) headers.push(['connection', 'close']);
     res.writeHead(head.status, headers.flat());
     isFramed = res.chunkedEncoding || headers.some(isLength);
   };
@@ -243,7 +251,7 @@
       recordEnd('refused', { status, reason, retryMs: Math.round(spreadMs), ...inputs });
       sendRouterResponse(res, status, reason, 'not-run', {
         'retry-after': (spreadMs / 1_000).toFixed(2),
-        ...(hooks.isShuttingDown() ? { connection: 'close' } : {}),
+        ...(isLastAtStop(hooks, res) ? { connection: 'close' } : {}),
       });
     },
     fail: (status, reason) => {
--- a/packages/router/src/reject-request.ts
+++ b/packages/router/src/reject-request.ts
@@ -3,6 +3,7 @@
 import type { RouteTable } from '@hemlocksill/routing/route-table.js';
 import {
   beginRouterResponse,
+  isLastAtStop,
   sendRouterResponse,
   spreadRetryAfterMs,
   type ResponderHooks,
@@ -61,7 +62,7 @@
 export interface RejectDeps {
   readonly getTable: () => RouteTable | undefined;
   readonly readMetadata: ReadCallMetadata;
-  readonly hooks: Pick<ResponderHooks, 'log' | 'metrics' | 'random' | 'isShuttingDown'>;
+  readonly hooks: Pick<ResponderHooks, 'log' | 'metrics' | 'random' | 'isShuttingDown' | 'isLast'>;
 }
 
 /** Bytes of a refused body that are read until a configuration is known. */
@@ -73,6 +74,39 @@
 /** Time that a caller has to read its refusal before the connection is closed. */
 const lingerTimeoutMs = 2_000;
 
+const sendRejection = (
+  { getTable, hooks }: RejectDeps,
+  req: IncomingMessage,
+  res: ServerResponse,
+  { status, reason, retryAfterMs, closesConnection = false }: Rejection,
+  id: string | undefined,
+): void => {
+  const { log, random, metrics } = hooks;
+  const headers = {
+    ...(retryAfterMs === undefined
+      ? {}
+      : {
+          'retry-after': (spreadRetryAfterMs(retryAfterMs, random) / 1_000).toFixed(2),
+        }),
+    ...(closesConnection || isLastAtStop(hooks, res) ? { connection: 'close' } : {}),
+  };
+  const maxBytes = getTable()?.config.limits.maxBodyBytes ?? defaultMaxDiscardedBytes;
+  if (req.complete || !hasBody(req)) sendRouterResponse(res, status, reason, 'not-run', headers);
+  else if (closesConnection) {
+    // The end of the response closes the connection.
+    beginRouterResponse(res, status, reason, 'not-run', headers);
+    discardBody(req, { maxBytes, timeoutMs: lingerTimeoutMs }, () => res.end());
+  } else {
+    sendRouterResponse(res, status, reason, 'not-run', headers);
+    discardBody(req, { maxBytes, timeoutMs: discardTimeoutMs }, (isWhole) => {
+      if (isWhole) return;
+      log(2321, { limit: 'rest-of-body', id, port: req.socket.remotePort });
+      metrics.callerLimits.inc({ limit: 'rest-of-body' });
+      req.socket.destroy();
+    });
+  }
+};
+
 /**
  * Refuses a request, and reads what is left of its body within bounds.
  *
@@ -80,13 +114,14 @@
  * rejectRequest(deps, req, res, { status: 404, reason: 'no route matches' });
  */
 export const rejectRequest = (
-  { getTable, readMetadata, hooks }: RejectDeps,
+  deps: RejectDeps,
   req: IncomingMessage,
   res: ServerResponse,
   rejection: Rejection,
 ): void => {
-  const { log, random, isShuttingDown, metrics } = hooks;
-  const { status, reason, closesConnection = false } = rejection;
+  const { getTable, readMetadata, hooks } = deps;
+  const { log, metrics } = hooks;
+  const { status, reason } = rejection;
   const config = getTable()?.config;
   const readResult = readMetadata(req.rawHeaders);
   const id = 'metadata' in readResult ? readResult.metadata.id : undefined;
@@ -103,27 +138,5 @@
     port: req.socket.remotePort,
   });
   if (rejection.limit !== undefined) metrics.callerLimits.inc({ limit: rejection.limit });
-  const headers = {
-    ...(rejection.retryAfterMs === undefined
-      ? {}
-      : {
-          'retry-after': (spreadRetryAfterMs(rejection.retryAfterMs, random) / 1_000).toFixed(2),
-        }),
-    ...(isShuttingDown() || closesConnection ? { connection: 'close' } : {}),
-  };
-  const maxBytes = config?.limits.maxBodyBytes ?? defaultMaxDiscardedBytes;
-  if (req.complete || !hasBody(req)) sendRouterResponse(res, status, reason, 'not-run', headers);
-  else if (closesConnection) {
-    // The end of the response closes the connection.
-    beginRouterResponse(res, status, reason, 'not-run', headers);
-    discardBody(req, { maxBytes, timeoutMs: lingerTimeoutMs }, () => res.end());
-  } else {
-    sendRouterResponse(res, status, reason, 'not-run', headers);
-    discardBody(req, { maxBytes, timeoutMs: discardTimeoutMs }, (isWhole) => {
-      if (isWhole) return;
-      log(2321, { limit: 'rest-of-body', id, port: req.socket.remotePort });
-      metrics.callerLimits.inc({ limit: 'rest-of-body' });
-      req.socket.destroy();
-    });
-  }
+  sendRejection(deps, req, res, rejection, id);
 };
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -529,6 +529,7 @@
       random: Math.random,
       now,
       isShuttingDown: () => isShuttingDown,
+      isLast: (res) => order.isLast(res.req, res),
       abandonAtStop,
       flows,
     },
