Close a connection for a refusal only when its turn comes

A request that a stopping VM refuses while the one before it still runs was answered, but a request that arrived behind it afterwards was not: the connection ended after the refusal.

The refusal was written as soon as its request had arrived, with `Connection: close` since it was the last one then, and waited for its turn. While a VM stops, it is now written in its turn, when it is known what has arrived behind.

--- a/packages/router/src/reject-request.ts
+++ b/packages/router/src/reject-request.ts
@@ -138,5 +138,8 @@
     port: req.socket.remotePort,
   });
   if (rejection.limit !== undefined) metrics.callerLimits.inc({ limit: rejection.limit });
-  sendRejection(deps, req, res, rejection, id);
+  const send = (): void => sendRejection(deps, req, res, rejection, id);
+  // While a VM stops, a refusal behind others waits for them: it closes the connection if nothing has come behind it.
+  if (res.socket === null && hooks.isShuttingDown()) res.once('socket', send);
+  else send();
 };
