Read the rest of a refused body before a stopping VM closes its connection

A caller that sends its whole body before it reads got a reset in place of the refusal of a stopping VM, and of the answer before it if it had not read that yet.

The refusal closes the connection while the rest of the body is on its way; bytes that arrive at a closed connection are answered with a reset, and what the caller has not read by then is lost. Refusals of bodies over the limit read and discard the rest first, within bounds; those of a stopping VM now do the same.

--- a/packages/router/src/reject-request.ts
+++ b/packages/router/src/reject-request.ts
@@ -82,17 +82,18 @@
   id: string | undefined,
 ): void => {
   const { log, random, metrics } = hooks;
+  const isLast = closesConnection || isLastAtStop(hooks, res);
   const headers = {
     ...(retryAfterMs === undefined
       ? {}
       : {
           'retry-after': (spreadRetryAfterMs(retryAfterMs, random) / 1_000).toFixed(2),
         }),
-    ...(closesConnection || isLastAtStop(hooks, res) ? { connection: 'close' } : {}),
+    ...(isLast ? { connection: 'close' } : {}),
   };
   const maxBytes = getTable()?.config.limits.maxBodyBytes ?? defaultMaxDiscardedBytes;
   if (req.complete || !hasBody(req)) sendRouterResponse(res, status, reason, 'not-run', headers);
-  else if (closesConnection) {
+  else if (isLast) {
     // The end of the response closes the connection.
     beginRouterResponse(res, status, reason, 'not-run', headers);
     discardBody(req, { maxBytes, timeoutMs: lingerTimeoutMs }, () => res.end());
