Soak: check whole stops of VMs, beside late VMs, signals and changes

The soak missed the requests that late VMs lose when they stop, for five reasons:

- `graceful-stop` saw no call at all: the time of a stop and that of the fault of its VM were read one after the other and never matched, so that each stop counted as another fault beside itself.
They are one reading now.
- It left out calls that began more than a second after the signal.
It covers the whole stop now: a call counts as lost if it was passed on, or was cut later than 200 ms after its last byte; in the first second all count, as before.
- Callers left a VM at its signal.
From version 8 of the schedule on they use it until its process is gone.
- Connections were never idle for long, and VMs were paused for seconds or not at all.
Version 8 has callers that think for 1 to 5 s, bodies in two segments, VMs that don't run for 0.1 to 0.7 s, also around their stop, second signals to stop, series of SIGHUP, storms of configurations beside a stop, and stops soon after a start.
- VMs that were cut off from the store were an excuse for calls without an answer.
They are none now, nor are late VMs.

A VM that does not end by itself is killed at the end of its grace period, which is a violation, as is a process that ends without a signal.

--- a/packages/soak/src/check-promises.test.ts
+++ b/packages/soak/src/check-promises.test.ts
@@ -35,6 +35,9 @@
   changes: [],
   storeOutages: [],
   vmFaultSpans: new Map(),
+  storeLinkSpans: new Map(),
+  lateSpans: new Map(),
+  unexpectedExits: [],
   serverFaultSpans: [],
   stops: [],
   crashingParts: [],
@@ -133,15 +136,51 @@
 
 test('a request that is cut by a graceful stop is reported', (t) => {
   const calls = [makeCall({ status: undefined, isComplete: false })];
-  const stops = [{ vm: 'vm-1', from: 10_020, to: 12_000 }];
+  const stops = [{ vm: 'vm-1', from: 10_020, to: 12_000, exitCode: 0 }];
   const vmFaultSpans = new Map([['vm-1', [{ from: 10_020, to: 14_000 }]]]);
   t.deepEqual(listViolatedPromises({ calls, stops, vmFaultSpans }), ['graceful-stop']);
   t.deepEqual(
-    listViolatedPromises({ calls, stops: [{ ...stops[0], vm: 'vm-2', from: 0, to: 1 }] }),
+    listViolatedPromises({ calls, stops: [{ vm: 'vm-2', from: 0, to: 1, exitCode: 0 }] }),
     ['ends-with-answer'],
   );
 });
 
+// Guards against requests that a VM lost when it closed its listener and its idle connections.
+test('a request that comes late in a stop is lost if it was passed on, or waited before its connection ended', (t) => {
+  const stops = [{ vm: 'vm-1', from: 8_000, to: 12_000, exitCode: 0 }];
+  const vmFaultSpans = new Map([['vm-1', [{ from: 8_000, to: 14_000 }]]]);
+  const lateSpans = new Map([['vm-1', [{ from: 9_900, to: 10_500 }]]]);
+  const listForCall = (overrides: Partial<CallRecord>, runs: readonly RunRecord[]): string[] => {
+    const cut = { status: undefined, body: '', isComplete: false, ...overrides };
+    return listViolatedPromises({ calls: [makeCall(cut)], runs, stops, vmFaultSpans, lateSpans });
+  };
+  t.deepEqual(listForCall({ endedAt: 10_500 }, []), ['graceful-stop']);
+  t.deepEqual(listForCall({ endedAt: 10_050 }, [makeRun({})]), ['graceful-stop']);
+  t.deepEqual(listForCall({ endedAt: 10_150 }, []), []);
+  t.deepEqual(listForCall({ endedAt: 10_500, sentAt: 10_400 }, []), []);
+  t.deepEqual(listForCall({ endedAt: 11_900 }, [makeRun({ endedAt: 11_900 })]), []);
+  t.deepEqual(listForCall({ status: 503, isComplete: true, endedAt: 10_500 }, []), []);
+});
+
+test('a VM that a stop does not end in the regular way, or that ends without a signal, is reported', (t) => {
+  const stop = { vm: 'vm-1', from: 20_000, to: 24_000, exitCode: null };
+  t.deepEqual(listViolatedPromises({ stops: [stop] }), ['graceful-stop']);
+  t.deepEqual(listViolatedPromises({ stops: [{ ...stop, exitCode: 1 }] }), ['graceful-stop']);
+  t.deepEqual(listViolatedPromises({ stops: [{ ...stop, exitCode: 0 }] }), []);
+  const lateSpans = new Map([['vm-1', [{ from: 23_800, to: 24_300 }]]]);
+  t.deepEqual(listViolatedPromises({ stops: [stop], lateSpans }), []);
+  t.deepEqual(listViolatedPromises({ unexpectedExits: [{ vm: 'vm-1', at: 20_000 }] }), [
+    'keeps-running',
+  ]);
+});
+
+test('a VM that is late or cut off from the store loses no request', (t) => {
+  const spans = new Map([['vm-1', [{ from: 9_900, to: 10_500 }]]]);
+  const calls = [makeCall({ status: undefined, body: '', isComplete: false, endedAt: 10_300 })];
+  t.deepEqual(listViolatedPromises({ calls, lateSpans: spans }), ['ends-with-answer']);
+  t.deepEqual(listViolatedPromises({ calls, storeLinkSpans: spans }), ['ends-with-answer']);
+});
+
 const closedCall = makeCall({ status: undefined, body: '', isComplete: false, endedAt: 10_300 });
 
 test('a call without an answer is reported, beside planned changes and store outages, too', (t) => {
--- a/packages/soak/src/check-promises.ts
+++ b/packages/soak/src/check-promises.ts
@@ -1,3 +1,4 @@
+import { graceMs } from './start-environment.js';
 import type {
   AcknowledgedChange,
   CallKind,
@@ -6,6 +7,7 @@
   Service,
   SoakRecord,
   Span,
+  StopRecord,
 } from './records.js';
 
 /** Time limits of the guarantees in docs/GUARANTEES.md, in milliseconds. */
@@ -30,6 +32,21 @@
   recoveryMs: 12_000,
 };
 
+/** A request that was sent less than this before its connection ends may have crossed its close. */
+const lossSlackMs = 200;
+
+/** Time after a signal to stop from which on a server that is still at work excuses a cut answer. */
+const lastWorkMs = (graceMs * 5) / 6;
+
+/** Time after a signal to stop in which every request is answered, whenever it was sent. */
+const surelyReadMs = 1_000;
+
+/** Last part of a grace period, in which a VM that does not run may be killed. */
+const lastSecondMs = 1_000;
+
+/** Time after a signal to stop until which requests may be cut if a server takes all of the grace period. */
+const lastLongRequestMs = 3_000;
+
 /** Tolerance added to each limit, since a soak may share its machine with other load. */
 const toleranceMs = 1_000;
 
@@ -48,6 +65,7 @@
     | 'final-answer'
     | 'ends-with-answer'
     | 'graceful-stop'
+    | 'keeps-running'
     | 'bounded-crashes'
     | 'keeps-limit'
     | 'one-version'
@@ -91,6 +109,13 @@
 const overlaps = (spans: readonly Span[], from: number, to: number): boolean =>
   spans.some((span) => span.from < to && span.to > from);
 
+/** Intervals in which a VM may miss a time limit. */
+const listHindrances = (record: SoakRecord, vm: string): readonly Span[] => [
+  ...(record.vmFaultSpans.get(vm) ?? []),
+  ...(record.storeLinkSpans.get(vm) ?? []),
+  ...(record.lateSpans.get(vm) ?? []),
+];
+
 const groupRunsById = (runs: readonly RunRecord[]): Map<string, RunRecord[]> => {
   const byId = new Map<string, RunRecord[]>();
   runs
@@ -144,7 +169,7 @@
   });
   const deadline =
     call.startedAt + callerTimeoutMs[call.kind] + timeLimits.finalResponseMs + toleranceMs;
-  const isVmHealthy = !overlaps(record.vmFaultSpans.get(call.vm) ?? [], call.startedAt, deadline);
+  const isVmHealthy = !overlaps(listHindrances(record, call.vm), call.startedAt, deadline);
   if (isVmHealthy && (call.endedAt ?? record.endedAt) > deadline)
     report(
       'final-answer',
@@ -178,7 +203,7 @@
   const windowStart = change.at - timeLimits.faultWindowMs;
   if (call.startedAt < change.at + timeLimits.changeInForceMs + toleranceMs) return false;
   if (overlaps(record.storeOutages, windowStart, call.startedAt)) return false;
-  const faultSpans = record.vmFaultSpans.get(call.vm) ?? [];
+  const faultSpans = listHindrances(record, call.vm);
   return !overlaps(faultSpans, call.startedAt - timeLimits.faultWindowMs, call.startedAt);
 };
 
@@ -197,28 +222,69 @@
       })),
   );
 
-/** Without another fault, a stop cuts no request sent before it or within a second after it. */
-const checkStops = (record: SoakRecord): Violation[] =>
-  record.stops.flatMap((stop) =>
-    record.calls
+/**
+ * Whether a cut request was sent so late that it counts only if it was passed on to a server, or waited for longer
+ * than a close takes to be seen.
+ */
+const mayCross = (
+  call: CallRecord,
+  runs: readonly RunRecord[],
+  stop: Span,
+  endedAt: number,
+): boolean => {
+  const sentAt = call.sentAt ?? call.startedAt;
+  if (sentAt <= stop.from + surelyReadMs) return false;
+  if (runs.length === 0) return endedAt - sentAt <= lossSlackMs;
+  const lastWorkAt = stop.from + lastWorkMs;
+  return (
+    sentAt <= stop.from + lastLongRequestMs &&
+    runs.some((run) => (run.endedAt ?? endedAt) >= lastWorkAt)
+  );
+};
+
+/** Whether a VM was killed when its grace period was over, and did not run for a part of its last second. */
+const isLateAtKill = ({ lateSpans }: SoakRecord, { vm, exitCode, from, to }: StopRecord): boolean =>
+  exitCode === null && overlaps(lateSpans.get(vm) ?? [], from + graceMs - lastSecondMs, to);
+
+/** Without another fault, a stop cuts no request, and the process ends by itself. */
+const checkStops = (record: SoakRecord, runs: Map<string, RunRecord[]>): Violation[] =>
+  record.stops.flatMap((stop) => [
+    ...(stop.exitCode === 0 || isLateAtKill(record, stop)
+      ? []
+      : [
+          {
+            promise: 'graceful-stop' as const,
+            detail: `${stop.vm} ended with ${stop.exitCode ?? 'a signal'} ${Math.round(stop.to - stop.from)} ms after its signal`,
+          },
+        ]),
+    ...record.calls
       .filter((call) => {
         const end = call.endedAt ?? record.endedAt;
         const isOpenDuringStop = call.vm === stop.vm && call.startedAt < stop.to && end > stop.from;
         const isCut = call.status === undefined || (call.status === 200 && !call.isComplete);
         if (!isOpenDuringStop || call.disconnectedAt !== undefined || !isCut) return false;
-        // A connection that arrives while the listener closes is never read.
-        if (call.startedAt > stop.from + 1_000) return false;
-        const vmFaultSpans = record.vmFaultSpans.get(call.vm) ?? [];
-        const hasOtherFault = vmFaultSpans.some(
-          (span) => span.from !== stop.from && span.to > call.startedAt,
+        if (mayCross(call, runs.get(call.id) ?? [], stop, end)) return false;
+        const otherFaultSpans = (record.vmFaultSpans.get(call.vm) ?? []).filter(
+          ({ from }) => from !== stop.from,
+        );
+        const serverFaultSpans = record.serverFaultSpans.filter(
+          ({ service }) => service === serviceByKind[call.kind],
+        );
+        return ![...otherFaultSpans, ...serverFaultSpans].some(
+          (span) => span.from < end && span.to > call.startedAt,
         );
-        return !hasOtherFault && !overlaps(record.serverFaultSpans, call.startedAt, end);
       })
       .map((call) => ({
         promise: 'graceful-stop' as const,
-        detail: `${call.id} at ${call.vm} was cut by a graceful stop`,
+        detail: `${call.id} at ${call.vm}: ${call.kind} was cut ${Math.round((call.endedAt ?? record.endedAt) - stop.from)} ms after the signal to stop, ${Math.round((call.endedAt ?? record.endedAt) - (call.sentAt ?? call.startedAt))} ms after it was sent, ${runs.get(call.id)?.length ?? 0} runs`,
       })),
-  );
+  ]);
+
+const checkExits = (record: SoakRecord): Violation[] =>
+  record.unexpectedExits.map(({ vm, at }) => ({
+    promise: 'keeps-running' as const,
+    detail: `${vm} ended without a signal before ${Math.round(at)} ms`,
+  }));
 
 /** Whether a rejected key was withdrawn, or is so new that the VM need not know it yet. */
 const isKeyRejected = (call: CallRecord, record: SoakRecord): boolean =>
@@ -250,6 +316,9 @@
       // A VM that dies takes its connections along; planned stops are checked by checkStops.
       if (overlaps(record.vmFaultSpans.get(call.vm) ?? [], call.startedAt, call.endedAt))
         return false;
+      // A VM that is cut off from the store may not know the key; it ends its answers all the same.
+      const linkSpans = record.storeLinkSpans.get(call.vm) ?? [];
+      if (call.isComplete && overlaps(linkSpans, call.startedAt, call.endedAt)) return false;
       // A backend server whose connections break may have run the request.
       const service = serviceByKind[call.kind];
       const faultSpans = record.serverFaultSpans.filter((span) => span.service === service);
@@ -284,7 +353,7 @@
     if (lastAllowedCrashAt === undefined) return [];
     const boundAt = lastAllowedCrashAt + timeLimits.contactMs;
     const lateArrivals = [...runs, ...rejections].filter(({ id, arrivedAt }) => {
-      const faultSpans = record.vmFaultSpans.get(vmByCall.get(id) ?? '') ?? [];
+      const faultSpans = listHindrances(record, vmByCall.get(id) ?? '');
       return (
         arrivedAt > boundAt && !overlaps(faultSpans, arrivedAt - timeLimits.contactMs, arrivedAt)
       );
@@ -337,7 +406,7 @@
       .filter((run) => run.server === server && run.arrivedAt <= to)
       .filter(({ arrivedAt }) => arrivedAt >= from + timeLimits.contactMs)
       .filter(({ id, arrivedAt }) => {
-        const vmFaultSpans = record.vmFaultSpans.get(vmByCall.get(id) ?? '') ?? [];
+        const vmFaultSpans = listHindrances(record, vmByCall.get(id) ?? '');
         return !overlaps(vmFaultSpans, arrivedAt - timeLimits.contactMs, arrivedAt);
       })
       .map(({ arrivedAt }) => arrivedAt);
@@ -385,7 +454,8 @@
   return [
     ...record.calls.flatMap((call) => checkCall(call, runs.get(call.id) ?? [], record, eventCount)),
     ...checkChanges(record, runs),
-    ...checkStops(record),
+    ...checkStops(record, runs),
+    ...checkExits(record),
     ...checkAnswers(record),
     ...checkCrashes(record),
     ...checkCrashingRequests(record),
--- a/packages/soak/src/drive-callers.ts
+++ b/packages/soak/src/drive-callers.ts
@@ -15,6 +15,14 @@
 /** Maximum delay between two requests of a caller, in milliseconds. */
 const maxThinkTimeMs = 60;
 
+/** Bounds of the delay between two requests of a patient caller, in milliseconds. */
+const minPatienceMs = 1_000;
+const maxPatienceMs = 5_000;
+
+/** Share of the requests whose body comes in two segments, and the maximum time between these. */
+const segmentedShare = 0.3;
+const maxSegmentGapMs = 300;
+
 /** Share of the streams whose caller disconnects before the end. */
 const disconnectShare = 0.08;
 
@@ -48,6 +56,11 @@
   readonly takesUpStreams: boolean;
   /** Whether they go on to try while no VM is up. */
   readonly outlivesLosses: boolean;
+  /**
+   * The first caller that leaves its connection idle for seconds between two requests. If there are such callers,
+   * bodies may come in two segments, and callers use a VM until its process is gone.
+   */
+  readonly patientFrom: number | undefined;
   readonly random: SeededRandom;
   readonly now: () => number;
 }
@@ -59,6 +72,7 @@
   readonly shouldDisconnectEarly?: boolean;
   readonly parts?: readonly string[] | undefined;
   readonly body?: string | undefined;
+  readonly restAfterMs?: number | undefined;
 }
 
 /**
@@ -108,7 +122,8 @@
   now: () => number,
   options: CallOptions,
 ): Promise<number> => {
-  const { agent, shouldDisconnectEarly, parts, body } = options;
+  const { agent, shouldDisconnectEarly, parts, body, restAfterMs } = options;
+  if (restAfterMs !== undefined) record.sentAt = record.startedAt + restAfterMs;
   const timeoutSignal = AbortSignal.timeout(2 * callerTimeoutMs[record.kind]);
   const pendingResponse = sendRequest(router.callersPort, {
     path: requestPaths[record.kind],
@@ -121,6 +136,7 @@
     ...(record.kind === 'stream' && parts !== undefined ? { parts } : {}),
     // Node.js sends the body of a GET request only with a stated length.
     ...(body === undefined ? {} : { body, headers: { 'content-length': `${body.length}` } }),
+    ...(restAfterMs === undefined ? {} : { restAfterMs }),
     ...(record.takesUp === undefined ? {} : { takesUp: record.takesUp }),
     onData: (text, disconnect) => {
       record.body = text;
@@ -193,26 +209,40 @@
   const runCaller = async (caller: number): Promise<void> => {
     let agent = new Agent({ keepAlive: true, maxSockets: 1 });
     let vm = deps.vms[caller % deps.vms.length];
+    let isGone = false;
+    const isPatient = deps.patientFrom !== undefined && caller >= deps.patientFrom;
+    const chooseSegmentGap = (): number | undefined =>
+      deps.patientFrom !== undefined && random.next() < segmentedShare
+        ? random.integer(0, maxSegmentGapMs)
+        : undefined;
     for (let n = 0; !isStopped; n += 1) {
       const kind = random.pick(['stream', 'confirm', 'read'] as const);
-      if (!vm || vm.isDown || random.next() < switchVmShare) vm = random.pick(deps.vms);
+      const mustSwitch = deps.patientFrom === undefined ? vm?.isDown : isGone;
+      if (!vm || mustSwitch || random.next() < switchVmShare) vm = random.pick(deps.vms);
       const router = vm.process;
       const id = `c${caller}-${n}`;
       const record = makeCallRecord(id, router.vm, kind, deps.getKey(), deps.now());
       records.push(record);
       const shouldDisconnectEarly = kind === 'stream' && random.next() < disconnectShare;
+      const restAfterMs = kind === 'read' ? undefined : chooseSegmentGap();
+      const bodyOfKind = kind === 'stream' ? 'summarise' : undefined;
       const retryDelayMs = await sendCall(router, record, deps.now, {
         agent,
         shouldDisconnectEarly,
         parts: deps.hasPromptParts ? listCallerParts(caller) : undefined,
-        body: kind === 'stream' ? 'summarise' : undefined,
+        body: restAfterMs === undefined ? bodyOfKind : (bodyOfKind ?? 'confirm'),
+        restAfterMs,
       });
+      isGone = record.status === undefined;
       if (deps.takesUpStreams && kind === 'stream') await takeUp(record);
       if (record.endedAt === undefined) {
         agent.destroy();
         agent = new Agent({ keepAlive: true, maxSockets: 1 });
       }
-      await sleep(Math.min(maxRetryDelayMs, retryDelayMs) + random.next() * maxThinkTimeMs);
+      const thinkTimeMs = isPatient
+        ? random.integer(minPatienceMs, maxPatienceMs)
+        : random.next() * maxThinkTimeMs;
+      await sleep(Math.min(maxRetryDelayMs, retryDelayMs) + thinkTimeMs);
     }
     agent.destroy();
   };
--- a/packages/soak/src/generate-faults.test.ts
+++ b/packages/soak/src/generate-faults.test.ts
@@ -74,6 +74,37 @@
   );
 });
 
+test('a seed of the seventh version keeps its schedule when kinds are added', (t) => {
+  const faults = generateFaults(9_992, { version: 'v7', vms: 4, servers: 8, faultMs: 4_000 });
+  t.deepEqual(
+    faults.map(({ at, kind, forMs }) => `${at} ${kind} ${forMs}`),
+    [
+      '500 server-upgraded 2340',
+      '902 server-upgraded 518',
+      '2515 server-upgraded 2317',
+      '3509 all-vms-kill 2121',
+      '3949 vm-kill 821',
+    ],
+  );
+});
+
+test('stops of VMs come beside each of their companions, and late VMs pause for 0.1 to 0.7 s', (t) => {
+  const faults = Array.from({ length: 60 }, (_, seed) => generateFaults(seed, options)).flat();
+  const restarts = faults.flatMap((fault) => (fault.kind === 'vm-restart' ? [fault] : []));
+  t.deepEqual([...new Set(restarts.map(({ beside }) => beside))].sort(), [
+    'config-storm',
+    'pause',
+    'reloads',
+    'second-signal',
+    'start',
+  ]);
+  const pauses = faults.flatMap((fault) => {
+    if (fault.kind === 'vm-late') return [fault.forMs];
+    return fault.kind === 'vm-restart' && fault.beside === 'pause' ? [fault.pauseMs] : [];
+  });
+  t.true(pauses.every((pauseMs) => pauseMs >= 100 && pauseMs <= 700));
+});
+
 test('all VMs are lost for 1 to 2.6 s', (t) => {
   const faults = Array.from({ length: 60 }, (_, seed) => generateFaults(seed, options)).flat();
   const losses = faults.filter(({ kind }) => kind === 'all-vms-kill');
@@ -96,7 +127,7 @@
 
 test('the schedules of many seeds contain every kind of fault, and faults overlap', (t) => {
   const schedules = Array.from({ length: 30 }, (_, seed) => generateFaults(seed, options));
-  t.is(new Set(schedules.flat().map(({ kind }) => kind)).size, 16);
+  t.is(new Set(schedules.flat().map(({ kind }) => kind)).size, 19);
   const overlaps = schedules.map((schedule) =>
     schedule.some(
       (fault, n) => n > 0 && (schedule[n - 1]?.at ?? 0) + (schedule[n - 1]?.forMs ?? 0) > fault.at,
--- a/packages/soak/src/generate-faults.ts
+++ b/packages/soak/src/generate-faults.ts
@@ -2,9 +2,20 @@
 import type { CallKind } from './records.js';
 import type { ProxyMode } from './tcp-proxy.js';
 
+/** What comes beside a planned stop of a VM; `pauseAt` counts from the signal. */
+export type RestartCompanion =
+  | { readonly beside: 'pause'; readonly pauseAt: number; readonly pauseMs: number }
+  | { readonly beside: 'second-signal' | 'reloads' | 'start' | 'config-storm' };
+
 /** A fault of a soak; `at` is its offset in the schedule, `forMs` its duration, in milliseconds. */
 export type SoakFault = { readonly at: number; readonly forMs: number } & (
   | { readonly kind: 'vm-kill' | 'vm-pause' | 'vm-stop'; readonly vm: number }
+  /** The VM does not run, for less time than it would have to be taken out for. */
+  | { readonly kind: 'vm-late'; readonly vm: number }
+  /** The VM receives SIGHUP again and again. */
+  | { readonly kind: 'vm-reload'; readonly vm: number }
+  /** A planned stop of a VM, beside something else. */
+  | ({ readonly kind: 'vm-restart'; readonly vm: number } & RestartCompanion)
   /** All VMs that are up lose power at the same moment. */
   | { readonly kind: 'all-vms-kill' }
   | { readonly kind: 'store'; readonly how: 'silent' | 'refusing' | 'forget' }
@@ -35,12 +46,12 @@
  * Versions of the list from which kinds of faults are drawn. A new kind comes with a new version, since a
  * longer list changes the schedule of every seed.
  */
-export const scheduleVersions = ['v1', 'v2', 'v3', 'v4', 'v5', 'v6', 'v7'] as const;
+export const scheduleVersions = ['v1', 'v2', 'v3', 'v4', 'v5', 'v6', 'v7', 'v8'] as const;
 
 export type ScheduleVersion = (typeof scheduleVersions)[number];
 
 /** Version with all kinds of faults. */
-export const newestScheduleVersion: ScheduleVersion = 'v7';
+export const newestScheduleVersion: ScheduleVersion = 'v8';
 
 /** Options of a fault schedule. */
 export interface FaultGenerationOptions {
@@ -72,6 +83,21 @@
 const minPowerLossMs = 1_000;
 const maxPowerLossMs = 2_600;
 
+/** Bounds of the time for which a late VM does not run. */
+const minLateMs = 100;
+const maxLateMs = 700;
+
+/**
+ * Times after the signal between which a late VM that stops is paused: when it handles the signal, when it closes
+ * its listener and its idle connections, and before the end of its grace period.
+ */
+const stopPauses: readonly (readonly [number, number])[] = [
+  [0, 0],
+  [1_300, 2_200],
+  [1_300, 2_200],
+  [2_600, 2_900],
+];
+
 const serverLimitsPerS = [0, 0.5, 2, 5] as const;
 
 const linkFaultModes: readonly ProxyMode[] = ['delay', 'silent', 'one-way', 'reset'];
@@ -196,6 +222,40 @@
   }),
 ];
 
+const makeRestartGenerator =
+  (beside: Exclude<RestartCompanion['beside'], 'pause'>): FaultGenerator =>
+  (at, forMs, random, options) => ({
+    kind: 'vm-restart',
+    at,
+    forMs,
+    vm: pickVm(random, options),
+    beside,
+  });
+
+const eighthGenerators: readonly FaultGenerator[] = [
+  ...seventhGenerators,
+  (at, _, random, options) => ({
+    kind: 'vm-late',
+    at,
+    forMs: random.integer(minLateMs, maxLateMs),
+    vm: pickVm(random, options),
+  }),
+  (at, forMs, random, options) => ({ kind: 'vm-reload', at, forMs, vm: pickVm(random, options) }),
+  (at, forMs, random, options) => ({
+    kind: 'vm-restart',
+    at,
+    forMs,
+    vm: pickVm(random, options),
+    beside: 'pause',
+    pauseAt: random.integer(...random.pick(stopPauses)),
+    pauseMs: random.integer(minLateMs, maxLateMs),
+  }),
+  makeRestartGenerator('second-signal'),
+  makeRestartGenerator('reloads'),
+  makeRestartGenerator('start'),
+  makeRestartGenerator('config-storm'),
+];
+
 const generatorsByVersion: Readonly<Record<ScheduleVersion, readonly FaultGenerator[]>> = {
   v1: firstGenerators,
   v2: secondGenerators,
@@ -204,6 +264,7 @@
   v5: fifthGenerators,
   v6: sixthGenerators,
   v7: seventhGenerators,
+  v8: eighthGenerators,
 };
 
 /**
--- a/packages/soak/src/inject-fault.ts
+++ b/packages/soak/src/inject-fault.ts
@@ -6,10 +6,11 @@
   waitUntilReady,
 } from '@hemlocksill/platform/fakes/stand-in-platform.js';
 import { sendCrashingRequest } from './crashing-request.js';
-import type { SoakFault } from './generate-faults.js';
+import type { RestartCompanion, SoakFault } from './generate-faults.js';
 import type { Span } from './records.js';
 import {
   crashingPartSuffix,
+  graceMs,
   sharedPart,
   type ProxiedServer,
   type ProxiedVm,
@@ -23,6 +24,15 @@
 const stormVersionCount = 8;
 const stormGapMs = 60;
 
+/** Interval between two SIGHUPs of a series. */
+const reloadGapMs = 70;
+
+/** Time for which a series of SIGHUPs, or storms of configurations, go on beside a stop. */
+const stopSeriesMs = 2_500;
+
+/** Maximum time between the two signals to stop, and between readiness and a stop that comes early. */
+const maxSecondSignalMs = 1_000;
+
 /** Interval between two requests with the bad part of a prompt. */
 const crashingRequestGapMs = 200;
 
@@ -53,33 +63,74 @@
   vm.process.child.kill('SIGCONT');
 };
 
+/** Pauses a VM for less than a second, which excuses no lost request. */
+const delayVm = async ({ now }: SoakEnvironment, vm: ProxiedVm, forMs: number): Promise<void> => {
+  const span = { from: now(), to: Number.POSITIVE_INFINITY };
+  vm.lateSpans.push(span);
+  const { child } = vm.process;
+  child.kill('SIGSTOP');
+  await sleep(forMs);
+  child.kill('SIGCONT');
+  span.to = now();
+};
+
+const reloadVm = async ({ process: { child } }: ProxiedVm, forMs: number): Promise<void> => {
+  const endsAt = performance.now() + forMs;
+  while (performance.now() < endsAt && child.exitCode === null) {
+    child.kill('SIGHUP');
+    await sleep(reloadGapMs);
+  }
+};
+
+/** Sends the signal and, as the platform does, kills the process when its grace period is over. */
+const stopVm = async (
+  environment: SoakEnvironment,
+  { process: { child, exited, vm } }: ProxiedVm,
+  from: number,
+): Promise<void> => {
+  child.kill('SIGTERM');
+  const timer = setTimeout(() => child.kill('SIGKILL'), graceMs);
+  const exitCode = await exited;
+  clearTimeout(timer);
+  environment.stops.push({ from, to: environment.now(), vm, exitCode });
+};
+
+const startVm = async (
+  { platform }: SoakEnvironment,
+  vm: ProxiedVm,
+  forMs: number,
+): Promise<void> => {
+  await sleep(forMs);
+  vm.process = platform.restartRouter(vm.process);
+  await waitUntilReady(platform, vm.process);
+};
+
 const restartVm = async (
   environment: SoakEnvironment,
   vm: ProxiedVm,
   signal: 'SIGKILL' | 'SIGTERM',
   forMs: number,
+  from: number,
 ): Promise<void> => {
-  const from = environment.now();
-  vm.process.child.kill(signal);
-  await vm.process.exited;
-  if (signal === 'SIGTERM')
-    environment.stops.push({ from, to: environment.now(), vm: vm.process.vm });
-  await sleep(forMs);
-  vm.process = environment.platform.restartRouter(vm.process);
-  await waitUntilReady(environment.platform, vm.process);
+  if (signal === 'SIGTERM') await stopVm(environment, vm, from);
+  else {
+    vm.process.child.kill(signal);
+    await vm.process.exited;
+  }
+  await startVm(environment, vm, forMs);
 };
 
 /** Runs a fault that takes a VM down and restores it; skipped if the VM is already down. */
 const injectVmFault = async (
   environment: SoakEnvironment,
   vm: ProxiedVm,
-  runFault: () => Promise<void>,
+  runFault: (from: number) => Promise<void>,
 ): Promise<void> => {
   if (vm.isDown) return;
   vm.isDown = true;
   const span = { from: environment.now(), to: Number.POSITIVE_INFINITY };
   vm.faultSpans.push(span);
-  await runFault();
+  await runFault(span.from);
   vm.isDown = false;
   span.to = environment.now();
 };
@@ -105,6 +156,56 @@
   }
 };
 
+const publishStorms = async (environment: SoakEnvironment, forMs: number): Promise<void> => {
+  const endsAt = environment.now() + forMs;
+  while (environment.now() < endsAt) await publishStorm(environment);
+};
+
+/** Runs what comes beside the stop of a VM; `forMs` varies when the second signal comes. */
+const runCompanion = async (
+  environment: SoakEnvironment,
+  vm: ProxiedVm,
+  companion: RestartCompanion,
+  forMs: number,
+): Promise<void> => {
+  const { child } = vm.process;
+  switch (companion.beside) {
+    case 'pause':
+      await sleep(companion.pauseAt);
+      await delayVm(environment, vm, companion.pauseMs);
+      break;
+    case 'second-signal':
+      await sleep(forMs % maxSecondSignalMs);
+      child.kill('SIGTERM');
+      break;
+    case 'reloads':
+      await reloadVm(vm, stopSeriesMs);
+      break;
+    case 'config-storm':
+      await publishStorms(environment, stopSeriesMs);
+      break;
+    default:
+  }
+};
+
+/** Stops a VM in the regular way beside something else, and starts it again. */
+const restartBeside = async (
+  environment: SoakEnvironment,
+  vm: ProxiedVm,
+  fault: Extract<SoakFault, { readonly kind: 'vm-restart' }>,
+): Promise<void> => {
+  const { forMs } = fault;
+  await injectVmFault(environment, vm, async (from) => {
+    await Promise.all([stopVm(environment, vm, from), runCompanion(environment, vm, fault, forMs)]);
+    await startVm(environment, vm, forMs);
+  });
+  if (fault.beside !== 'start') return;
+  await sleep(forMs % maxSecondSignalMs);
+  await injectVmFault(environment, vm, (from) =>
+    restartVm(environment, vm, 'SIGTERM', forMs, from),
+  );
+};
+
 const drainServer = (environment: SoakEnvironment, server: ProxiedServer): Promise<void> => {
   if (server.isPermanent || server.isLeaving) return Promise.resolve();
   server.isLeaving = true;
@@ -193,12 +294,22 @@
     case 'vm-stop': {
       const vm = getItem(environment.vms, fault.vm);
       const signal = fault.kind === 'vm-kill' ? 'SIGKILL' : 'SIGTERM';
-      return injectVmFault(environment, vm, () => restartVm(environment, vm, signal, forMs));
+      return injectVmFault(environment, vm, (from) =>
+        restartVm(environment, vm, signal, forMs, from),
+      );
     }
+    case 'vm-restart':
+      return restartBeside(environment, getItem(environment.vms, fault.vm), fault);
+    case 'vm-late':
+      return delayVm(environment, getItem(environment.vms, fault.vm), forMs);
+    case 'vm-reload':
+      return reloadVm(getItem(environment.vms, fault.vm), forMs);
     case 'all-vms-kill':
       await Promise.all(
         environment.vms.map((vm) =>
-          injectVmFault(environment, vm, () => restartVm(environment, vm, 'SIGKILL', forMs)),
+          injectVmFault(environment, vm, (from) =>
+            restartVm(environment, vm, 'SIGKILL', forMs, from),
+          ),
         ),
       );
       return undefined;
@@ -209,9 +320,11 @@
     case 'store':
       return injectStoreFault(environment, fault.how, forMs);
     case 'store-link': {
-      const { storeProxy, faultSpans } = getItem(environment.vms, fault.vm);
+      const { storeProxy, storeLinkSpans } = getItem(environment.vms, fault.vm);
       storeProxy.setMode(fault.mode);
-      return recordAndEndFault(environment, faultSpans, forMs, () => storeProxy.setMode('pass'));
+      return recordAndEndFault(environment, storeLinkSpans, forMs, () =>
+        storeProxy.setMode('pass'),
+      );
     }
     case 'server-link': {
       const { proxy, faultSpans } = getItem(environment.servers, fault.server);
--- a/packages/soak/src/records.ts
+++ b/packages/soak/src/records.ts
@@ -11,6 +11,8 @@
   readonly kind: CallKind;
   readonly key: string;
   readonly startedAt: number;
+  /** Time at which the last byte of the request is sent; undefined for the start. */
+  sentAt?: number;
   endedAt: number | undefined;
   /** Undefined if the connection ended without a response. */
   status: number | undefined;
@@ -75,6 +77,13 @@
   readonly requestsPerS: number;
 }
 
+/** A VM that received SIGTERM, from the signal to the exit of the process. */
+export interface StopRecord extends Span {
+  readonly vm: string;
+  /** Null if a signal ended the process, since its grace period was over. */
+  readonly exitCode: number | null;
+}
+
 /** Everything that a soak recorded, as input of the checks. */
 export interface SoakRecord {
   readonly calls: readonly CallRecord[];
@@ -83,12 +92,17 @@
   readonly changes: readonly AcknowledgedChange[];
   /** Intervals in which the store was unavailable to all VMs. */
   readonly storeOutages: readonly Span[];
-  /** Intervals in which a VM was paused, stopped, starting or cut off from the store, by VM. */
+  /** Intervals in which a VM was paused, stopped or starting, by VM. */
   readonly vmFaultSpans: ReadonlyMap<string, readonly Span[]>;
+  /** Intervals in which a VM was cut off from the store, by VM. */
+  readonly storeLinkSpans: ReadonlyMap<string, readonly Span[]>;
+  /** Intervals in which a VM did not run for less than a second, by VM. */
+  readonly lateSpans: ReadonlyMap<string, readonly Span[]>;
   /** Intervals in which the connections to a backend server had a fault, or it had crashed. */
   readonly serverFaultSpans: readonly ServerFaultSpan[];
-  /** VMs that received SIGTERM, from the signal to the exit of the process. */
-  readonly stops: readonly (Span & { readonly vm: string })[];
+  readonly stops: readonly StopRecord[];
+  /** VMs whose process ended without a signal. */
+  readonly unexpectedExits: readonly { readonly vm: string; readonly at: number }[];
   /** Parts of prompts on which engines crash; the ids of requests with one begin with it. */
   readonly crashingParts: readonly string[];
   /** Requests that crash each server that runs them; the ids of the calls that repeat one begin with it. */
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -15,6 +15,9 @@
 
 const callerCount = 16;
 
+/** Callers that leave their connections idle for seconds between two requests. */
+const patientCallerCount = 16;
+
 /** Time without faults at the end, in which the fleet must recover. */
 const recoveryMs = 16_000;
 
@@ -66,6 +69,11 @@
   changes: environment.changes,
   storeOutages: environment.storeOutages,
   vmFaultSpans: new Map(environment.vms.map((vm) => [vm.process.vm, vm.faultSpans])),
+  storeLinkSpans: new Map(environment.vms.map((vm) => [vm.process.vm, vm.storeLinkSpans])),
+  lateSpans: new Map(environment.vms.map((vm) => [vm.process.vm, vm.lateSpans])),
+  unexpectedExits: environment.vms
+    .filter(({ isDown, process: { child } }) => !isDown && child.exitCode !== null)
+    .map((vm) => ({ vm: vm.process.vm, at: environment.now() })),
   serverFaultSpans: environment.servers.flatMap(({ service, faultSpans }) =>
     faultSpans.map((span) => ({ ...span, service })),
   ),
@@ -95,6 +103,7 @@
   const hasPromptParts = version !== 'v1' && version !== 'v2';
   const takesUpStreams = !['v1', 'v2', 'v3', 'v4', 'v5'].includes(version);
   const recordsOrigins = takesUpStreams && version !== 'v6';
+  const hasPatientCallers = recordsOrigins && version !== 'v7';
   const faults = generateFaults(seed, { version, vms, servers, faultMs });
   const environment = await startEnvironment(vms, serverSet, recordsOrigins);
   const callers = driveCallers(
@@ -104,10 +113,11 @@
       hasPromptParts,
       takesUpStreams,
       outlivesLosses: recordsOrigins,
+      patientFrom: hasPatientCallers ? callerCount : undefined,
       random: makeSeededRandom(seed + callerSeedOffset),
       now: environment.now,
     },
-    callerCount,
+    hasPatientCallers ? callerCount + patientCallerCount : callerCount,
   );
   await injectFaults(environment, faults);
   const faultsEndedAt = environment.now();
--- a/packages/soak/src/start-environment.ts
+++ b/packages/soak/src/start-environment.ts
@@ -21,6 +21,7 @@
   RunRecord,
   Service,
   Span,
+  StopRecord,
 } from './records.js';
 import { startTcpProxy, type TcpProxy } from './tcp-proxy.js';
 
@@ -46,7 +47,7 @@
 const restartDelayMs = 400;
 
 /** Grace period of a VM after SIGTERM. */
-const graceS = 4;
+export const graceMs = 4_000;
 
 /** A backend server and the proxy in front of it. */
 export interface ProxiedServer {
@@ -67,6 +68,8 @@
   process: RouterProcess;
   readonly storeProxy: TcpProxy;
   readonly faultSpans: Span[];
+  readonly storeLinkSpans: Span[];
+  readonly lateSpans: Span[];
   isDown: boolean;
 }
 
@@ -80,7 +83,7 @@
   key: string;
   readonly changes: AcknowledgedChange[];
   readonly storeOutages: Span[];
-  readonly stops: (Span & { readonly vm: string })[];
+  readonly stops: StopRecord[];
   readonly crashingParts: string[];
   readonly crashingRequests: string[];
   /** Calls with requests that crash servers. */
@@ -208,11 +211,18 @@
   const storeProxy = await startTcpProxy(platform.store.port);
   const process = await platform.startRouter(name, {
     store: `127.0.0.1:${storeProxy.port}`,
-    'grace-s': String(graceS),
+    'grace-s': String(graceMs / 1_000),
     'quota-slack': '1000000',
     ...(recordsOrigins ? { 'origin-records': 'true' } : {}),
   });
-  return { process, storeProxy, faultSpans: [], isDown: false };
+  return {
+    process,
+    storeProxy,
+    faultSpans: [],
+    storeLinkSpans: [],
+    lateSpans: [],
+    isDown: false,
+  };
 };
 
 /**
