--- a/packages/router/src/reject-request.ts
+++ b/packages/router/src/reject-request.ts
@@ -81,6 +81,8 @@
   { status, reason, retryAfterMs, closesConnection = false }: Rejection,
   id: string | undefined,
 ): void => {
+  // The end of the grace period refuses what is still waiting for its turn.
+  if (res.headersSent) return;
   const { log, random, metrics } = hooks;
   const isLast = closesConnection || isLastAtStop(hooks, res);
   const headers = {
