Count refused reservations in the lines of placed and refused streams

2302 and 2305 tell how many reservations engines refused although the VM counted room for the stream. With it a line tells engines that hold more than the VMs know of (after a loss of all VMs) from engines that are full by the count.

--- a/packages/router/src/log-placement.ts
+++ b/packages/router/src/log-placement.ts
@@ -6,7 +6,7 @@
  * Logs the engines of a stream with what their choice depended on.
  *
  * @example
- * logPlacement(deps, ctx, 3_008, decode, prefill);
+ * logPlacement(deps, ctx, 3_008, decode, prefill, 0);
  */
 export const logPlacement = (
   deps: Pick<RunDeps, 'log' | 'engineLedger' | 'rates' | 'now'>,
@@ -14,6 +14,7 @@
   promptTokens: number,
   decode: BackendServer,
   prefill: BackendServer | undefined,
+  fullReservations: number,
 ): void =>
   deps.log(2305, {
     id: ctx.call.metadata.id,
@@ -24,5 +25,6 @@
     promptTokens,
     used: deps.engineLedger.getTotal(decode.id, deps.now()).tokens,
     tokensPerS: Math.round(deps.rates.getEngineOutputTokensPerS(decode)),
+    fullReservations,
     waitedMs: Math.round(deps.now() - ctx.arrivedAt),
   });
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -63,6 +63,8 @@
   /** Engines that the stream left while they may have been sound, the first one first. */
   const leftServers: BackendServer[] = [];
   let prefillAttempts = 0;
+  /** Reservations that engines refused although the ledger showed room. */
+  let fullReservations = 0;
   let mayHaveRun = false;
   /** Whether the stream was continued at the engine whose connection broke. */
   let hasContinued = false;
@@ -96,6 +98,7 @@
     softwareVersion: ctx.origin?.softwareVersion,
     priority: streamClass.rank.priority,
     refusedBefore: streamClass.refusedAt !== undefined,
+    fullReservations,
     waitingHere: deps.queue.size(),
   });
 
@@ -193,6 +196,7 @@
         return;
       }
       allocation.release();
+      if (outcome.kind === 'full') fullReservations += 1;
       if (!responder.isOpen()) return;
       const nextPlacement =
         attempt < maxReservationAttempts ? engines.choosePlacement(excluded) : undefined;
@@ -219,7 +223,7 @@
     reservation: string | undefined,
     allocation: MemoryAllocation,
   ): void => {
-    logPlacement(deps, ctx, requirement.promptTokens, decode, undefined);
+    logPlacement(deps, ctx, requirement.promptTokens, decode, undefined, fullReservations);
     runDecode(decode, undefined, reservation, allocation);
   };
 
@@ -237,8 +241,8 @@
       releaseMemory();
       return;
     }
-    logPlacement(deps, ctx, requirement.promptTokens, placement.decode, placement.prefill);
     const { promptTokens } = requirement;
+    logPlacement(deps, ctx, promptTokens, placement.decode, placement.prefill, fullReservations);
     prefillAttempts += 1;
     /** Restarts from placement because the decode engine is leaving; counts as a retry. */
     const retryFromPlacement = (): void => {
