Let a stream that is taken up wait for memory beyond the objective of a first event

Callers that took up a stream right after a loss of all VMs got 503 "no memory in time" 0.7 s later and were sent away for up to 2.6 s; a second after, new streams got the memory that was freed.

Cause: a resumed stream was held to the objective of a first event, which its caller has had. The stream lost its place among the waiting ones, and the caller one of a few attempts and the time that it was told to stay away.

It now waits for up to three target latencies, but for no more than a third of the time left of its caller: a refused caller is told to stay away for up to as long. The new test failed before (503 "no memory in time").

--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -28,6 +28,13 @@
  */
 const idleTimeoutGaps = 4;
 
+/**
+ * Time for which a stream that is taken up waits for memory, in times of the route's target latency, and as a
+ * part of the time left of its caller, which would stay away for as long if it were refused.
+ */
+const resumedWaitTargets = 3;
+const resumedWaitShare = 1 / 3;
+
 /** Retry-After of a request that is refused because no engine can take it. */
 const noEngineRetryAfterMs = 500;
 
@@ -153,6 +160,19 @@
 
   const getLatestOnTime = (): number => getPlacementTime(ctx.objectiveFrom + route.targetLatencyMs);
 
+  /**
+   * Time until which the stream waits for its first placement. The caller of a stream that is taken up has had
+   * its first event: it wants the rest, also after the objective.
+   */
+  const getLatestPlacement = (): number => {
+    if (!ctx.origin) return getLatestOnTime();
+    const waitMs = Math.min(
+      resumedWaitTargets * route.targetLatencyMs,
+      resumedWaitShare * (ctx.timeoutAt - ctx.objectiveFrom),
+    );
+    return Math.max(getLatestOnTime(), getPlacementTime(ctx.objectiveFrom + waitMs));
+  };
+
   const start = (): void => {
     if (!engine || !engines.listFitting().some(({ stage }) => stage !== 'prefill')) {
       const version =
@@ -166,15 +186,15 @@
     }
     const now = deps.now();
     const predictedWaitMs = predictWaitMs();
-    if (now + predictedWaitMs > getLatestOnTime())
+    if (now + predictedWaitMs > getLatestPlacement())
       refuseForMemory(predictedWaitMs, 'no memory in time');
-    else placeOrQueue(getLatestOnTime(), 0);
+    else placeOrQueue(getLatestPlacement(), 0);
   };
 
   /** Queues the stream for another placement after one that did not come about. */
   const retryPlacement = (): void =>
     placeOrQueue(
-      Math.max(getLatestOnTime(), resumeBy, deps.now() + 1),
+      Math.max(getLatestPlacement(), resumeBy, deps.now() + 1),
       deps.now() + placementRetryDelayMs,
     );
 
