Leave memory to streams that are taken up at other VMs

Cause: the order "streams that have begun come first" held in the queue of one VM. Other VMs neither heard of such streams nor left memory to them, and new streams can go to engines of each version.

VMs now tell what such streams wait for, by priority and version, in the messages that they send anyway; a new stream is not placed at the engines of a version if that would no longer fit in their free memory.

--- a/packages/router/src/peers-controller.ts
+++ b/packages/router/src/peers-controller.ts
@@ -1,4 +1,5 @@
 import { createSocket } from 'node:dgram';
+import type { WaitingRows } from '@hemlocksill/routing/bound-streams.js';
 import type { Endpoint } from '@hemlocksill/config/settings.js';
 import type { Store } from '@hemlocksill/types/ports.js';
 import type { FleetChange } from '@hemlocksill/routing/choose-recipients.js';
@@ -110,6 +111,8 @@
   readonly getReachableShare: () => number;
   /** Tokens that streams at other VMs wait for. */
   readonly countWaitingTokens: (service: string, now: number) => number;
+  /** What waits at other VMs, as they reported it. */
+  readonly listWaiting: (now: number) => readonly WaitingRows[];
 }
 
 /** Dependencies of the controller. */
@@ -402,6 +405,11 @@
     setTimeout(register, Math.random() * registrationDelayMs).unref();
   };
 
+  const listWaiting: PeersController['listWaiting'] = (now) =>
+    [...peers.values()].flatMap(({ lastReceivedAt, lastUpdate }) =>
+      now - lastReceivedAt > maxWaitingAgeMs ? [] : [lastUpdate.waiting],
+    );
+
   return {
     start: () => {
       deps.seeds.forEach((seed) => candidateAddresses.add(`${seed.host}:${seed.port}`));
@@ -471,13 +479,8 @@
       const reachable = [...peers.values()].filter((peer) => !peer.isUnresponsive).length;
       return (reachable + 1) / (peers.size + 1);
     },
-    countWaitingTokens: (service, now) => {
-      let tokens = 0;
-      peers.forEach((peer) => {
-        if (now - peer.lastReceivedAt > maxWaitingAgeMs) return;
-        tokens += peer.lastUpdate.waiting[service] ?? 0;
-      });
-      return tokens;
-    },
+    countWaitingTokens: (service, now) =>
+      listWaiting(now).reduce((tokens, rows) => tokens + (rows[service] ?? 0), 0),
+    listWaiting,
   };
 };
--- a/packages/router/src/run-deps.ts
+++ b/packages/router/src/run-deps.ts
@@ -38,6 +38,10 @@
     now: number,
     softwareVersion?: string,
   ) => number;
+  /** Tokens that streams at any VM wait for which have begun, by software version, before those of a priority. */
+  readonly countBoundTokens: (service: string, priority: number) => ReadonlyMap<string, number>;
+  /** Tells the VMs near these engines that a stream which has begun waits for their memory. */
+  readonly notifyBoundWaiting: (engines: readonly BackendServer[]) => void;
   readonly limits: LimitController;
   readonly listReady: (service: string) => readonly BackendServer[];
   readonly getPlacementView: () => PlacementView;
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -58,8 +58,8 @@
   const { call, route, service } = ctx;
   const { engine } = service;
   const { id } = call.metadata;
-  const engines = makeStreamEngines(deps, ctx);
   const streamClass = makeStreamClass(deps, ctx);
+  const engines = makeStreamEngines(deps, ctx, streamClass.rank.priority);
   const { requirement, allocateMemory, isStillReady, recordFault } = engines;
   const excluded = new Set<string>();
   /**
@@ -149,6 +149,7 @@
     deps.queue.push(stream);
     deps.queue.process(deps.now());
     streamClass.recordWaiting();
+    if (stream.softwareVersion !== undefined) deps.notifyBoundWaiting(engines.listFitting());
     deps.metrics.waitingStreams.set(deps.queue.size());
   };
 
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -28,6 +28,7 @@
   waitingRepeatMs,
   type StreamAdmission,
 } from '@hemlocksill/routing/stream-admission.js';
+import { countBoundTokens } from '@hemlocksill/routing/bound-streams.js';
 import { joinQueues, makeStreamQueue } from '@hemlocksill/routing/stream-queue.js';
 import type { LogRouterEvent } from './events.js';
 import { connectionCheckPeriodMs, makeCallerConnections } from './caller-connections.js';
@@ -304,7 +305,7 @@
       const tokens = engine ? queue.countWaitingTokens(name) : 0;
       if (tokens > 0) tokensByService[name] = tokens;
     });
-    return { ...tokensByService, ...admission?.listRows(now()) };
+    return { ...tokensByService, ...queue.listBoundRows(), ...admission?.listRows(now()) };
   };
 
   const peers = makePeersController({
@@ -452,6 +453,12 @@
     timing: streamTiming,
     rates,
     predictEngineWaitMs,
+    countBoundTokens: (service, priority) =>
+      countBoundTokens([queue.listBoundRows(), ...peers.listWaiting(now())], service, priority),
+    notifyBoundWaiting: (engines) =>
+      new Set(engines.map(({ dataCentre }) => dataCentre)).forEach((dataCentre) =>
+        peers.notifyChange({ kind: 'load', dataCentre }),
+      ),
     limits,
     listReady,
     getPlacementView,
--- a/packages/router/src/stream-engines.ts
+++ b/packages/router/src/stream-engines.ts
@@ -9,8 +9,10 @@
   chooseDecode,
   choosePrefill,
   type MemoryRequirement,
+  type PlacementView,
 } from '@hemlocksill/routing/place-work.js';
 import { maxStreamLifeMs } from '@hemlocksill/routing/version-history.js';
+import { measureMemory } from '@hemlocksill/routing/measure-memory.js';
 import type { MemoryAllocation } from '@hemlocksill/routing/engine-ledger.js';
 import type { CallContext } from './call-context.js';
 import { startReadTimeout } from './read-timeout.js';
@@ -103,9 +105,13 @@
  * Makes the engine operations of one stream.
  *
  * @example
- * makeStreamEngines(deps, ctx).choosePlacement(new Set());
+ * makeStreamEngines(deps, ctx, 1).choosePlacement(new Set());
  */
-export const makeStreamEngines = (deps: RunDeps, ctx: CallContext): StreamEngines => {
+export const makeStreamEngines = (
+  deps: RunDeps,
+  ctx: CallContext,
+  priority: number,
+): StreamEngines => {
   const { call, service } = ctx;
   const { engine } = service;
   const { id } = call.metadata;
@@ -138,6 +144,24 @@
     return begunVersion === undefined ? ready : ready.filter(fits);
   };
 
+  /** Leaves out the versions whose free memory is needed by streams that have begun, which come first. */
+  const leaveMemoryToBound = (
+    fitting: readonly BackendServer[],
+    view: PlacementView,
+  ): readonly BackendServer[] => {
+    if (!engine || begunVersion !== undefined) return fitting;
+    const waiting = deps.countBoundTokens(service.name, priority);
+    if (waiting.size === 0) return fitting;
+    const needed = new Set(
+      [...waiting].flatMap(([version, tokens]) => {
+        const servers = fitting.filter(({ softwareVersion }) => softwareVersion === version);
+        const memory = measureMemory(servers, promptTokens, engine, view, deps.timing);
+        return memory.freeTokens - promptTokens < tokens ? [version] : [];
+      }),
+    );
+    return fitting.filter(({ softwareVersion }) => !needed.has(softwareVersion));
+  };
+
   const chooseFittingPrefill: StreamEngines['choosePrefill'] = (decode, excluded) =>
     choosePrefill(listFitting(), promptTokens, decode, deps.getPlacementView(), excluded);
 
@@ -197,7 +221,7 @@
     choosePlacement: (excluded) => {
       if (!engine) return undefined;
       const view = deps.getPlacementView();
-      const fitting = listFitting();
+      const fitting = leaveMemoryToBound(listFitting(), view);
       // A loss of all VMs would leave a stream of a version that is not recorded without its origin.
       const recorded =
         begunVersion === undefined ? fitting.filter(deps.origins.isRecorded) : fitting;
--- a/packages/routing/src/stream-admission.ts
+++ b/packages/routing/src/stream-admission.ts
@@ -1,3 +1,4 @@
+import { listBoundRows } from './bound-streams.js';
 import type { StreamQueue, WaitingStream } from './stream-queue.js';
 
 /**
@@ -421,6 +422,7 @@
         (sum, stream) => (stream.service === service ? sum + stream.neededTokens : sum),
         0,
       ),
+    listBoundRows: () => listBoundRows(streams),
     size: () => streams.length,
     recordArrival: (rank, tokens, now) => {
       const byPriority = arrivals.get(rank.service) ?? new Map<number, DecayingSum>();
--- a/packages/routing/src/stream-queue.ts
+++ b/packages/routing/src/stream-queue.ts
@@ -1,3 +1,5 @@
+import { listBoundRows, type WaitingRows } from './bound-streams.js';
+
 /** A stream that is waiting for engine memory. */
 export interface WaitingStream {
   readonly id: string;
@@ -27,6 +29,8 @@
   /** Places the streams for which memory is free and refuses those whose wait time has expired. */
   readonly process: (now: number) => void;
   readonly countWaitingTokens: (service: string) => number;
+  /** Tokens that the streams need which have begun, as other VMs are told of them. */
+  readonly listBoundRows: () => WaitingRows;
   readonly size: () => number;
 }
 
@@ -96,6 +100,7 @@
         (sum, stream) => (stream.service === service ? sum + stream.neededTokens : sum),
         0,
       ),
+    listBoundRows: () => listBoundRows(waitingStreams),
     size: () => waitingStreams.length,
   };
 };
@@ -111,5 +116,6 @@
   process: (now) => queues.forEach((queue) => queue.process(now)),
   countWaitingTokens: (service) =>
     queues.reduce((sum, queue) => sum + queue.countWaitingTokens(service), 0),
+  listBoundRows: () => Object.assign({}, ...queues.map((queue) => queue.listBoundRows())),
   size: () => queues.reduce((sum, queue) => sum + queue.size(), 0),
 });
