Find stage changes of engines that no VM knows of any more

Cause: which engines change their stage was known to the VMs alone, and a run that is rejected despite its reservation was blamed on the prefill engine.

A VM now asks an engine that rejects a run with a reservation for its report; if an order is in progress, the change is announced to all VMs as if this one had ordered it, until the report says that it has ended. Else the prefill engine is blamed as before.

--- a/packages/router/src/engine-stages.ts
+++ b/packages/router/src/engine-stages.ts
@@ -119,5 +119,6 @@
       controller.tick(now);
     },
     listChanging: controller.listChanging,
+    findChange: controller.findChange,
   };
 };
--- a/packages/router/src/run-deps.ts
+++ b/packages/router/src/run-deps.ts
@@ -49,6 +49,8 @@
   readonly tryTakeRetry: (service: string) => boolean;
   /** Gives back a retry that was taken from the budget of a service and not sent. */
   readonly returnRetry: (service: string) => void;
+  /** Finds out whether an engine that rejected a run changes its stage, and tells the other VMs if so. */
+  readonly findStageChange: (server: BackendServer, onDone: (isChanging: boolean) => void) => void;
   /** Records that a prefill engine failed conclusively, and tells the other VMs. */
   readonly recordFailingPrefill: (
     server: BackendServer,
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -506,7 +506,7 @@
           if (fault.kind === 'rejected') deps.engineLedger.recordFull(server.id, deps.now());
           if (runToLeave) {
             if (fault.kind === 'unknown') runWatch.recordBreak();
-            handleUnusedPrefill(fault, unusedPrefill);
+            handleUnusedPrefill(server, fault, unusedPrefill);
             runToLeave.keep(fault);
           } else if (isForwardingError) responder.fail(502, fault.reason);
           else handleBreak(fault);
@@ -648,11 +648,17 @@
     );
   };
 
-  const handleUnusedPrefill = (fault: CallFault, unusedPrefill?: UnusedPrefill): void => {
+  const handleUnusedPrefill = (
+    decode: BackendServer,
+    fault: CallFault,
+    unusedPrefill?: UnusedPrefill,
+  ): void => {
     if (fault.kind === 'rejected' && unusedPrefill?.hadReservation) {
-      // A decode engine with reserved memory rejects a run only if it cannot fetch the prefilled
-      // prompt.
-      deps.recordFailingPrefill(unusedPrefill.server, 'result-lost');
+      // A decode engine with reserved memory rejects a run only if it changes its stage or cannot fetch the
+      // prefilled prompt.
+      deps.findStageChange(decode, (isChanging) => {
+        if (!isChanging) deps.recordFailingPrefill(unusedPrefill.server, 'result-lost');
+      });
     }
     if (fault.kind !== 'unknown' && unusedPrefill) {
       deps.backends.releasePrefill(unusedPrefill);
@@ -671,7 +677,7 @@
   ): void => {
     recordFault(server, 'decode', fault);
     excluded.add(server.id);
-    handleUnusedPrefill(fault, unusedPrefill);
+    handleUnusedPrefill(server, fault, unusedPrefill);
     const isRetrySafe = fault.kind !== 'unknown' || route.isResumable;
     const leftServer = findLeftServer();
     const canPlace =
--- a/packages/router/src/stage-controller.test.ts
+++ b/packages/router/src/stage-controller.test.ts
@@ -71,6 +71,33 @@
   return { state, orders, stages, controller, runUntil };
 };
 
+test('a change that no VM knows of any more is found when the engine rejects a run, and announced', (t) => {
+  const { state, orders, stages, controller, runUntil } = makeScenario();
+  state.isResponsible = false;
+  const server = makeServer({ id: 'e3', stage: 'decode', service: 'llm', startedAt: 1 });
+  const findChange = (): boolean | undefined => {
+    let result: boolean | undefined;
+    controller.findChange(server, (isChanging) => {
+      result = isChanging;
+    });
+    return result;
+  };
+  t.false(findChange());
+  t.is(state.announcements, 0);
+  state.report = { isBusy: true };
+  t.true(findChange());
+  t.true(findChange());
+  t.deepEqual(controller.listChanging(), ['e3']);
+  t.is(state.announcements, 1);
+  runUntil(5_000);
+  t.deepEqual(controller.listChanging(), ['e3']);
+  stages.set('e3', 'prefill');
+  state.report = { isBusy: false };
+  runUntil(7_000);
+  t.deepEqual(controller.listChanging(), []);
+  t.is(orders.length, 0);
+});
+
 test('a change is announced before it is ordered, and until the engine has finished', (t) => {
   const { state, orders, controller, runUntil } = makeScenario();
   runUntil(300);
--- a/packages/router/src/stage-controller.ts
+++ b/packages/router/src/stage-controller.ts
@@ -45,6 +45,11 @@
   readonly tick: (now: number) => void;
   /** Ids of the engines that must get no new work because their stage changes. */
   readonly listChanging: () => readonly string[];
+  /**
+   * Asks an engine that rejected a run, although it had memory for it, whether it changes its stage. The VMs that
+   * knew of the change may all have been lost; it is then announced again.
+   */
+  readonly findChange: (server: BackendServer, onDone: (isChanging: boolean) => void) => void;
 }
 
 /** Dependencies of the controller. */
@@ -73,6 +78,8 @@
   orderAttempts: number;
   /** Time of the order that the engine accepted. */
   orderedAt: number | undefined;
+  /** Whether another VM, which may be gone, ordered the change. */
+  readonly isFound: boolean;
   isCalling: boolean;
 }
 
@@ -160,7 +167,8 @@
       change.isCalling = false;
       const now = deps.now();
       change.nextCallAt = now + reportPeriodMs;
-      if (report && !report.isBusy && report.stage === change.stage) finish(change, 'done');
+      const hasEnded = report && !report.isBusy;
+      if (hasEnded && (change.isFound || report.stage === change.stage)) finish(change, 'done');
       else if (now - (change.orderedAt ?? now) > change.stageChangeMs + changeTimeoutMs)
         giveUp(change, 'not finished in time');
     });
@@ -193,6 +201,7 @@
       nextCallAt: now + announceMs,
       orderAttempts: 0,
       orderedAt: undefined,
+      isFound: false,
       isCalling: false,
     });
     log(2505, {
@@ -230,5 +239,34 @@
       step(now);
     },
     listChanging: () => [...changes.keys()],
+    findChange: (server, onDone) => {
+      const stageChangeMs =
+        deps.listServices().find(({ servers }) => servers.some(({ id }) => id === server.id))
+          ?.engine.stageChangeMs ?? 0;
+      if (stageChangeMs <= 0 || changes.has(server.id) || deps.listAnnounced().has(server.id)) {
+        onDone(stageChangeMs > 0);
+        return;
+      }
+      deps.backends.report(server, (report) => {
+        const isChanging = report?.isBusy === true && report.startedAt === server.startedAt;
+        if (isChanging && !changes.has(server.id)) {
+          const now = deps.now();
+          const stage = server.stage === 'decode' ? 'prefill' : 'decode';
+          changes.set(server.id, {
+            server,
+            stage,
+            stageChangeMs,
+            nextCallAt: now + reportPeriodMs,
+            orderAttempts: 0,
+            orderedAt: now,
+            isFound: true,
+            isCalling: false,
+          });
+          log(2505, { server: server.id, stage, source: 'report' });
+          deps.announce();
+        }
+        onDone(isChanging);
+      });
+    },
   };
 };
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -464,6 +464,7 @@
     getPlacementView,
     tryTakeRetry: (service) => getRetryBudget(service).tryTakeRetry(peers.countVms(), now()),
     returnRetry: (service) => getRetryBudget(service).returnRetry(),
+    findStageChange: stages.findChange,
     recordFailingPrefill: (server, outcome) => {
       health.record(server.id, outcome, now());
       if (failingEngines.record(server.id, now())) peers.notifyChange({ kind: 'failing' });
