Write the origin of a stream at once, not 150 ms later

After each loss of all VMs, two to four streams that had begun 0.2 to 0.4 s before it were refused until their callers gave up: the software version that began them was not known, as their rows had not reached the store.

Cause: a recorder waited for 150 ms before each write, also for the first row after a pause.

It now writes at once and keeps 150 ms between two writes, so that rows of streams that begin further apart don't wait. The new test failed before.

--- a/packages/router/src/origin-recorder.ts
+++ b/packages/router/src/origin-recorder.ts
@@ -10,7 +10,7 @@
 import type { LogRouterEvent } from './events.js';
 import type { RouterMetrics } from './router-metrics.js';
 
-/** Interval between two writes. */
+/** Minimum interval between two writes; the first row after a pause is written at once. */
 const writePeriodMs = 150;
 
 /** Lease of a slot's key, the time for which a stream may be taken up. */
@@ -61,6 +61,7 @@
   const unwritten = new Map<string, HeldRow>();
   let slot: Slot | undefined;
   let isScheduled = false;
+  let nextWriteAt = 0;
   let isFailing = false;
 
   const listRows = (rows: ReadonlyMap<string, HeldRow>): StreamRow[] =>
@@ -138,10 +139,11 @@
     const run = async (): Promise<void> => {
       dropExpired();
       if (unwritten.size > 0) await write();
+      nextWriteAt = deps.now() + writePeriodMs;
       isScheduled = false;
       if (unwritten.size > 0) schedule();
     };
-    setTimeout(() => void run(), writePeriodMs).unref();
+    setTimeout(() => void run(), Math.max(0, nextWriteAt - deps.now())).unref();
   };
 
   return {
--- a/packages/router/src/origin-records.test.ts
+++ b/packages/router/src/origin-records.test.ts
@@ -64,6 +64,19 @@
   t.is(fake.calls.length, 3);
 });
 
+test('the first stream after a pause is written at once, as all VMs may be lost any moment', async (t) => {
+  const fake = makeFakeStore();
+  const recorder = makeRecorder(fake);
+  add(recorder, 'r1');
+  // The timer of a write that waits would come after this one.
+  await sleep(50);
+  t.deepEqual(listRequests(fake), ['r1']);
+  add(recorder, 'r2');
+  await sleep(50);
+  t.deepEqual(listRequests(fake), ['r1']);
+  await checkRequests(t, fake, ['r1', 'r2']);
+});
+
 test('what a failed write had is written later, also in another slot', async (t) => {
   const fake = makeFakeStore();
   let unix = 10_000;
