--- a/packages/router/src/crash-watch.ts
+++ b/packages/router/src/crash-watch.ts
@@ -105,6 +105,14 @@
     isSuspect: (parts) => suspects.isSuspect(parts, now()),
     watchRun: (parts, server) => {
       if (parts.length === 0) return unwatchedRun;
+      const suspect = suspects.findUnblocked(parts, now());
+      if (suspect)
+        log(2323, {
+          ...suspect,
+          ...describePart(suspect.part),
+          server: server.id,
+          startedAt: server.startedAt,
+        });
       let survivalTimer: NodeJS.Timeout | undefined;
       let hasSurvived = false;
       const recordSurvival = (): void => {
--- a/packages/router/src/run-plain.ts
+++ b/packages/router/src/run-plain.ts
@@ -176,6 +176,7 @@
       id: call.metadata.id,
       request: ctx.fingerprint,
       server: server.id,
+      startedAt: server.startedAt,
       fault: fault.kind,
       reason: fault.reason,
       sends,
--- a/packages/router/src/stream-engines.ts
+++ b/packages/router/src/stream-engines.ts
@@ -123,6 +123,7 @@
       id,
       request: ctx.fingerprint,
       server: server.id,
+      startedAt: server.startedAt,
       step,
       fault: fault.kind,
       reason: fault.reason,
--- a/packages/routing/src/crash-suspects.ts
+++ b/packages/routing/src/crash-suspects.ts
@@ -53,6 +53,16 @@
   | { readonly kind: 'blocked'; readonly part: string; readonly instances: readonly string[] }
   | { readonly kind: 'released'; readonly part: string; readonly reason: ReleaseReason };
 
+/** A part that has as many incidents as block one, but is not blocked. */
+export interface UnblockedSuspect {
+  readonly part: string;
+  readonly incidents: number;
+  /** Incidents that no likelier cause explains. */
+  readonly unexplained: number;
+  /** Incidents from which on the part is blocked. */
+  readonly limit: number;
+}
+
 /** Why a part was released: `forgotten` means that too many others have incidents. */
 export type ReleaseReason = 'survived' | 'idle' | 'forgotten';
 
@@ -80,6 +90,8 @@
    * `instance` don't count: a server at which the same request breaks twice may be the cause itself.
    */
   readonly isSuspect: (parts: readonly string[], now: number, instance?: string) => boolean;
+  /** Describes the part of a request that comes closest to a block, if it has that many incidents. */
+  readonly findUnblocked: (parts: readonly string[], now: number) => UnblockedSuspect | undefined;
   readonly listForPeers: (now: number) => readonly CrashRow[];
   /** Adds what a peer knows; returns whether other peers have to be told of a decision made here. */
   readonly recordPeer: (rows: readonly CrashRow[], now: number) => boolean;
@@ -347,6 +359,15 @@
         (part) => countUnexplained(part, instance) >= (isProtected(part, now) ? maxIncidents : 1),
       );
     },
+    findUnblocked: (parts, now) => {
+      const [found] = parts
+        .map((part) => ({ part, incidents: cases.get(part)?.incidents.size ?? 0 }))
+        .filter(({ part, incidents }) => incidents >= maxIncidents && !cases.get(part)?.isBlocked)
+        .sort((first, second) => second.incidents - first.incidents);
+      if (!found) return undefined;
+      const { part } = found;
+      return { ...found, unexplained: countUnexplained(part), limit: getMaxIncidents(part, now) };
+    },
     listForPeers: (now) => {
       expire(now);
       // A VM at which a request has not survived yet would block it for crashes that it only met.
