Count a request as survived only when events go on past a second

Callers' requests with a part that crashes engines were passed on for as long as they came when an engine was silent between the first event and its end, as while it writes a core dump.

Cause: survival was decided by a timer, one second after the first event. The timer doesn't know whether the server does anything, and in a VM that is late it runs before the end of the connection is read. A survival clears the incidents of the part at all VMs and raises its limit from three to eight.

Now only an event a second or more after the first one shows survival, after the reads that are due, or the whole answer. A break without such an event is a crash, however long the silence was.

The test 'a stream that breaks a second after its first event says nothing about its prompt' had a stream with one event and a second of silence, which is what such a crash looks like. Its stream now has events for the whole second, with the same checks; the silent one has a test of its own.

--- a/packages/router/src/crash-watch.test.ts
+++ b/packages/router/src/crash-watch.test.ts
@@ -1,12 +1,15 @@
 import test from 'ava';
 import type { BackendServer } from '@hemlocksill/types/routing.js';
-import { makeCrashWatch } from './crash-watch.js';
+import { makeCrashWatch, type RunWatch } from './crash-watch.js';
 import { makeRouterMetrics } from './router-metrics.js';
 import { sleep } from './sleep.js';
 
 /** Longer than the time after which an engine has survived a prompt. */
 const waitForSurvivalMs = 1_100;
 
+/** Interval of the events of a stream. */
+const eventGapMs = 100;
+
 /** Longer than the time within which engines that end count once. */
 const betweenCrashesMs = 60;
 
@@ -25,6 +28,14 @@
   stage: 'decode',
 });
 
+/** Records the events of a stream that goes on for longer than a second. */
+const recordEvents = async (run: RunWatch): Promise<void> => {
+  for (let elapsedMs = 0; elapsedMs < waitForSurvivalMs; elapsedMs += eventGapMs) {
+    run.recordEvent();
+    await sleep(eventGapMs);
+  }
+};
+
 const makeWatch = () => {
   const events: [number, unknown][] = [];
   let notified = 0;
@@ -59,13 +70,43 @@
 test('a stream that breaks a second after its first event says nothing about its prompt', async (t) => {
   const { watch, getNotified } = makeWatch();
   const run = watch.watchRun(parts, makeServer('e1'));
-  run.recordEvent();
-  await sleep(waitForSurvivalMs);
+  await recordEvents(run);
   t.false(run.recordBreak());
   t.deepEqual(watch.listForPeers(), []);
   t.is(getNotified(), 0);
 });
 
+test('a stream that is silent from its first event until it breaks does not clear its prompt', async (t) => {
+  const { watch, getNotified } = makeWatch();
+  watch.watchRun(parts, makeServer('e1')).recordBreak();
+  const run = watch.watchRun(parts, makeServer('e2'));
+  run.recordEvent();
+  await sleep(waitForSurvivalMs);
+  t.true(run.recordBreak());
+  t.deepEqual(
+    watch.listForPeers().map(([part, incidents, , state]) => [part, incidents.length, state]),
+    [
+      ['shared', 2, 'suspect'],
+      ['bad', 2, 'suspect'],
+    ],
+  );
+  t.is(getNotified(), 2);
+});
+
+test('events that a late VM reads together with the break do not clear the prompt', async (t) => {
+  const { watch } = makeWatch();
+  const run = watch.watchRun(parts, makeServer('e1'));
+  run.recordEvent();
+  await sleep(waitForSurvivalMs);
+  run.recordEvent();
+  t.false(run.recordBreak());
+  await sleep(betweenCrashesMs);
+  t.deepEqual(
+    watch.listForPeers().map(([, , , state]) => state),
+    ['suspect', 'suspect'],
+  );
+});
+
 test('a whole answer clears its prompt, one without an event or a cancelled one does not', async (t) => {
   const { watch } = makeWatch();
   watch.watchRun(parts, makeServer('e1')).recordBreak();
--- a/packages/router/src/crash-watch.ts
+++ b/packages/router/src/crash-watch.ts
@@ -4,8 +4,9 @@
 import { getRequestOfPart } from '@hemlocksill/routing/request-part.js';
 import type { LogRouterEvent } from './events.js';
 import type { RouterMetrics } from './router-metrics.js';
+import { runAfterReads } from './run-after-reads.js';
 
-/** Time after the beginning of an answer by which its server has survived the request. */
+/** Time after the beginning of an answer from which on a server that goes on with it has survived the request. */
 const survivalMs = 1_000;
 
 /** Retry-After of a request with a blocked part; the part stays blocked for long. */
@@ -113,30 +114,32 @@
           server: server.id,
           startedAt: server.startedAt,
         });
-      let survivalTimer: NodeJS.Timeout | undefined;
+      let firstEventAt: number | undefined;
       let hasSurvived = false;
+      let hasBroken = false;
       const recordSurvival = (): void => {
-        if (hasSurvived) return;
+        if (hasSurvived || hasBroken) return;
         hasSurvived = true;
         notifyIf(suspects.recordSurvival(parts, now()));
       };
       return {
         recordEvent: () => {
-          survivalTimer ??= setTimeout(recordSurvival, survivalMs);
+          firstEventAt ??= now();
+          // A VM that is late may read the event and the break after it in one go.
+          if (!hasSurvived && now() - firstEventAt >= survivalMs) runAfterReads(recordSurvival);
         },
         recordEnd: () => {
-          clearTimeout(survivalTimer);
-          if (survivalTimer) recordSurvival();
+          if (firstEventAt !== undefined) recordSurvival();
         },
         recordBreak: () => {
-          clearTimeout(survivalTimer);
           if (hasSurvived) return false;
+          hasBroken = true;
           const instance = `${server.id}@${server.startedAt}`;
           const wasSuspect = suspects.isSuspect(parts, now(), instance);
           notifyIf(suspects.recordCrash(parts, instance, now()));
           return wasSuspect;
         },
-        stop: () => clearTimeout(survivalTimer),
+        stop: () => {},
       };
     },
     listForPeers: () => suspects.listForPeers(now()),
