Count a crash of a server that is back before its entry changes

Callers' requests with a part that crashes engines were passed on long after the fifth crash where few engines serve and come back under their id and address before the store shows it.

Cause: an incident was known by the id and start time of the entry in the store. A server that is back while its entry is old crashes as the same instance, and its second to fifth crash counted as the first.

If nothing listens there or another instance answers, the server has ended since the request was sent. If no incident there is as new as that request, this is another crash, with its time in the name of its instance. Streams that one crash breaks were all sent before it, so that they count once, also at other VMs; those that see it unaware of each other merge by time. A server that breaks streams and still is the listed instance counts once, as before.

Event 2324 tells what a check found.

--- a/packages/router/src/charged-backends.test.ts
+++ b/packages/router/src/charged-backends.test.ts
@@ -22,6 +22,7 @@
     reserve: record('reserve'),
     releaseReservation: record('releaseReservation'),
     report: record('report'),
+    checkInstance: record('checkInstance'),
     order: record('order'),
     closeConnections: record('closeConnections'),
   };
--- a/packages/router/src/charged-backends.ts
+++ b/packages/router/src/charged-backends.ts
@@ -30,7 +30,7 @@
  * Makes a client that charges each request that reaches a backend server, whatever it is for, and sends none to
  * an evacuated data centre: it may be evacuated after a server was chosen.
  *
- * Requests of callers have been given room before they are sent. A report waits for room. An order and
+ * Requests of callers have been given room before they are sent. A report or a check waits for room. An order and
  * a release are sent in any case: they are rare, and what is not released is lost to others. At a cold server or
  * in an evacuated data centre, what is not released expires instead.
  *
@@ -82,6 +82,14 @@
       recordSend(server);
       backends.report(server, onDone);
     },
+    checkInstance: (server, onDone) => {
+      if (isEvacuated(server) || !hasRoom(server)) {
+        onDone({ kind: 'unknown' });
+        return;
+      }
+      recordSend(server);
+      backends.checkInstance(server, onDone);
+    },
     order: (server, order, onDone) => {
       if (isEvacuated(server)) {
         reportUnsent(() => onDone('rejected'));
--- a/packages/router/src/crash-watch.test.ts
+++ b/packages/router/src/crash-watch.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import type { BackendServer } from '@hemlocksill/types/routing.js';
+import type { BackendClient } from '@hemlocksill/types/routing-ports.js';
 import { makeCrashWatch, type RunWatch } from './crash-watch.js';
 import { makeRouterMetrics } from './router-metrics.js';
 import { sleep } from './sleep.js';
@@ -28,6 +29,8 @@
   stage: 'decode',
 });
 
+const answerUnknown: BackendClient['checkInstance'] = (_, onDone) => onDone({ kind: 'unknown' });
+
 /** Records the events of a stream that goes on for longer than a second. */
 const recordEvents = async (run: RunWatch): Promise<void> => {
   for (let elapsedMs = 0; elapsedMs < waitForSurvivalMs; elapsedMs += eventGapMs) {
@@ -36,7 +39,7 @@
   }
 };
 
-const makeWatch = () => {
+const makeWatch = (checkInstance: BackendClient['checkInstance'] = answerUnknown) => {
   const events: [number, unknown][] = [];
   let notified = 0;
   const watch = makeCrashWatch({
@@ -47,6 +50,7 @@
     },
     now: () => performance.now(),
     random: () => 0,
+    checkInstance,
   });
   return { watch, events, getNotified: () => notified };
 };
@@ -136,3 +140,37 @@
   t.is(watch.findBlocked([], 'r1'), undefined);
   t.is(getNotified(), 0);
 });
+
+/** Breaks streams with the same parts at one listed instance, longer apart than it takes to check it. */
+const breakThrice = async (checkInstance: BackendClient['checkInstance']) => {
+  const made = makeWatch(checkInstance);
+  for (let n = 0; n < 3; n += 1) {
+    const [first, second] = [1, 2].map(() => made.watch.watchRun(parts, makeServer('e1')));
+    first?.recordBreak();
+    await sleep(betweenCrashesMs);
+    // A stream that was broken by the same crash is heard of later.
+    second?.recordBreak();
+    await sleep(waitForSurvivalMs);
+  }
+  return made;
+};
+
+test('a server that crashes again before its entry changes is counted each time', async (t) => {
+  const { watch, events } = await breakThrice((_, onDone) => onDone({ kind: 'ended' }));
+  t.deepEqual(
+    watch.listForPeers().map(([part, incidents]) => [part, incidents.length]),
+    [
+      ['shared', 3],
+      ['bad', 3],
+    ],
+  );
+  t.is(events.filter(([id]) => id === 2324).length, 3);
+});
+
+test('a server that breaks streams and is still the listed instance is counted once', async (t) => {
+  const { watch } = await breakThrice((_, onDone) => onDone({ kind: 'running', startedAt: 17 }));
+  t.deepEqual(
+    watch.listForPeers().map(([, incidents]) => incidents.length),
+    [1, 1],
+  );
+});
--- a/packages/router/src/crash-watch.ts
+++ b/packages/router/src/crash-watch.ts
@@ -1,8 +1,10 @@
 import type { BackendServer } from '@hemlocksill/types/routing.js';
+import type { BackendClient } from '@hemlocksill/types/routing-ports.js';
 import type { CrashRow } from '@hemlocksill/routing/crash-rows.js';
 import { makeCrashSuspects, type BlockChange } from '@hemlocksill/routing/crash-suspects.js';
 import { getRequestOfPart } from '@hemlocksill/routing/request-part.js';
 import type { LogRouterEvent } from './events.js';
+import { makeInstanceChecks } from './instance-checks.js';
 import type { RouterMetrics } from './router-metrics.js';
 import { runAfterReads } from './run-after-reads.js';
 
@@ -60,6 +62,7 @@
   readonly notifyPeers: () => void;
   readonly now: () => number;
   readonly random: () => number;
+  readonly checkInstance: BackendClient['checkInstance'];
 }
 
 const unwatchedRun: RunWatch = {
@@ -82,6 +85,7 @@
   notifyPeers,
   now,
   random,
+  checkInstance,
 }: CrashWatchDeps): CrashWatch => {
   const logChange = (change: BlockChange): void => {
     if (change.kind === 'released') {
@@ -92,6 +96,7 @@
     log(2310, { ...describePart(part), incidents: instances.length, instances });
   };
   const suspects = makeCrashSuspects(logChange, random);
+  const checks = makeInstanceChecks({ checkInstance, log, now });
   const notifyIf = (mustNotify: boolean): void => {
     if (mustNotify) notifyPeers();
   };
@@ -114,6 +119,8 @@
           server: server.id,
           startedAt: server.startedAt,
         });
+      const instance = `${server.id}@${server.startedAt}`;
+      const sentAt = now();
       let firstEventAt: number | undefined;
       let hasSurvived = false;
       let hasBroken = false;
@@ -122,6 +129,11 @@
         hasSurvived = true;
         notifyIf(suspects.recordSurvival(parts, now()));
       };
+      const recordEnded = (): void => {
+        if (hasSurvived) return;
+        hasBroken = true;
+        notifyIf(suspects.recordEnd(parts, instance, sentAt, now()));
+      };
       return {
         recordEvent: () => {
           firstEventAt ??= now();
@@ -134,9 +146,9 @@
         recordBreak: () => {
           if (hasSurvived) return false;
           hasBroken = true;
-          const instance = `${server.id}@${server.startedAt}`;
           const wasSuspect = suspects.isSuspect(parts, now(), instance);
           notifyIf(suspects.recordCrash(parts, instance, now()));
+          checks.check(server, sentAt, recordEnded);
           return wasSuspect;
         },
         stop: () => {},
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -221,6 +221,7 @@
     notifyPeers: () => peers.notifyChange({ kind: 'crash' }),
     now,
     random: Math.random,
+    checkInstance: (server, onDone) => backends.checkInstance(server, onDone),
   });
   const retryBudgets = new Map<string, RetryBudget>();
   const abandonAtStop = new Set<() => void>();
--- a/packages/routing/src/crash-suspects.test.ts
+++ b/packages/routing/src/crash-suspects.test.ts
@@ -310,3 +310,19 @@
   t.true(suspected.length <= 256);
   t.is(changes.length, 1);
 });
+
+test('a crash that several VMs see of an instance that was listed before counts once', (t) => {
+  const [first, second] = [makeSuspects().suspects, makeSuspects().suspects];
+  first.recordCrash(bad, 'e1@1', 1_000);
+  second.recordPeer(first.listForPeers(1_010), 1_012);
+  t.false(second.recordEnd(bad, 'e1@1', 900, 1_500));
+  t.true(first.recordEnd(bad, 'e1@1', 5_000, 6_000));
+  t.true(second.recordEnd(bad, 'e1@1', 5_100, 6_200));
+  second.recordPeer(first.listForPeers(6_210), 6_212);
+  const countIncidents = (suspects: CrashSuspects): number[] =>
+    suspects.listForPeers(6_300).map(([, incidents]) => incidents.length);
+  t.deepEqual(countIncidents(second), [2, 2]);
+  first.recordPeer(second.listForPeers(6_310), 6_312);
+  t.deepEqual(countIncidents(first), [2, 2]);
+  t.false(first.isSuspect(bad, 6_400, 'e1@1'));
+});
--- a/packages/routing/src/crash-suspects.ts
+++ b/packages/routing/src/crash-suspects.ts
@@ -1,6 +1,14 @@
 import type { CrashRow, CrashRowState } from './crash-rows.js';
 import { listCrashRows, maxRowsOfState, survivalRepeatMs } from './list-crash-rows.js';
-import { getLatestIncident, hasIncident, makePartCase, type PartCase } from './part-case.js';
+import {
+  getLatestIncident,
+  getListedInstance,
+  hasIncident,
+  hasIncidentSince,
+  makePartCase,
+  makeRepeatedInstance,
+  type PartCase,
+} from './part-case.js';
 import { makePartStats } from './part-stats.js';
 import { isRequestPart } from './request-part.js';
 
@@ -78,6 +86,17 @@
    * returns whether the peers have to be told.
    */
   readonly recordCrash: (parts: readonly string[], instance: string, now: number) => boolean;
+  /**
+   * Records that a server has ended since a request with these parts was sent to it at `sentAt`, as is known from
+   * itself. An incident there since then is the same one; after an older one, the server had come back before its
+   * entry changed, and has crashed again.
+   */
+  readonly recordEnd: (
+    parts: readonly string[],
+    instance: string,
+    sentAt: number,
+    now: number,
+  ) => boolean;
   /** Records that a server survived these parts; returns whether the peers have to be told. */
   readonly recordSurvival: (parts: readonly string[], now: number) => boolean;
   /**
@@ -199,7 +218,9 @@
    */
   const countUnexplained = (part: string, exceptInstance?: string): number => {
     const incidents = listUnexplained(
-      [...(cases.get(part)?.incidents ?? [])].filter(([instance]) => instance !== exceptInstance),
+      [...(cases.get(part)?.incidents ?? [])].filter(
+        ([instance]) => getListedInstance(instance) !== exceptInstance,
+      ),
       listCauses((other, otherCase) => isLikelierCause(other, otherCase, part)),
     );
     if (incidents.length === 0 || isRequestPart(part)) return incidents.length;
@@ -316,20 +337,34 @@
     if (isNew) block(part, partCase, now);
   };
 
+  /** Adds the incident that `findInstance` names to the parts; returns whether the peers have to be told. */
+  const addIncidents = (
+    parts: readonly string[],
+    now: number,
+    findInstance: (partCase: PartCase) => string | undefined,
+  ): boolean => {
+    expire(now);
+    const blocked = parts.find((part) => cases.get(part)?.isBlocked);
+    let isNew = false;
+    new Set(blocked === undefined ? parts : [blocked]).forEach((part) => {
+      const partCase = getCase(part, now);
+      partCase.isWitness = true;
+      partCase.lastSeenAt = now;
+      const instance = findInstance(partCase);
+      if (instance !== undefined) isNew = addIncident(partCase, instance, now) || isNew;
+    });
+    return judge(now) || isNew;
+  };
+
   return {
     recordArrival: stats.recordArrival,
-    recordCrash: (parts, instance, now) => {
-      expire(now);
-      const blocked = parts.find((part) => cases.get(part)?.isBlocked);
-      let isNew = false;
-      new Set(blocked === undefined ? parts : [blocked]).forEach((part) => {
-        const partCase = getCase(part, now);
-        partCase.isWitness = true;
-        partCase.lastSeenAt = now;
-        isNew = addIncident(partCase, instance, now) || isNew;
-      });
-      return judge(now) || isNew;
-    },
+    recordCrash: (parts, instance, now) => addIncidents(parts, now, () => instance),
+    recordEnd: (parts, instance, sentAt, now) =>
+      addIncidents(parts, now, (partCase) =>
+        hasIncidentSince(partCase, instance, sentAt)
+          ? undefined
+          : makeRepeatedInstance(partCase, instance, now),
+      ),
     recordSurvival: (parts, now) => {
       let hasCleared = false;
       parts.forEach((part) => {
--- a/packages/routing/src/part-case.ts
+++ b/packages/routing/src/part-case.ts
@@ -1,6 +1,14 @@
 /** Engines that crash within this time of each other count once: a rack or a link ends many at a time. */
 const incidentSpacingMs = 40;
 
+/** Crashes that VMs report of one listed instance within this time are the same one: it has to start again. */
+const repeatSpacingMs = 1_000;
+
+const repeatPattern = /~\d+$/;
+
+/** Returns the listed instance of a crash. */
+export const getListedInstance = (instance: string): string => instance.replace(repeatPattern, '');
+
 /** What is known of a part on which engines crashed, or that survived lately. */
 export interface PartCase {
   /** Time of each incident by engine instance, all of them after the last survival. */
@@ -38,4 +46,22 @@
 /** Whether an incident is the same as one of a case, or happened at the same moment. */
 export const hasIncident = ({ incidents }: PartCase, instance: string, at: number): boolean =>
   incidents.has(instance) ||
-  [...incidents.values()].some((other) => Math.abs(other - at) < incidentSpacingMs);
+  [...incidents].some(([other, otherAt]) => {
+    const isSameListed = getListedInstance(other) === getListedInstance(instance);
+    return Math.abs(otherAt - at) < (isSameListed ? repeatSpacingMs : incidentSpacingMs);
+  });
+
+/** Names another crash of a listed instance: by itself, or with its time if it is listed although it crashed before. */
+export const makeRepeatedInstance = (
+  { incidents }: PartCase,
+  instance: string,
+  at: number,
+): string => (incidents.has(instance) ? `${instance}~${Math.round(at)}` : instance);
+
+/** Whether an incident at an instance is known that is not older than `since`. */
+export const hasIncidentSince = (
+  { incidents }: PartCase,
+  instance: string,
+  since: number,
+): boolean =>
+  [...incidents].some(([other, at]) => getListedInstance(other) === instance && at >= since);
--- a/packages/types/src/routing-ports.ts
+++ b/packages/types/src/routing-ports.ts
@@ -87,6 +87,19 @@
   readonly acceptedOrders: number;
 }
 
+/**
+ * Which instance answers for a backend server: `ended` if its address refuses connections or is another
+ * server's, `unknown` if it can't be told.
+ */
+export type InstanceResult =
+  | {
+      readonly kind: 'running';
+      /** Start time of the instance, in Unix milliseconds. */
+      readonly startedAt: number;
+    }
+  | { readonly kind: 'ended' }
+  | { readonly kind: 'unknown' };
+
 /** An order to change the stage of an engine. */
 export interface StageOrder {
   readonly stage: EngineStage;
@@ -148,6 +161,8 @@
     server: BackendServer,
     onDone: (report: EngineReport | undefined) => void,
   ) => void;
+  /** Asks a backend server which instance it is; possibly reports before the return. */
+  readonly checkInstance: (server: BackendServer, onDone: (result: InstanceResult) => void) => void;
   readonly order: (
     server: BackendServer,
     order: StageOrder,
