Count a crash whose connections stay open in silence

Callers' requests with a part that crashes engines were passed on for as long as they came, and each waited until its deadline, when the connections of the engines stayed open: a host that is gone sends no end of them.

Cause: only the end of a connection counted as a crash. A run that was cancelled at its deadline, or left for another engine, said nothing.

A run that has no sign of life for 1.5 s now has its server checked, then after twice that time, and so on. A server that has ended since the request was sent has crashed on it; one that is silent and still the listed instance has not.

--- a/packages/router/src/crash-watch.test.ts
+++ b/packages/router/src/crash-watch.test.ts
@@ -8,6 +8,9 @@
 /** Longer than the time after which an engine has survived a prompt. */
 const waitForSurvivalMs = 1_100;
 
+/** Longer than the silence after which a server is checked. */
+const waitForSilenceMs = 1_700;
+
 /** Interval of the events of a stream. */
 const eventGapMs = 100;
 
@@ -174,3 +177,18 @@
     [1, 1],
   );
 });
+
+test('a server that has ended is counted although the connection stays open in silence', async (t) => {
+  const { watch } = makeWatch((_, onDone) => onDone({ kind: 'ended' }));
+  const run = watch.watchRun(parts, makeServer('e1'));
+  run.recordEvent();
+  await sleep(waitForSilenceMs);
+  run.stop();
+  t.deepEqual(
+    watch.listForPeers().map(([part, incidents]) => [part, incidents.length]),
+    [
+      ['shared', 1],
+      ['bad', 1],
+    ],
+  );
+});
--- a/packages/router/src/crash-watch.ts
+++ b/packages/router/src/crash-watch.ts
@@ -11,6 +11,9 @@
 /** Time after the beginning of an answer from which on a server that goes on with it has survived the request. */
 const survivalMs = 1_000;
 
+/** Silence of a server after which it is checked whether it has ended; doubled at each check. */
+const silenceCheckMs = 1_500;
+
 /** Retry-After of a request with a blocked part; the part stays blocked for long. */
 export const blockedRetryAfterMs = 7_500;
 
@@ -122,36 +125,65 @@
       const instance = `${server.id}@${server.startedAt}`;
       const sentAt = now();
       let firstEventAt: number | undefined;
+      let lastSignAt = sentAt;
+      let silenceTimer: NodeJS.Timeout | undefined;
+      let awaitsSigns = true;
       let hasSurvived = false;
       let hasBroken = false;
+      const stopAwaiting = (): void => {
+        awaitsSigns = false;
+        clearTimeout(silenceTimer);
+      };
       const recordSurvival = (): void => {
         if (hasSurvived || hasBroken) return;
         hasSurvived = true;
+        stopAwaiting();
         notifyIf(suspects.recordSurvival(parts, now()));
       };
       const recordEnded = (): void => {
         if (hasSurvived) return;
         hasBroken = true;
+        stopAwaiting();
         notifyIf(suspects.recordEnd(parts, instance, sentAt, now()));
       };
+      const awaitSign = (timeoutMs: number): void => {
+        const checkIfSilent = (): void => {
+          if (!awaitsSigns) return;
+          if (now() - lastSignAt < timeoutMs) {
+            awaitSign(timeoutMs);
+            return;
+          }
+          awaitSign(timeoutMs * 2);
+          checks.check(server, sentAt, recordEnded);
+        };
+        silenceTimer = setTimeout(
+          () => runAfterReads(checkIfSilent),
+          Math.max(1, lastSignAt + timeoutMs - now()),
+        );
+      };
+      awaitSign(silenceCheckMs);
       return {
         recordEvent: () => {
-          firstEventAt ??= now();
+          lastSignAt = now();
+          firstEventAt ??= lastSignAt;
           // A VM that is late may read the event and the break after it in one go.
-          if (!hasSurvived && now() - firstEventAt >= survivalMs) runAfterReads(recordSurvival);
+          if (!hasSurvived && lastSignAt - firstEventAt >= survivalMs)
+            runAfterReads(recordSurvival);
         },
         recordEnd: () => {
+          stopAwaiting();
           if (firstEventAt !== undefined) recordSurvival();
         },
         recordBreak: () => {
           if (hasSurvived) return false;
           hasBroken = true;
+          stopAwaiting();
           const wasSuspect = suspects.isSuspect(parts, now(), instance);
           notifyIf(suspects.recordCrash(parts, instance, now()));
           checks.check(server, sentAt, recordEnded);
           return wasSuspect;
         },
-        stop: () => {},
+        stop: stopAwaiting,
       };
     },
     listForPeers: () => suspects.listForPeers(now()),
