Don't count servers as slow whose answers a late VM has not read

After a pause of a VM all servers with idempotent requests in progress counted as slow: second attempts were made and taken from the retry budget, and the servers counted as broken, which keeps requests from them for a while. Cause: the timers of slow answers and of second attempts ran before the reads that were due.

Both end only after the reads that are due now.

--- a/packages/router/src/run-plain.ts
+++ b/packages/router/src/run-plain.ts
@@ -17,6 +17,7 @@
   type PlainResponse,
 } from './plain-attempt.js';
 import type { PlainPlacement } from './plain-placement.js';
+import { startReadTimeout } from './read-timeout.js';
 import type { RunDeps } from './run-deps.js';
 
 /** Dependencies of the run of a plain request. */
@@ -114,8 +115,8 @@
   let errorResponse: ServerResponse | undefined;
   /** Whether no further attempt may be made, since backend servers crash on the request. */
   let isCrashing = false;
-  let slowTimer: NodeJS.Timeout | undefined;
-  let hedgeTimer: NodeJS.Timeout | undefined;
+  let cancelSlowTimeout = (): void => {};
+  let cancelHedgeTimeout = (): void => {};
   /** Time of the first send. */
   let firstSentAt: number | undefined;
   /** Whether the request has got a second attempt because its answer was later than usual. */
@@ -128,8 +129,8 @@
   };
 
   const stop = (): void => {
-    clearTimeout(slowTimer);
-    clearTimeout(hedgeTimer);
+    cancelSlowTimeout();
+    cancelHedgeTimeout();
     deps.limits.removeWaiting(call.metadata.id);
     running.forEach(cancelAttempt);
     running.clear();
@@ -320,11 +321,15 @@
 
   /** Schedules the decision on a second attempt, for when the answer is later than usual. */
   const scheduleHedge = (attempt: RunningAttempt): void => {
-    clearTimeout(hedgeTimer);
+    cancelHedgeTimeout();
     if (route.kind !== 'idempotent') return;
     const delayMs = placement.getHedgeDelayMs(route.name);
     if (delayMs === undefined) return;
-    hedgeTimer = setTimeout(considerHedge, Math.max(1, delayMs), attempt, attempt.sentAt + delayMs);
+    const lateAt = attempt.sentAt + delayMs;
+    cancelHedgeTimeout = startReadTimeout(
+      () => considerHedge(attempt, lateAt),
+      Math.max(1, delayMs),
+    );
   };
 
   const considerHedge = (attempt: RunningAttempt, lateAt: number): void => {
@@ -333,7 +338,10 @@
     // On a busy VM a timer fires early: it counts from the beginning of the turn in which it was set.
     const earlyMs = lateAt - deps.now();
     if (earlyMs > 0) {
-      hedgeTimer = setTimeout(considerHedge, Math.ceil(earlyMs), attempt, lateAt);
+      cancelHedgeTimeout = startReadTimeout(
+        () => considerHedge(attempt, lateAt),
+        Math.ceil(earlyMs),
+      );
       return;
     }
     const elapsedMs = deps.now() - attempt.sentAt;
@@ -368,11 +376,14 @@
 
   /** Schedules another attempt beside the one in progress, for when that one counts as slow. */
   const scheduleSlowRetry = (notBefore = 0): void => {
-    clearTimeout(slowTimer);
+    cancelSlowTimeout();
     const [attempt] = running;
     if (!attempt || running.size > 1 || route.kind !== 'idempotent') return;
     const retryAt = Math.max(attempt.slowAt, notBefore);
-    slowTimer = setTimeout(retrySlowAttempt, Math.max(0, retryAt - deps.now()), attempt);
+    cancelSlowTimeout = startReadTimeout(
+      () => retrySlowAttempt(attempt),
+      Math.max(0, retryAt - deps.now()),
+    );
   };
 
   /**
