Don't take a stream for silent whose events a late VM has not read

After a pause of a VM its resumable streams counted as silent: memory was reserved and prompts were read at other engines for streams whose engines had gone on. A stream that another engine was being prepared for could leave a sound engine, too. Cause: the timers of silence ran before the reads that were due.

They end only after the reads that are due now. A stream of a silent engine moves one turn later.

--- a/packages/router/src/hand-over.ts
+++ b/packages/router/src/hand-over.ts
@@ -1,6 +1,7 @@
 import type { BackendServer } from '@hemlocksill/types/routing.js';
 import type { CallFault, CancelCall } from '@hemlocksill/types/routing-ports.js';
 import type { PreparedEngine } from './prepare-engine.js';
+import { startReadTimeout } from './read-timeout.js';
 
 /** Delay before another engine is prepared for a silent stream, after none could be. */
 const preparationRetryDelayMs = 200;
@@ -65,13 +66,13 @@
  * handOver.restart(); // for each event of the stream
  */
 export const makeHandOver = (steps: HandOverSteps): HandOver => {
-  let timer: NodeJS.Timeout | undefined;
+  let cancelTimeout = (): void => {};
   let cancelPreparation: CancelCall = () => {};
   /** The run at the other engine that has not taken the stream over yet. */
   let nextRun: NextRun | undefined;
 
   const stop = (): void => {
-    clearTimeout(timer);
+    cancelTimeout();
     cancelPreparation();
     cancelPreparation = () => {};
     nextRun?.cancel();
@@ -79,7 +80,7 @@
   };
 
   const moveTo = (prepared: PreparedEngine): void => {
-    timer = setTimeout(() => nextRun?.takeOver(silenceReason), takeoverDelayMs);
+    cancelTimeout = startReadTimeout(() => nextRun?.takeOver(silenceReason), takeoverDelayMs);
     nextRun = steps.run(prepared, {
       leave: (reason) => {
         nextRun = undefined;
@@ -87,9 +88,9 @@
       },
       keep: (fault) => {
         nextRun = undefined;
-        clearTimeout(timer);
+        cancelTimeout();
         steps.stay(prepared.server, fault);
-        if (steps.canMove()) timer = setTimeout(prepare, preparationRetryDelayMs);
+        if (steps.canMove()) cancelTimeout = startReadTimeout(prepare, preparationRetryDelayMs);
       },
     });
   };
@@ -97,7 +98,7 @@
   const prepare = (): void => {
     cancelPreparation = steps.prepare((prepared) => {
       if (prepared) moveTo(prepared);
-      else timer = setTimeout(prepare, preparationRetryDelayMs);
+      else cancelTimeout = startReadTimeout(prepare, preparationRetryDelayMs);
     });
   };
 
@@ -106,7 +107,7 @@
       stop();
       if (!steps.canMove()) return;
       const idleTimeoutMs = steps.getIdleTimeoutMs();
-      timer = setTimeout(() => {
+      cancelTimeout = startReadTimeout(() => {
         steps.onSilent(idleTimeoutMs);
         prepare();
       }, idleTimeoutMs);
