--- a/packages/routing/src/bound-streams.ts
+++ b/packages/routing/src/bound-streams.ts
@@ -39,12 +39,14 @@
   priority: number,
 ): ReadonlyMap<string, number> => {
   const tokensByVersion = new Map<string, number>();
+  const keyStart = [service, boundTag, ''].join(separator);
   rowsByVm.forEach((rows) =>
-    Object.entries(rows).forEach(([key, tokens]) => {
-      const [rowService, tag, rowPriority, version] = key.split(separator);
-      if (rowService !== service || tag !== boundTag || version === undefined) return;
-      if (!(Number(rowPriority) <= priority)) return;
-      tokensByVersion.set(version, (tokensByVersion.get(version) ?? 0) + tokens);
+    Object.keys(rows).forEach((key) => {
+      // Most rows of a large fleet are of other kinds.
+      if (!key.startsWith(keyStart)) return;
+      const [rowPriority, version] = key.slice(keyStart.length).split(separator);
+      if (version === undefined || !(Number(rowPriority) <= priority)) return;
+      tokensByVersion.set(version, (tokensByVersion.get(version) ?? 0) + (rows[key] ?? 0));
     }),
   );
   return tokensByVersion;
