Read what arrives in a long turn before a timer decides

What arrived while the process stood still in a read, after it had asked which connections can be read, counted as not sent: the reads that a timer waits for were those of one turn of the event loop. Requests could be lost as before, if the pause fell into such a turn.

After a turn of 50 ms or more, the next one is awaited as well, three turns at most, so that a process that is late in each turn decides in the end. "what arrives while the process stands still in a read is read before" failed before.

--- a/packages/router/src/run-after-reads.ts
+++ b/packages/router/src/run-after-reads.ts
@@ -3,16 +3,27 @@
 /** Runs a callback once what the operating system has received by now was read, and what it takes was written. */
 export type RunAfterReads = (callback: () => void) => void;
 
+/** Length of a turn of the event loop in which more may have arrived, and number of turns that are awaited. */
+const longTurnMs = 50;
+const maxTurns = 3;
+
 /**
  * Runs a callback after the reads that are due. Timers come before them: in a process that has not run for a
- * while, a timer can't tell what has not been sent from what has not been read. A connection that is paused is
- * not read.
+ * while, a timer can't tell what has not been sent from what has not been read. What arrives in a long turn is read
+ * in the next one. A connection that is paused is not read.
  *
  * @example
  * setTimeout(() => runAfterReads(() => closeIfIdle(socket)), 500);
  */
 export const runAfterReads: RunAfterReads = (callback) => {
-  setImmediate(callback);
+  const runTurn = (turn: number): void => {
+    const startedAt = performance.now();
+    setImmediate(() => {
+      if (turn < maxTurns && performance.now() - startedAt >= longTurnMs) runTurn(turn + 1);
+      else callback();
+    });
+  };
+  runTurn(1);
 };
 
 /**
