--- a/packages/router/src/caller-flows.ts
+++ b/packages/router/src/caller-flows.ts
@@ -3,6 +3,7 @@
 import { makeCallerMemory, type CallerMemoryLimits } from '@hemlocksill/routing/caller-memory.js';
 import type { LogRouterEvent } from './events.js';
 import type { RouterMetrics } from './router-metrics.js';
+import { runAfterReads } from './run-after-reads.js';
 
 /** Interval at which callers with unread bytes are checked. */
 const checkPeriodMs = 100;
@@ -48,20 +49,22 @@
   const checks = new Set<() => void>();
   /** Checks of the gathered responses that are not read for now. */
   const gatheredChecks = new Set<() => void>();
-  let timer: NodeJS.Timeout | undefined;
+  let isScheduled = false;
 
   const checkGathered = (): void => gatheredChecks.forEach((check) => check());
 
   const scheduleCheck = (): void => {
-    if (timer || checks.size + gatheredChecks.size === 0) return;
-    timer = setTimeout(() => {
-      timer = undefined;
+    if (isScheduled || checks.size + gatheredChecks.size === 0) return;
+    isScheduled = true;
+    const runChecks = (): void => {
+      isScheduled = false;
       checks.forEach((check) => check());
       checkGathered();
       deps.metrics.unreadBytes.set(memory.getUnreadBytes());
       scheduleCheck();
-    }, checkPeriodMs);
-    timer.unref();
+    };
+    // After a time in which the process did not run, callers may have read what it has not seen yet.
+    setTimeout(runAfterReads, checkPeriodMs, runChecks).unref();
   };
 
   const openGathered = (): GatheredFlow => {
