Forget requests that wait behind others when their connection closes

A VM kept each request that waited for its turn on a connection that closed, with its body, until the VM stopped: the response of such a request has no connection, so that it never tells its end. The list now follows the connection.

--- a/packages/router/src/caller-connections.ts
+++ b/packages/router/src/caller-connections.ts
@@ -57,6 +57,8 @@
   readonly recordBody: (heldBytes: number) => void;
   /** Registers what is done in place of closing the connection if there is no room for the body. */
   readonly onNoRoom: (refuse: () => void) => void;
+  /** Registers what is done when the connection closes; the response of a request that waits for its turn has no event. */
+  readonly onClosed: (callback: () => void) => void;
 }
 
 /** The connections of callers, and what their requests make the VM hold. */
@@ -104,6 +106,8 @@
   takenAt: number;
   /** Refuses the request whose body arrives. */
   refuse: (() => void) | undefined;
+  /** Called when the connection closes. */
+  readonly closeCallbacks: Set<() => void>;
   /** Whether it had to give way: it is closed, or will be. */
   isGivenUp: boolean;
 }
@@ -227,13 +231,17 @@
         takenBytes: 0,
         takenAt: now(),
         refuse: undefined,
+        closeCallbacks: new Set(),
         isGivenUp: false,
       };
       connections.set(socket, connection);
       if (connections.size > deps.maxConnections * maxExcess) closeOldest(connection);
       if (connection.isGivenUp) return;
       idle.add(connection);
-      socket.on('close', () => remove(connection));
+      socket.on('close', () => {
+        remove(connection);
+        connection.closeCallbacks.forEach((callback) => callback());
+      });
       if (connections.size <= deps.maxConnections) return;
       deps.runAfterReads(() => {
         if (connections.size > deps.maxConnections) closeOldest(connection);
@@ -283,6 +291,10 @@
         onNoRoom: (refuse) => {
           connection.refuse = refuse;
         },
+        onClosed: (callback) => {
+          connection.closeCallbacks.add(callback);
+          res.once('close', () => connection.closeCallbacks.delete(callback));
+        },
       };
     },
     awaitHead: (socket, onLate) => {
--- a/packages/router/src/handle-call.ts
+++ b/packages/router/src/handle-call.ts
@@ -339,7 +339,7 @@
   };
   const endWait = (): boolean => abandonAtStop.delete(refuseAtStop);
   abandonAtStop.add(refuseAtStop);
-  res.once('close', endWait);
+  callerRequest.onClosed(endWait);
   receiveBody(req, { maxBytes, timeoutAt, now: deps.hooks.now, callerRequest }, (body) => {
     if (res.headersSent) return;
     if (body.isErr()) {
