Close the oldest arriving request before the newest connection

Since the choice among connections over the limit waits for reads, the newest connection was in the list of those without a request, and was closed in place of the one whose request arrived for longest, so that slow bodies kept others out. It is left out of the list again. "over the limit a connection whose request arrives is closed before the newest one" failed before.

--- a/packages/router/src/caller-connections.test.ts
+++ b/packages/router/src/caller-connections.test.ts
@@ -122,6 +122,18 @@
   );
 });
 
+// Guards against callers that send their bodies slowly and leave no room for others.
+test('over the limit a connection whose request arrives is closed before the newest one', (t) => {
+  const { open, send } = makeConnections({ maxConnections: 10 });
+  const arriving = Array.from({ length: 10 }, open);
+  arriving.forEach(send);
+  const newest = open();
+  t.deepEqual(
+    [...arriving, newest].filter(({ destroyed }) => destroyed),
+    arriving.slice(0, 1),
+  );
+});
+
 // Guards against a crowd that opens connections faster than they are closed after reads.
 test('far over the limit connections are closed at once', (t) => {
   const { open } = makeConnections({ maxConnections: 10, runAfterReads: () => {} });
--- a/packages/router/src/caller-connections.ts
+++ b/packages/router/src/caller-connections.ts
@@ -177,16 +177,20 @@
     idle.add(connection);
   };
 
-  /** Finds the connection without a request for longest, one that is read if there is one. */
-  const findOldestIdle = (): Connection | undefined => {
-    for (const connection of idle) if (!connection.socket.isPaused()) return connection;
-    const [oldest] = idle;
+  /** Finds the connection before `newest` without a request for longest, one that is read if there is one. */
+  const findOldestIdle = (newest: Connection): Connection | undefined => {
+    let oldest: Connection | undefined;
+    for (const connection of idle) {
+      if (connection === newest) break;
+      if (!connection.socket.isPaused()) return connection;
+      oldest ??= connection;
+    }
     return oldest;
   };
 
   /** Closes the connection that has had no request for longest, else the one whose request arrives for longest. */
   const closeOldest = (newest: Connection): void => {
-    const oldestIdle = findOldestIdle();
+    const oldestIdle = findOldestIdle(newest);
     const [oldestArriving] = arriving;
     const oldest = oldestIdle ?? oldestArriving ?? newest;
     log(2321, { limit: 'connections', connections: connections.size, ...describe(oldest) });
