Wait for the reads that are due before a body counts as late

A caller whose refused request had ended in time got a reset in place of the answer to its next request, if the VM did not run at the end of the time limit for the rest of the body. The same timer decides on the deadline of a body, with 408. Both end after the reads that are due now. "a request behind a refused one whose body ends while the VM is late is answered" failed before.

--- a/packages/router/src/request-body.ts
+++ b/packages/router/src/request-body.ts
@@ -2,6 +2,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import { makeBodyBuffer } from '@hemlocksill/routing/body-buffer.js';
 import type { CallerRequest } from './caller-connections.js';
+import { startReadTimeout } from './read-timeout.js';
 
 /** Why the body of a request was not received. */
 export type BodyFault = 'too-large' | 'late' | 'no-room';
@@ -38,7 +39,7 @@
 ): void => {
   const buffer = makeBodyBuffer();
   const stop = (): void => {
-    clearTimeout(timer);
+    cancelTimeout();
     req.off('data', onData);
     req.off('end', onEnd);
   };
@@ -62,7 +63,9 @@
     callerRequest.recordBody(body.length);
     finish(ok(body));
   };
-  const timer = hasBody(req) ? setTimeout(fail, Math.max(0, timeoutAt - now()), 'late') : undefined;
+  const cancelTimeout = hasBody(req)
+    ? startReadTimeout(() => fail('late'), Math.max(0, timeoutAt - now()))
+    : () => {};
   callerRequest.onNoRoom(() => fail('no-room'));
   req.on('data', onData);
   req.on('end', onEnd);
@@ -86,17 +89,17 @@
 ): void => {
   let bytes = 0;
   const finish = (isWhole: boolean): void => {
-    clearTimeout(timer);
+    cancelTimeout();
     onDone(isWhole);
   };
   // A caller that goes on sending is left the time to read the refusal.
-  const timer = setTimeout(finish, timeoutMs, false);
+  const cancelTimeout = startReadTimeout(() => finish(false), timeoutMs);
   req.on('data', (piece: Buffer) => {
     bytes += piece.length;
     if (bytes > maxBytes) req.pause();
   });
   req.on('end', () => finish(true));
   req.on('error', () => {});
-  req.on('close', () => clearTimeout(timer));
+  req.on('close', cancelTimeout);
   req.resume();
 };
