Bound the time in which a stopping VM accepts connections that wait

With 400 callers that connect again at once a VM went on accepting for 1 s, and with heads of 14 KB beside three busy processes it still did 6 s after its signal, past a grace period of 4 s, with nothing abandoned and no 2004. Cause: the bound was a number of turns of the event loop, whatever they take. It is half a second now, and the end of the grace period. The decision has a test; that load was not run again.

--- a/packages/router/src/run-after-reads.test.ts
+++ b/packages/router/src/run-after-reads.test.ts
@@ -1,8 +1,9 @@
-import { once } from 'node:events';
+import { EventEmitter, once } from 'node:events';
 import { createServer, type AddressInfo, type Socket } from 'node:net';
 import { Worker } from 'node:worker_threads';
 import test from 'ava';
-import { runAfterReads } from './run-after-reads.js';
+import { acceptWaiting, runAfterReads } from './run-after-reads.js';
+import { sleep } from './sleep.js';
 
 /** Writes to one connection, and to another one once the main thread is in a read of the first. */
 const clientProgram = `
@@ -58,3 +59,20 @@
   });
   t.is(readBytes, 1);
 });
+
+// Guards against callers that connect without a pause and keep a VM from stopping.
+test('a listener that accepts a connection in each turn is waited for until the deadline', async (t) => {
+  const server = new EventEmitter();
+  let isConnecting = true;
+  t.teardown(() => {
+    isConnecting = false;
+  });
+  const connect = (): void => {
+    server.emit('connection');
+    if (isConnecting) setImmediate(connect);
+  };
+  connect();
+  const accepted = acceptWaiting(server as never, performance.now() + 100).then(() => 'accepted');
+  t.is(await Promise.race([accepted, sleep(2_000)]), 'accepted');
+  t.is(server.listenerCount('connection'), 0);
+});
--- a/packages/router/src/run-after-reads.ts
+++ b/packages/router/src/run-after-reads.ts
@@ -37,24 +37,25 @@
     runAfterReads(resolve);
   });
 
-/** Turns of the event loop in which waiting connections are accepted; a listener takes one in each. */
-const maxAcceptTurns = 2_048;
-
 /**
- * Resolves once a listener has accepted the connections that wait. To stop listening resets those that it has
- * not accepted, and with them the requests that were sent on them.
+ * Resolves once a listener has accepted the connections that wait, or at `deadline`, on the clock of
+ * `performance.now()`. It takes one in each turn of the event loop. To stop listening resets those that it has not
+ * accepted, and with them the requests that were sent on them.
  *
  * @example
- * await acceptWaiting(server);
+ * await acceptWaiting(server, performance.now() + 500);
  * server.close();
  */
-export const acceptWaiting = async (server: Pick<Server, 'on' | 'off'>): Promise<void> => {
+export const acceptWaiting = async (
+  server: Pick<Server, 'on' | 'off'>,
+  deadline: number,
+): Promise<void> => {
   let hasAccepted = true;
   const recordAccept = (): void => {
     hasAccepted = true;
   };
   server.on('connection', recordAccept);
-  for (let turn = 0; hasAccepted && turn < maxAcceptTurns; turn += 1) {
+  while (hasAccepted && performance.now() < deadline) {
     hasAccepted = false;
     await waitForReads();
   }
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -85,6 +85,9 @@
  */
 const lameDuckMs = 2_500;
 
+/** Time for which callers that connect without a pause may keep a VM from closing its listener. */
+const maxListenMs = 500;
+
 /** Part of the grace period that remains after open requests are abandoned, to close the router. */
 const graceReserveMs = 400;
 
@@ -691,7 +694,7 @@
       );
       await sleep(Math.max(0, refuseAt - now()));
       isRefusing = true;
-      await acceptWaiting(callerServer);
+      await acceptWaiting(callerServer, Math.min(now() + maxListenMs, shutdownDeadline));
       const closed = closeServer(callerServer);
       await Promise.race([closed, sleep(Math.max(0, shutdownDeadline - now()))]);
       clearInterval(idleCheck);
