Leave the load balancer its time when a signal to stop is handled late

A VM says that it is not ready from when it handles its signal, but refused requests 2.5 s after it had come: with a signal handled 0.7 s late, 1.8 s remained of the 2 s that a load balancer takes. Requests are accepted for 2.5 s after the signal was handled, but only within 3 s of the signal, after which they could not outlast the grace period. A signal that came while the program was loaded counts from the start of the process, one second before at most.

--- a/packages/router/src/loop-delay.ts
+++ b/packages/router/src/loop-delay.ts
@@ -12,7 +12,7 @@
   /** Records a run of the task. */
   readonly recordTick: (now: number) => void;
   /** Returns the time of the run before the latest one; what is handled now has not arrived earlier. */
-  readonly getEarlierTickAt: () => number | undefined;
+  readonly getTickBeforeLatestAt: () => number | undefined;
 }
 
 /** Dependencies of the measurement. */
@@ -34,11 +34,11 @@
 export const makeLoopDelay = ({ periodMs, metrics, log }: LoopDelayDeps): LoopDelay => {
   let expectedAt: number | undefined;
   let latestAt: number | undefined;
-  let earlierAt: number | undefined;
+  let beforeLatestAt: number | undefined;
   return {
-    getEarlierTickAt: () => earlierAt,
+    getTickBeforeLatestAt: () => beforeLatestAt,
     recordTick: (now) => {
-      earlierAt = latestAt;
+      beforeLatestAt = latestAt;
       latestAt = now;
       const delayMs = Math.max(0, now - (expectedAt ?? now));
       expectedAt = now + periodMs;
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -79,12 +79,14 @@
 const defaultIdleTimeoutMs = 15_000;
 
 /**
- * Time after the signal to stop during which new requests are accepted. The load balancer removes the
- * VM after two failed checks, within 2 s. Only requests of the first 3 s may outlast the grace period,
- * and a busy process handles the signal late.
+ * Time after the signal to stop was handled during which new requests are accepted. The load balancer removes the
+ * VM after two failed checks, within 2 s.
  */
 const lameDuckMs = 2_500;
 
+/** Time after the signal to stop within which a request must be accepted to outlast the grace period. */
+const maxAcceptMs = 3_000;
+
 /** Time for which callers that connect without a pause may keep a VM from closing its listener. */
 const maxListenMs = 500;
 
@@ -680,11 +682,14 @@
     shutDown: async () => {
       const handledAt = now();
       const signalledAt = Math.max(
-        loopDelay.getEarlierTickAt() ?? handledAt,
+        loopDelay.getTickBeforeLatestAt() ?? 0,
         handledAt - maxSignalDelayMs,
       );
       const shutdownDeadline = signalledAt + settings.graceMs - graceReserveMs;
-      const refuseAt = signalledAt + Math.min(lameDuckMs, settings.graceMs / 2);
+      const refuseAt = Math.min(
+        handledAt + lameDuckMs,
+        signalledAt + Math.min(maxAcceptMs, settings.graceMs / 2),
+      );
       isShuttingDown = true;
       log(2003, { graceMs: settings.graceMs, signalDelayMs: Math.round(handledAt - signalledAt) });
       // Heads that were sent before announce no end of their connection; the others do.
