--- a/packages/router/src/run-after-reads.test.ts
+++ b/packages/event-loop/src/run-after-reads.test.ts
@@ -1,9 +1,9 @@
 import { EventEmitter, once } from 'node:events';
 import { createServer, type AddressInfo, type Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { Worker } from 'node:worker_threads';
 import test from 'ava';
 import { acceptWaiting, runAfterReads } from './run-after-reads.js';
-import { sleep } from './sleep.js';
 
 /** Writes to one connection, and to another one once the main thread is in a read of the first. */
 const clientProgram = `
--- a/packages/router/src/call-context.ts
+++ b/packages/router/src/call-context.ts
@@ -7,9 +7,9 @@
 } from '@hemlocksill/types/routing-ports.js';
 import type { StreamOrigin } from '@hemlocksill/routing/stream-origins.js';
 import type { RouteTable } from '@hemlocksill/routing/route-table.js';
+import { startReadTimeout } from '@hemlocksill/event-loop/read-timeout.js';
 import type { CallerFlows } from './caller-flows.js';
 import type { LogRouterEvent } from './events.js';
-import { startReadTimeout } from './read-timeout.js';
 import type { RouterMetrics } from './router-metrics.js';
 
 /** Limits of the Retry-After of a refusal, including its jitter. */
--- a/packages/router/src/caller-flows.ts
+++ b/packages/router/src/caller-flows.ts
@@ -1,9 +1,9 @@
 import type { ServerResponse } from 'node:http';
 import type { ResponseFlow } from '@hemlocksill/types/routing-ports.js';
 import { makeCallerMemory, type CallerMemoryLimits } from '@hemlocksill/routing/caller-memory.js';
+import { runAfterReads } from '@hemlocksill/event-loop/run-after-reads.js';
 import type { LogRouterEvent } from './events.js';
 import type { RouterMetrics } from './router-metrics.js';
-import { runAfterReads } from './run-after-reads.js';
 
 /** Interval at which callers with unread bytes are checked. */
 const checkPeriodMs = 100;
--- a/packages/router/src/crash-watch.ts
+++ b/packages/router/src/crash-watch.ts
@@ -3,10 +3,10 @@
 import type { CrashRow } from '@hemlocksill/routing/crash-rows.js';
 import { makeCrashSuspects, type BlockChange } from '@hemlocksill/routing/crash-suspects.js';
 import { getRequestOfPart } from '@hemlocksill/routing/request-part.js';
+import { runAfterReads } from '@hemlocksill/event-loop/run-after-reads.js';
 import type { LogRouterEvent } from './events.js';
 import { makeInstanceChecks } from './instance-checks.js';
 import type { RouterMetrics } from './router-metrics.js';
-import { runAfterReads } from './run-after-reads.js';
 
 /** Time after the beginning of an answer from which on a server that goes on with it has survived the request. */
 const survivalMs = 1_000;
--- a/packages/router/src/hand-over.ts
+++ b/packages/router/src/hand-over.ts
@@ -1,7 +1,7 @@
 import type { BackendServer } from '@hemlocksill/types/routing.js';
 import type { CallFault, CancelCall } from '@hemlocksill/types/routing-ports.js';
+import { startReadTimeout } from '@hemlocksill/event-loop/read-timeout.js';
 import type { PreparedEngine } from './prepare-engine.js';
-import { startReadTimeout } from './read-timeout.js';
 
 /** Delay before another engine is prepared for a silent stream, after none could be. */
 const preparationRetryDelayMs = 200;
--- a/packages/router/src/request-body.ts
+++ b/packages/router/src/request-body.ts
@@ -1,8 +1,8 @@
 import type { IncomingMessage } from 'node:http';
 import { err, ok, type Result } from 'neverthrow';
 import { makeBodyBuffer } from '@hemlocksill/routing/body-buffer.js';
+import { startReadTimeout } from '@hemlocksill/event-loop/read-timeout.js';
 import type { CallerRequest } from './caller-connections.js';
-import { startReadTimeout } from './read-timeout.js';
 
 /** Why the body of a request was not received. */
 export type BodyFault = 'too-large' | 'late' | 'no-room';
--- a/packages/router/src/run-plain.ts
+++ b/packages/router/src/run-plain.ts
@@ -1,6 +1,7 @@
 import type { BackendServer } from '@hemlocksill/types/routing.js';
 import type { CallFault } from '@hemlocksill/types/routing-ports.js';
 import type { PlainChoice } from '@hemlocksill/routing/place-plain.js';
+import { startReadTimeout } from '@hemlocksill/event-loop/read-timeout.js';
 import type { CallContext, Responder } from './call-context.js';
 import {
   blockedRetryAfterMs,
@@ -17,7 +18,6 @@
   type PlainResponse,
 } from './plain-attempt.js';
 import type { PlainPlacement } from './plain-placement.js';
-import { startReadTimeout } from './read-timeout.js';
 import type { RunDeps } from './run-deps.js';
 
 /** Dependencies of the run of a plain request. */
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -30,6 +30,11 @@
 } from '@hemlocksill/routing/stream-admission.js';
 import { countBoundTokens } from '@hemlocksill/routing/bound-streams.js';
 import { joinQueues, makeStreamQueue } from '@hemlocksill/routing/stream-queue.js';
+import {
+  acceptWaiting,
+  runAfterReads,
+  waitForReads,
+} from '@hemlocksill/event-loop/run-after-reads.js';
 import type { LogRouterEvent } from './events.js';
 import { connectionCheckPeriodMs, makeCallerConnections } from './caller-connections.js';
 import { makeCallerFlows } from './caller-flows.js';
@@ -38,7 +43,6 @@
 import { makeIdleConnections } from './idle-connections.js';
 import { makeLoopDelay } from './loop-delay.js';
 import { makeRequestOrder } from './request-order.js';
-import { acceptWaiting, runAfterReads, waitForReads } from './run-after-reads.js';
 import { sleep } from './sleep.js';
 import { readMemoryLimit, readProcessLimits } from './process-limits.js';
 import { makePeersController } from './peers-controller.js';
--- a/packages/router/src/stream-engines.ts
+++ b/packages/router/src/stream-engines.ts
@@ -14,8 +14,8 @@
 import { maxStreamLifeMs } from '@hemlocksill/routing/version-history.js';
 import { measureMemory } from '@hemlocksill/routing/measure-memory.js';
 import type { MemoryAllocation } from '@hemlocksill/routing/engine-ledger.js';
+import { startReadTimeout } from '@hemlocksill/event-loop/read-timeout.js';
 import type { CallContext } from './call-context.js';
-import { startReadTimeout } from './read-timeout.js';
 import type { RunDeps } from './run-deps.js';
 
 /** A prefill counts as failed after twice its predicted duration plus this margin. */
