Accept and read what has arrived before a listener is drained

Callers of the product's own entry daemon lost their requests on idle and on new connections when the process was late as it drained its listener, by the same cause as in the router. It now accepts the connections that wait, and reads, before it stops listening.

Node.js still cuts ended responses that are not flushed when it closes idle connections there; that is open.

--- a/packages/entry/src/listen.ts
+++ b/packages/entry/src/listen.ts
@@ -3,11 +3,15 @@
 import { createServer as createHttpsServer, type Server as HttpsServer } from 'node:https';
 import type { AddressInfo } from 'node:net';
 import { getRequestListener } from '@hono/node-server';
+import { acceptWaiting } from '@hemlocksill/event-loop/run-after-reads.js';
 
 /** Maximum time for receiving the request headers, in milliseconds. */
 const headersTimeoutMs = 10_000;
 const keepAliveTimeoutMs = 60_000;
 
+/** Time for which callers that connect without a pause may keep a listener from draining. */
+const maxAcceptMs = 500;
+
 /** Paths of a certificate and its private key. */
 export interface TlsFiles {
   readonly certFile: string;
@@ -51,11 +55,13 @@
         reloadTls: () => {
           if (tls) (server as HttpsServer).setSecureContext(readTls(tls));
         },
-        drain: () =>
-          new Promise((onClosed) => {
+        drain: async () => {
+          await acceptWaiting(server, performance.now() + maxAcceptMs);
+          await new Promise<void>((onClosed) => {
             server.close(() => onClosed());
             server.closeIdleConnections();
-          }),
+          });
+        },
         close: () => {
           server.close();
           server.closeAllConnections();
