Use what other VMs answer about a stream though a late process reads it after the timeout

A caller that took a stream up again could get 503 "the software version that began the stream is not known" although another VM knew it and had answered. Cause: the timer of the question ran before the datagram that was due was read.

The question now ends only after the reads that are due.

"what another VM answers while the process does not run is used" failed before (nothing found) and passes now.

--- a/packages/router/src/origin-controller.ts
+++ b/packages/router/src/origin-controller.ts
@@ -12,6 +12,7 @@
 import { encodeOriginMessage, type OriginAnswer, type OriginMessage } from './origin-message.js';
 import { makeOriginReader } from './origin-reader.js';
 import { makeOriginRecorder } from './origin-recorder.js';
+import { startReadTimeout } from './read-timeout.js';
 import type { RouterMetrics } from './router-metrics.js';
 import { makeVersionKeeper } from './version-keeper.js';
 
@@ -171,7 +172,7 @@
     const finish = (): void => {
       if (!questions.delete(question)) return;
       clearInterval(repeatTimer);
-      clearTimeout(timeoutTimer);
+      cancelTimeout();
       // Without any answer this VM may be cut off, and what it knows may be old.
       const isCurrent = deps.isViewCurrent() || answers.size > 0;
       const local = getLocalAnswer(request, service);
@@ -179,7 +180,7 @@
       onDone(combineAnswers(known, service), [...answers.values()]);
     };
     const repeatTimer = setInterval(send, repeatMs);
-    const timeoutTimer = setTimeout(finish, answerTimeoutMs);
+    const cancelTimeout = startReadTimeout(finish, answerTimeoutMs);
     questions.set(question, {
       answers,
       asked: new Set(peers.map(({ address }) => address)),
