Soak: tell refused connections and late callers from lost requests

A call that is cut late in a stop was taken for lost when its connection had been refused, which no VM had accepted, or when the process of the callers itself had not run and saw the end late. Calls record the code of their failure, which violations name; time in which the callers' process did not run doesn't count as waiting. In the first second of a stop all cut calls count, as before.

--- a/packages/soak/src/check-promises.test.ts
+++ b/packages/soak/src/check-promises.test.ts
@@ -38,6 +38,7 @@
   storeLinkSpans: new Map(),
   lateSpans: new Map(),
   unexpectedExits: [],
+  callerLateSpans: [],
   serverFaultSpans: [],
   stops: [],
   crashingParts: [],
@@ -160,6 +161,8 @@
   t.deepEqual(listForCall({ endedAt: 10_500, sentAt: 10_400 }, []), []);
   t.deepEqual(listForCall({ endedAt: 11_900 }, [makeRun({ endedAt: 11_900 })]), []);
   t.deepEqual(listForCall({ status: 503, isComplete: true, endedAt: 10_500 }, []), []);
+  t.deepEqual(listForCall({ endedAt: 10_500, failure: 'ECONNRESET' }, []), ['graceful-stop']);
+  t.deepEqual(listForCall({ endedAt: 10_500, failure: 'ECONNREFUSED' }, []), []);
 });
 
 test('a VM that a stop does not end in the regular way, or that ends without a signal, is reported', (t) => {
--- a/packages/soak/src/check-promises.ts
+++ b/packages/soak/src/check-promises.ts
@@ -41,6 +41,9 @@
 /** Time after a signal to stop in which every request is answered, whenever it was sent. */
 const surelyReadMs = 1_000;
 
+/** Failure of a connection at whose port nobody listens. */
+const refusedConnection = 'ECONNREFUSED';
+
 /** Last part of a grace period, in which a VM that does not run may be killed. */
 const lastSecondMs = 1_000;
 
@@ -109,6 +112,12 @@
 const overlaps = (spans: readonly Span[], from: number, to: number): boolean =>
   spans.some((span) => span.from < to && span.to > from);
 
+const sumOverlaps = (spans: readonly Span[], from: number, to: number): number =>
+  spans.reduce(
+    (sum, span) => sum + Math.max(0, Math.min(span.to, to) - Math.max(span.from, from)),
+    0,
+  );
+
 /** Intervals in which a VM may miss a time limit. */
 const listHindrances = (record: SoakRecord, vm: string): readonly Span[] => [
   ...(record.vmFaultSpans.get(vm) ?? []),
@@ -231,10 +240,14 @@
   runs: readonly RunRecord[],
   stop: Span,
   endedAt: number,
+  callerLateSpans: readonly Span[],
 ): boolean => {
   const sentAt = call.sentAt ?? call.startedAt;
   if (sentAt <= stop.from + surelyReadMs) return false;
-  if (runs.length === 0) return endedAt - sentAt <= lossSlackMs;
+  // The VM did not accept the connection.
+  if (call.failure === refusedConnection && runs.length === 0) return true;
+  if (runs.length === 0)
+    return endedAt - sentAt - sumOverlaps(callerLateSpans, sentAt, endedAt) <= lossSlackMs;
   const lastWorkAt = stop.from + lastWorkMs;
   return (
     sentAt <= stop.from + lastLongRequestMs &&
@@ -263,7 +276,8 @@
         const isOpenDuringStop = call.vm === stop.vm && call.startedAt < stop.to && end > stop.from;
         const isCut = call.status === undefined || (call.status === 200 && !call.isComplete);
         if (!isOpenDuringStop || call.disconnectedAt !== undefined || !isCut) return false;
-        if (mayCross(call, runs.get(call.id) ?? [], stop, end)) return false;
+        if (mayCross(call, runs.get(call.id) ?? [], stop, end, record.callerLateSpans))
+          return false;
         const otherFaultSpans = (record.vmFaultSpans.get(call.vm) ?? []).filter(
           ({ from }) => from !== stop.from,
         );
@@ -276,7 +290,7 @@
       })
       .map((call) => ({
         promise: 'graceful-stop' as const,
-        detail: `${call.id} at ${call.vm}: ${call.kind} was cut ${Math.round((call.endedAt ?? record.endedAt) - stop.from)} ms after the signal to stop, ${Math.round((call.endedAt ?? record.endedAt) - (call.sentAt ?? call.startedAt))} ms after it was sent, ${runs.get(call.id)?.length ?? 0} runs`,
+        detail: `${call.id} at ${call.vm}: ${call.kind} was cut ${Math.round((call.endedAt ?? record.endedAt) - stop.from)} ms after the signal to stop, ${Math.round((call.endedAt ?? record.endedAt) - (call.sentAt ?? call.startedAt))} ms after it was sent, ${runs.get(call.id)?.length ?? 0} runs, ${call.failure ?? 'no error'}`,
       })),
   ]);
 
--- a/packages/soak/src/drive-callers.ts
+++ b/packages/soak/src/drive-callers.ts
@@ -162,8 +162,9 @@
     record.body = response.body;
     record.endedAt = now();
     return Number(response.headers['retry-after'] ?? 0) * 1_000;
-  } catch {
+  } catch (error) {
     record.endedAt = now();
+    record.failure = error instanceof Error && 'code' in error ? String(error.code) : undefined;
     return 0;
   }
 };
--- a/packages/soak/src/records.ts
+++ b/packages/soak/src/records.ts
@@ -16,6 +16,8 @@
   endedAt: number | undefined;
   /** Undefined if the connection ended without a response. */
   status: number | undefined;
+  /** Code of the error with which the connection failed; undefined if there was none. */
+  failure?: string | undefined;
   body: string;
   /** Whether the response was received completely. */
   isComplete: boolean;
@@ -101,6 +103,8 @@
   /** Intervals in which the connections to a backend server had a fault, or it had crashed. */
   readonly serverFaultSpans: readonly ServerFaultSpan[];
   readonly stops: readonly StopRecord[];
+  /** Intervals in which the process of the callers did not run, so that they saw later what had happened. */
+  readonly callerLateSpans: readonly Span[];
   /** VMs whose process ended without a signal. */
   readonly unexpectedExits: readonly { readonly vm: string; readonly at: number }[];
   /** Parts of prompts on which engines crash; the ids of requests with one begin with it. */
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -3,7 +3,7 @@
 import { checkPromises, type Violation } from './check-promises.js';
 import { driveCallers } from './drive-callers.js';
 import { generateFaults, type ScheduleVersion, type SoakFault } from './generate-faults.js';
-import type { CallRecord, SoakRecord } from './records.js';
+import type { CallRecord, SoakRecord, Span } from './records.js';
 import {
   countServers,
   startEnvironment,
@@ -21,6 +21,10 @@
 /** Time without faults at the end, in which the fleet must recover. */
 const recoveryMs = 16_000;
 
+/** Interval at which the process of the soak is looked at, and its minimum delay that is recorded. */
+const watchPeriodMs = 20;
+const minLatenessMs = 50;
+
 /** Gives the callers a random sequence other than that of the fault schedule. */
 const callerSeedOffset = 1_000_000;
 
@@ -58,10 +62,28 @@
   );
 };
 
+/** Records when the process of the soak, which is that of the callers, does not run in time. */
+const watchLateness = (now: () => number): { readonly stop: () => readonly Span[] } => {
+  const spans: Span[] = [];
+  let expectedAt = now() + watchPeriodMs;
+  const timer = setInterval(() => {
+    const at = now();
+    if (at - expectedAt > minLatenessMs) spans.push({ from: expectedAt, to: at });
+    expectedAt = at + watchPeriodMs;
+  }, watchPeriodMs);
+  return {
+    stop: () => {
+      clearInterval(timer);
+      return spans;
+    },
+  };
+};
+
 const collectRecord = (
   environment: SoakEnvironment,
   calls: readonly CallRecord[],
   faultsEndedAt: number,
+  callerLateSpans: readonly Span[],
 ): SoakRecord => ({
   calls: [...calls, ...environment.crashingCalls],
   runs: environment.listRuns(),
@@ -78,6 +100,7 @@
     faultSpans.map((span) => ({ ...span, service })),
   ),
   stops: environment.stops,
+  callerLateSpans,
   crashingParts: environment.crashingParts,
   crashingRequests: environment.crashingRequests,
   crashes: environment.crashes,
@@ -119,11 +142,12 @@
     },
     hasPatientCallers ? callerCount + patientCallerCount : callerCount,
   );
+  const callerLateness = watchLateness(environment.now);
   await injectFaults(environment, faults);
   const faultsEndedAt = environment.now();
   await sleep(recoveryMs);
   await callers.stop();
-  const record = collectRecord(environment, callers.records, faultsEndedAt);
+  const record = collectRecord(environment, callers.records, faultsEndedAt, callerLateness.stop());
   const logLines = environment.platform.getLogLines();
   await environment.close();
   return {
