--- a/packages/soak/src/soak.test.ts
+++ b/packages/soak/src/soak.test.ts
@@ -67,6 +67,12 @@
     cause: 'streams went on at another software version than the one that began them',
   },
   { seed: 9992, version: 'v7', faultMs: 4_000, cause: undefined },
+  {
+    seed: 73_413,
+    version: 'v8',
+    faultMs: 3_500,
+    cause: 'a VM that was late when it stopped lost the requests that it had not read',
+  },
 ];
 
 cases.forEach(({ seed, version, faultMs, cause }) => {
