Keep a part that is blocked during a hand-over from the other engine

A silent stream with a part that crashes engines was sent to another engine although the part had been blocked while its prompt was read there.

Cause: whether a part is blocked was asked before the other engine was prepared, and not when the stream was sent to it; all other ways to a server ask again at that moment.

The preparation is given up, and what it holds is released, if the part is blocked by its end.

--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -10,7 +10,7 @@
 import { blockedRetryAfterMs, describePart, getBlockedReason } from './crash-watch.js';
 import { makeHandOver, silenceReason, type NextRun, type PreviousRun } from './hand-over.js';
 import { logPlacement } from './log-placement.js';
-import { prepareEngine } from './prepare-engine.js';
+import { prepareEngine, type PreparedEngine } from './prepare-engine.js';
 import type { RunDeps } from './run-deps.js';
 import { makeEventSplitter } from './sse-events.js';
 import { makeStreamClass } from './stream-class.js';
@@ -97,6 +97,17 @@
     return true;
   };
 
+  const isBlocked = (): boolean => deps.crashWatch.findBlocked(ctx.crashParts, id) !== undefined;
+
+  const releasePrepared = (prepared: PreparedEngine): void => {
+    prepared.allocation.release();
+    if (prepared.reservation !== undefined)
+      deps.backends.releaseReservation(prepared.server, prepared.reservation);
+    if (!prepared.prefilled) return;
+    deps.backends.releasePrefill(prepared.prefilled);
+    deps.metrics.wastedPromptTokens.inc(requirement.promptTokens);
+  };
+
   /** Returns the inputs of the decision to refuse a request, for its log line. */
   const getDecisionInputs = () => ({
     promptTokens: requirement.promptTokens,
@@ -332,12 +343,7 @@
     previousRun?: PreviousRun,
   ): NextRun => {
     if (!previousRun && refuseIfBlocked()) {
-      allocation.release();
-      if (reservation !== undefined) deps.backends.releaseReservation(server, reservation);
-      if (prefilled) {
-        deps.backends.releasePrefill(prefilled);
-        deps.metrics.wastedPromptTokens.inc(requirement.promptTokens);
-      }
+      releasePrepared({ server, prefilled, reservation, allocation });
       return { cancel: () => {}, takeOver: () => {} };
     }
     sentTo.add(server.id);
@@ -369,9 +375,14 @@
       onSilent: (idleTimeoutMs) =>
         deps.log(2309, { id, server: server.id, after: lastEventId, idleTimeoutMs }),
       prepare: (onDone) =>
-        deps.crashWatch.findBlocked(ctx.crashParts, id) === undefined
-          ? prepareEngine(deps, engines, service.name, unusable, onDone)
-          : () => {},
+        isBlocked()
+          ? () => {}
+          : prepareEngine(deps, engines, service.name, unusable, (prepared) => {
+              // The part may have been blocked while the prompt was read.
+              const isKept = prepared !== undefined && isBlocked();
+              if (isKept) releasePrepared(prepared);
+              onDone(isKept ? undefined : prepared);
+            }),
       run: (prepared, thisRun) => {
         deps.metrics.retries.inc({ reason: 'silent' });
         return runDecode(
