Let a part explain crashes only if it met at least half of them

Callers' requests with a crashing part were still passed on by one VM while the others had blocked the part, where few engines serve.

Cause: incidents that a rarer part with two of its own had met, too, did not count.

A part that is not blocked now explains incidents only if it met at least half of those of the other part.

The new test failed before; the existing ones pass unchanged.

--- a/packages/routing/src/crash-suspects.test.ts
+++ b/packages/routing/src/crash-suspects.test.ts
@@ -326,3 +326,16 @@
   t.deepEqual(countIncidents(first), [2, 2]);
   t.false(first.isSuspect(bad, 6_400, 'e1@1'));
 });
+
+test('rare parts of sound streams that two crashes broke do not keep the bad part from being blocked', (t) => {
+  const { suspects } = makeSuspects();
+  ['a', 'b', 'c', 'd', 'e'].forEach((engine, n) => {
+    const now = n * 400;
+    suspects.recordArrival(bad);
+    suspects.recordCrash(bad, `${engine}@1`, now);
+    const rare = n < 2 ? 'rare-1' : 'rare-2';
+    if (n < 4) suspects.recordCrash([rare], `${engine}@1`, now + 2);
+  });
+  t.is(suspects.findBlocked(bad, 'r1', 2_000), 'bad');
+  t.is(suspects.findBlocked(['rare-1', 'rare-2'], 'r1', 2_000), undefined);
+});
--- a/packages/routing/src/crash-suspects.ts
+++ b/packages/routing/src/crash-suspects.ts
@@ -197,11 +197,27 @@
     return true;
   };
 
-  /** Whether a part probably is the cause of its incidents: it is blocked, or rarer and met several. */
-  const isLikelierCause = (other: string, otherCase: PartCase, part: string): boolean =>
-    other !== part &&
-    !isRequestPart(other) &&
-    (otherCase.isBlocked || (otherCase.incidents.size > 1 && stats.compare(other, part) < 0));
+  /** Whether a part met at least half of the incidents of another one. */
+  const metHalf = (other: PartCase, { incidents }: PartCase): boolean => {
+    const shared = [...incidents].filter(([instance, at]) => hasIncident(other, instance, at));
+    return shared.length >= incidents.size / 2;
+  };
+
+  /**
+   * Whether a part probably is the cause of incidents of another one: it is blocked, or rarer and met several,
+   * at least half of the other's. A rare part of a sound stream that was sent on meets two.
+   */
+  const isLikelierCause = (other: string, otherCase: PartCase, part: string): boolean => {
+    if (other === part || isRequestPart(other)) return false;
+    if (otherCase.isBlocked) return true;
+    const partCase = cases.get(part);
+    return (
+      otherCase.incidents.size > 1 &&
+      stats.compare(other, part) < 0 &&
+      partCase !== undefined &&
+      metHalf(otherCase, partCase)
+    );
+  };
 
   const listUnexplained = (
     incidents: readonly (readonly [string, number])[],
@@ -250,17 +266,14 @@
    * Whether a rarer part may turn out to be the cause. A stream that breaks here adds to the incidents
    * of its own parts before the peers tell which part caused them.
    */
-  const hasRarerSuspect = (part: string, { incidents }: PartCase, now: number): boolean => {
-    const times = [...incidents.values()].sort((first, second) => first - second);
+  const hasRarerSuspect = (part: string, partCase: PartCase, now: number): boolean => {
+    const times = [...partCase.incidents.values()].sort((first, second) => first - second);
     const reachedAt = times[getMaxIncidents(part, now) - 1] ?? now;
     if (now - reachedAt >= incidentRelayMs) return false;
     return [...cases].some(([other, otherCase]) => {
       if (otherCase.isBlocked || isRequestPart(other)) return false;
       if (stats.compare(other, part) >= 0) return false;
-      const shared = [...incidents].filter(([instance, at]) =>
-        hasIncident(otherCase, instance, at),
-      );
-      return shared.length >= incidents.size / 2;
+      return metHalf(otherCase, partCase);
     });
   };
 
