Refuse what is read at the end of the grace period instead of starting it

A request whose body ended just then was started and abandoned at once, with 502 and an unknown outcome, although it could be refused as not run.

--- a/packages/router/src/origin-controller.ts
+++ b/packages/router/src/origin-controller.ts
@@ -8,11 +8,11 @@
 } from '@hemlocksill/routing/version-history.js';
 import { chooseRecorder } from '@hemlocksill/routing/stream-rows.js';
 import type { Store } from '@hemlocksill/types/ports.js';
+import { startReadTimeout } from '@hemlocksill/event-loop/read-timeout.js';
 import type { LogRouterEvent } from './events.js';
 import { encodeOriginMessage, type OriginAnswer, type OriginMessage } from './origin-message.js';
 import { makeOriginReader } from './origin-reader.js';
 import { makeOriginRecorder } from './origin-recorder.js';
-import { startReadTimeout } from './read-timeout.js';
 import type { RouterMetrics } from './router-metrics.js';
 import { makeVersionKeeper } from './version-keeper.js';
 
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -707,8 +707,9 @@
       const closed = closeServer(callerServer);
       await Promise.race([closed, sleep(Math.max(0, shutdownDeadline - now()))]);
       clearInterval(idleCheck);
-      await waitForReads();
+      // What is read from here on would be abandoned at once: it is refused as not run.
       isAbandoning = true;
+      await waitForReads();
       if (abandonAtStop.size > 0) {
         abandonAtStop.forEach((abandon) => abandon());
         await Promise.race([closed, sleep(abandonedFlushMs)]);
