--- a/packages/entry/src/listen.ts
+++ b/packages/entry/src/listen.ts
@@ -3,7 +3,7 @@
 import { createServer as createHttpsServer, type Server as HttpsServer } from 'node:https';
 import type { AddressInfo } from 'node:net';
 import { getRequestListener } from '@hono/node-server';
-import { acceptWaiting } from '@hemlocksill/event-loop/run-after-reads.js';
+import { acceptWaiting } from '@hemlocksill/timers/run-after-reads.js';
 
 /** Maximum time for receiving the request headers, in milliseconds. */
 const headersTimeoutMs = 10_000;
--- a/packages/router/src/call-context.ts
+++ b/packages/router/src/call-context.ts
@@ -7,7 +7,7 @@
 } from '@hemlocksill/types/routing-ports.js';
 import type { StreamOrigin } from '@hemlocksill/routing/stream-origins.js';
 import type { RouteTable } from '@hemlocksill/routing/route-table.js';
-import { startReadTimeout } from '@hemlocksill/event-loop/read-timeout.js';
+import { startReadTimeout } from '@hemlocksill/timers/read-timeout.js';
 import type { CallerFlows } from './caller-flows.js';
 import type { LogRouterEvent } from './events.js';
 import type { RouterMetrics } from './router-metrics.js';
--- a/packages/router/src/caller-connections.ts
+++ b/packages/router/src/caller-connections.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { makeRequestMemory } from '@hemlocksill/routing/request-memory.js';
-import type { RunAfterReads } from '@hemlocksill/event-loop/run-after-reads.js';
+import type { RunAfterReads } from '@hemlocksill/timers/run-after-reads.js';
 import type { LogRouterEvent } from './events.js';
 import { makeReadTurns, type ReadTurns } from './read-turns.js';
 import type { RouterMetrics } from './router-metrics.js';
--- a/packages/router/src/caller-flows.ts
+++ b/packages/router/src/caller-flows.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from 'node:http';
 import type { ResponseFlow } from '@hemlocksill/types/routing-ports.js';
 import { makeCallerMemory, type CallerMemoryLimits } from '@hemlocksill/routing/caller-memory.js';
-import { runAfterReads } from '@hemlocksill/event-loop/run-after-reads.js';
+import { runAfterReads } from '@hemlocksill/timers/run-after-reads.js';
 import type { LogRouterEvent } from './events.js';
 import type { RouterMetrics } from './router-metrics.js';
 
--- a/packages/router/src/crash-watch.ts
+++ b/packages/router/src/crash-watch.ts
@@ -3,7 +3,7 @@
 import type { CrashRow } from '@hemlocksill/routing/crash-rows.js';
 import { makeCrashSuspects, type BlockChange } from '@hemlocksill/routing/crash-suspects.js';
 import { getRequestOfPart } from '@hemlocksill/routing/request-part.js';
-import { runAfterReads } from '@hemlocksill/event-loop/run-after-reads.js';
+import { runAfterReads } from '@hemlocksill/timers/run-after-reads.js';
 import type { LogRouterEvent } from './events.js';
 import { makeInstanceChecks } from './instance-checks.js';
 import type { RouterMetrics } from './router-metrics.js';
--- a/packages/router/src/hand-over.ts
+++ b/packages/router/src/hand-over.ts
@@ -1,6 +1,6 @@
 import type { BackendServer } from '@hemlocksill/types/routing.js';
 import type { CallFault, CancelCall } from '@hemlocksill/types/routing-ports.js';
-import { startReadTimeout } from '@hemlocksill/event-loop/read-timeout.js';
+import { startReadTimeout } from '@hemlocksill/timers/read-timeout.js';
 import type { PreparedEngine } from './prepare-engine.js';
 
 /** Delay before another engine is prepared for a silent stream, after none could be. */
--- a/packages/router/src/idle-connections.ts
+++ b/packages/router/src/idle-connections.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import type { RunAfterReads } from '@hemlocksill/event-loop/run-after-reads.js';
+import type { RunAfterReads } from '@hemlocksill/timers/run-after-reads.js';
 import type { LogRouterEvent } from './events.js';
 
 /** Time for which a connection stays open after its limit, for a request that is on its way. */
--- a/packages/router/src/origin-controller.ts
+++ b/packages/router/src/origin-controller.ts
@@ -8,7 +8,7 @@
 } from '@hemlocksill/routing/version-history.js';
 import { chooseRecorder } from '@hemlocksill/routing/stream-rows.js';
 import type { Store } from '@hemlocksill/types/ports.js';
-import { startReadTimeout } from '@hemlocksill/event-loop/read-timeout.js';
+import { startReadTimeout } from '@hemlocksill/timers/read-timeout.js';
 import type { LogRouterEvent } from './events.js';
 import { encodeOriginMessage, type OriginAnswer, type OriginMessage } from './origin-message.js';
 import { makeOriginReader } from './origin-reader.js';
--- a/packages/router/src/request-body.ts
+++ b/packages/router/src/request-body.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 import { err, ok, type Result } from 'neverthrow';
 import { makeBodyBuffer } from '@hemlocksill/routing/body-buffer.js';
-import { startReadTimeout } from '@hemlocksill/event-loop/read-timeout.js';
+import { startReadTimeout } from '@hemlocksill/timers/read-timeout.js';
 import type { CallerRequest } from './caller-connections.js';
 
 /** Why the body of a request was not received. */
--- a/packages/router/src/run-plain.ts
+++ b/packages/router/src/run-plain.ts
@@ -1,7 +1,7 @@
 import type { BackendServer } from '@hemlocksill/types/routing.js';
 import type { CallFault } from '@hemlocksill/types/routing-ports.js';
 import type { PlainChoice } from '@hemlocksill/routing/place-plain.js';
-import { startReadTimeout } from '@hemlocksill/event-loop/read-timeout.js';
+import { startReadTimeout } from '@hemlocksill/timers/read-timeout.js';
 import type { CallContext, Responder } from './call-context.js';
 import {
   blockedRetryAfterMs,
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -30,11 +30,7 @@
 } from '@hemlocksill/routing/stream-admission.js';
 import { countBoundTokens } from '@hemlocksill/routing/bound-streams.js';
 import { joinQueues, makeStreamQueue } from '@hemlocksill/routing/stream-queue.js';
-import {
-  acceptWaiting,
-  runAfterReads,
-  waitForReads,
-} from '@hemlocksill/event-loop/run-after-reads.js';
+import { acceptWaiting, runAfterReads, waitForReads } from '@hemlocksill/timers/run-after-reads.js';
 import type { LogRouterEvent } from './events.js';
 import { connectionCheckPeriodMs, makeCallerConnections } from './caller-connections.js';
 import { makeCallerFlows } from './caller-flows.js';
--- a/packages/router/src/stream-engines.ts
+++ b/packages/router/src/stream-engines.ts
@@ -14,7 +14,7 @@
 import { maxStreamLifeMs } from '@hemlocksill/routing/version-history.js';
 import { measureMemory } from '@hemlocksill/routing/measure-memory.js';
 import type { MemoryAllocation } from '@hemlocksill/routing/engine-ledger.js';
-import { startReadTimeout } from '@hemlocksill/event-loop/read-timeout.js';
+import { startReadTimeout } from '@hemlocksill/timers/read-timeout.js';
 import type { CallContext } from './call-context.js';
 import type { RunDeps } from './run-deps.js';
 
