Measure the heap, and log when a process is short of memory

A process that reaches its heap limit ends without a line, so that a full account of callers, bytes that no account knows and a growth without callers can't be told apart. Event 2010 and the gauge heap_bytes show the heap in use beside what the requests of callers hold by the router's own account.

--- a/packages/router/src/caller-connections.ts
+++ b/packages/router/src/caller-connections.ts
@@ -72,6 +72,10 @@
   readonly awaitHead: (socket: CallerSocket, onLate: () => void) => void;
   /** Number of open connections. */
   readonly count: () => number;
+  /** Number of open requests. */
+  readonly countRequests: () => number;
+  /** Bytes that all requests hold. */
+  readonly getRequestBytes: () => number;
 }
 
 /** Dependencies of the connections. */
@@ -317,6 +321,9 @@
       wait();
     },
     count: () => connections.size,
+    countRequests: () =>
+      [...connections.values()].reduce((sum, { openRequests }) => sum + openRequests, 0),
+    getRequestBytes: memory.getBytes,
     check: () => {
       idle.forEach((connection) => {
         connection.heldBytes = connection.socket.bytesRead - connection.idleReadBytes;
--- a/packages/router/src/events.ts
+++ b/packages/router/src/events.ts
@@ -15,6 +15,7 @@
   2007: { level: 'error', text: 'settings not reloaded' },
   2008: { level: 'warn', text: 'process was suspended or its clock was set' },
   2009: { level: 'warn', text: 'event loop was blocked or the process stopped' },
+  2010: { level: 'warn', text: 'process is short of memory' },
   2101: { level: 'warn', text: 'store not reachable' },
   2102: { level: 'info', text: 'store reachable again' },
   2103: { level: 'info', text: 'configuration in force' },
--- a/packages/router/src/router-metrics.ts
+++ b/packages/router/src/router-metrics.ts
@@ -35,6 +35,7 @@
   readonly viewFetches: Counter<'outcome'>;
   readonly storeReachable: Gauge;
   readonly loopDelayMs: Histogram;
+  readonly heapBytes: Gauge;
   readonly droppedLogLines: Counter;
   /** Renders all metrics in the Prometheus text format. */
   readonly render: () => Promise<string>;
@@ -199,6 +200,11 @@
       buckets: loopDelayBucketsMs,
       registers,
     }),
+    heapBytes: new Gauge({
+      name: `${prefix}heap_bytes`,
+      help: 'Bytes of the heap in use, with those that the next collection frees',
+      registers,
+    }),
     droppedLogLines: new Counter({
       name: `${prefix}log_lines_left_out_total`,
       help: 'Log lines left out because their reader was slow',
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -36,6 +36,7 @@
 import { makeCallerFlows } from './caller-flows.js';
 import { connectError, makeClientErrorHandler } from './client-errors.js';
 import { makeCallHandler } from './handle-call.js';
+import { makeHeapWatch, readHeapUse } from './heap-watch.js';
 import { makeIdleConnections } from './idle-connections.js';
 import { makeLoopDelay } from './loop-delay.js';
 import { makeRequestOrder } from './request-order.js';
@@ -646,10 +647,21 @@
   };
 
   const loopDelay = makeLoopDelay({ periodMs: tickPeriodMs, metrics, log });
+  const heap = makeHeapWatch({
+    readHeapUse,
+    metrics,
+    log,
+    describeHolders: () => ({
+      requestBytes: connections.getRequestBytes(),
+      openConnections: connections.count(),
+      openRequests: connections.countRequests(),
+    }),
+  });
 
   const tick = setInterval(() => {
     const nowMs = now();
     loopDelay.recordTick(nowMs);
+    heap.check();
     detectClockJump(nowMs);
     peers.tick(nowMs);
     sharedRates.tick(nowMs);
