Read the body of a request from its arrival on, joined

After a read with more than 128 pieces the requests behind wait for their turn. Nobody read their bodies, which stayed in the HTTP server's streams with a Buffer for each chunk, some hundred bytes for a byte, in no account. The rest of a refused body did the same once it was paused.

The body is now joined from its arrival on, and counted, whether its request waits or not; of a refused body over its bound the connection is not read any more, instead of the stream.

--- a/packages/router/src/caller-connections.ts
+++ b/packages/router/src/caller-connections.ts
@@ -55,6 +55,8 @@
   readonly run: (handle: () => void) => void;
   /** Records how many bytes are held for the body. */
   readonly recordBody: (heldBytes: number) => void;
+  /** Reads nothing more on the connection, which has to be closed. */
+  readonly stopReading: () => void;
   /** Registers what is done in place of closing the connection if there is no room for the body. */
   readonly onNoRoom: (refuse: () => void) => void;
   /** Registers what is done when the connection closes; the response of a request that waits for its turn has no event. */
@@ -287,14 +289,14 @@
       hold(headBytes);
       if (connection.isGivenUp) return undefined;
       connection.turns.recordPiece();
+      req.on('data', connection.turns.recordPiece);
       if (connection.openRequests >= maxOpenRequests) connection.turns.setAhead(true);
       return {
         run: (handle) =>
           connection.turns.run(() => {
-            if (socket.destroyed) return;
-            req.on('data', connection.turns.recordPiece);
-            handle();
+            if (!socket.destroyed) handle();
           }),
+        stopReading: connection.turns.stop,
         recordBody: (heldBytes) => hold(headBytes + heldBytes),
         onNoRoom: (refuse) => {
           connection.refuse = refuse;
--- a/packages/router/src/handle-call.ts
+++ b/packages/router/src/handle-call.ts
@@ -21,7 +21,7 @@
   tooLargeRejection,
   type Rejection,
 } from './reject-request.js';
-import { receiveBody } from './request-body.js';
+import { readRequestBody, type RequestBody } from './request-body.js';
 import type { AwaitTurn, RequestOrder } from './request-order.js';
 import {
   makeResponder,
@@ -226,15 +226,24 @@
 const getTimeoutAt = ({ route, metadata }: FilterState, arrivedAt: number): number =>
   arrivedAt + Math.min(route.timeoutMs, metadata.callerTimeoutMs ?? defaultTimeoutMs);
 
+/** A request that has arrived on a caller's connection. */
+interface ArrivedRequest {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly body: RequestBody;
+  readonly callerRequest: CallerRequest;
+  readonly awaitTurn: AwaitTurn;
+  readonly arrivedAt: number;
+}
+
 const startRun = (
   deps: CallDeps,
-  req: IncomingMessage,
-  res: ServerResponse,
+  request: ArrivedRequest,
   state: FilterState,
   body: Buffer,
-  arrivedAt: number,
   origin: StreamOrigin | undefined,
 ): void => {
+  const { req, res, arrivedAt } = request;
   const now = deps.hooks.now();
   const { metadata, route, service, workspace, table } = state;
   const call: ForwardedCall = {
@@ -252,7 +261,7 @@
     chargeQuota(deps, state, now),
   );
   if (charged.isErr()) {
-    rejectRequest(deps, req, res, charged.error);
+    rejectRequest(deps, request, charged.error);
     return;
   }
   const ctx: CallContext = {
@@ -302,15 +311,6 @@
       );
   });
 
-/** A request that has arrived on a caller's connection. */
-interface ArrivedRequest {
-  readonly req: IncomingMessage;
-  readonly res: ServerResponse;
-  readonly callerRequest: CallerRequest;
-  readonly awaitTurn: AwaitTurn;
-  readonly arrivedAt: number;
-}
-
 /** Closes a connection on which no response can be sent; the caller may repeat a request that was not run. */
 const dropRequest = (deps: CallDeps, req: IncomingMessage): void => {
   deps.hooks.log(2308, {
@@ -322,36 +322,34 @@
 };
 
 /** Runs the filters in order, receives the body, and runs the request in its turn. */
-const handleRequest = (
-  deps: CallDeps,
-  { req, res, callerRequest, awaitTurn, arrivedAt }: ArrivedRequest,
-): void => {
+const handleRequest = (deps: CallDeps, request: ArrivedRequest): void => {
+  const { req, res, callerRequest, awaitTurn, arrivedAt } = request;
   const state = runFilters(deps, req);
   if (state.isErr()) {
-    rejectRequest(deps, req, res, state.error);
+    rejectRequest(deps, request, state.error);
     return;
   }
   const timeoutAt = getTimeoutAt(state.value, arrivedAt);
   const { maxBodyBytes: maxBytes } = state.value.table.config.limits;
   const { abandonAtStop } = deps.hooks;
   const refuseAtStop = (): void => {
-    if (!res.headersSent) rejectRequest(deps, req, res, stoppingRejection);
+    if (!res.headersSent) rejectRequest(deps, request, stoppingRejection);
   };
   const endWait = (): boolean => abandonAtStop.delete(refuseAtStop);
   abandonAtStop.add(refuseAtStop);
   callerRequest.onClosed(endWait);
-  receiveBody(req, { maxBytes, timeoutAt, now: deps.hooks.now, callerRequest }, (body) => {
+  request.body.receive({ maxBytes, timeoutAt, now: deps.hooks.now }, (body) => {
     if (res.headersSent) return;
     if (body.isErr()) {
       endWait();
-      rejectRequest(deps, req, res, bodyRejections[body.error]);
+      rejectRequest(deps, request, bodyRejections[body.error]);
       return;
     }
     const start = (foundState: FilterState, origin: StreamOrigin | undefined): void => {
       endWait();
       if (res.headersSent) return;
-      if (deps.startsRuns()) startRun(deps, req, res, foundState, body.value, arrivedAt, origin);
-      else rejectRequest(deps, req, res, stoppingRejection);
+      if (deps.startsRuns()) startRun(deps, request, foundState, body.value, origin);
+      else rejectRequest(deps, request, stoppingRejection);
     };
     awaitTurn(
       () => {
@@ -363,7 +361,7 @@
           if (res.destroyed || res.headersSent) return;
           if (found.isErr()) {
             endWait();
-            rejectRequest(deps, req, res, found.error);
+            rejectRequest(deps, request, found.error);
           } else start(found.value.state, found.value.origin);
         });
       },
@@ -392,6 +390,9 @@
     // The connection had to give way, which is logged.
     if (!callerRequest) return;
     const awaitTurn = order.add(req, res);
-    callerRequest.run(() => handleRequest(deps, { req, res, callerRequest, awaitTurn, arrivedAt }));
+    const body = readRequestBody(req, callerRequest);
+    callerRequest.run(() =>
+      handleRequest(deps, { req, res, body, callerRequest, awaitTurn, arrivedAt }),
+    );
   };
 };
--- a/packages/router/src/read-turns.ts
+++ b/packages/router/src/read-turns.ts
@@ -20,6 +20,8 @@
   readonly run: (handle: () => void) => void;
   /** Sets whether the connection is not read because of the requests that were sent ahead. */
   readonly setAhead: (isAhead: boolean) => void;
+  /** Reads nothing more on the connection. */
+  readonly stop: () => void;
   /** Returns how often the connection was not read because of others or of requests sent ahead. */
   readonly countHolds: () => number;
 }
@@ -31,6 +33,7 @@
   piecesInRead: number;
   isWaiting: boolean;
   isAhead: boolean;
+  isStopped: boolean;
   holds: number;
   /** Handles the requests that were read, but wait. */
   deferred: (() => void)[];
@@ -55,7 +58,8 @@
   let areOthersHeld = false;
   let isEndScheduled = false;
 
-  const isPaused = ({ isWaiting, isAhead }: Reader): boolean => isWaiting || isAhead;
+  const isPaused = ({ isWaiting, isAhead, isStopped }: Reader): boolean =>
+    isWaiting || isAhead || isStopped;
 
   const resume = (reader: Reader): void => {
     if (!isPaused(reader)) reader.socket.resume();
@@ -131,6 +135,7 @@
         piecesInRead: 0,
         isWaiting: false,
         isAhead: false,
+        isStopped: false,
         holds: 0,
         deferred: [],
       };
@@ -158,6 +163,11 @@
           if (isPaused(reader)) reader.holds += 1;
           return reader.holds;
         },
+        stop: () => {
+          if (reader.isStopped) return;
+          reader.isStopped = true;
+          socket.pause();
+        },
         setAhead: (isAhead) => {
           if (isAhead === reader.isAhead) return;
           reader.isAhead = isAhead;
--- a/packages/router/src/reject-request.ts
+++ b/packages/router/src/reject-request.ts
@@ -9,7 +9,7 @@
   type ResponderHooks,
 } from './call-context.js';
 import { describePart } from './crash-watch.js';
-import { discardBody, hasBody, type BodyFault } from './request-body.js';
+import { hasBody, type BodyFault, type RequestBody } from './request-body.js';
 
 /** Error response of a filter; the request is not run. */
 export interface Rejection {
@@ -74,10 +74,16 @@
 /** Time that a caller has to read its refusal before the connection is closed. */
 const lingerTimeoutMs = 2_000;
 
+/** A request that is refused. */
+export interface RejectedRequest {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly body: RequestBody;
+}
+
 const sendRejection = (
   { getTable, hooks }: RejectDeps,
-  req: IncomingMessage,
-  res: ServerResponse,
+  { req, res, body }: RejectedRequest,
   { status, reason, retryAfterMs, closesConnection = false }: Rejection,
   id: string | undefined,
 ): void => {
@@ -98,10 +104,10 @@
   else if (isLast) {
     // The end of the response closes the connection.
     beginRouterResponse(res, status, reason, 'not-run', headers);
-    discardBody(req, { maxBytes, timeoutMs: lingerTimeoutMs }, () => res.end());
+    body.discard({ maxBytes, timeoutMs: lingerTimeoutMs }, () => res.end());
   } else {
     sendRouterResponse(res, status, reason, 'not-run', headers);
-    discardBody(req, { maxBytes, timeoutMs: discardTimeoutMs }, (isWhole) => {
+    body.discard({ maxBytes, timeoutMs: discardTimeoutMs }, (isWhole) => {
       if (isWhole) return;
       log(2321, { limit: 'rest-of-body', id, port: req.socket.remotePort });
       metrics.callerLimits.inc({ limit: 'rest-of-body' });
@@ -114,14 +120,14 @@
  * Refuses a request, and reads what is left of its body within bounds.
  *
  * @example
- * rejectRequest(deps, req, res, { status: 404, reason: 'no route matches' });
+ * rejectRequest(deps, { req, res, body }, { status: 404, reason: 'no route matches' });
  */
 export const rejectRequest = (
   deps: RejectDeps,
-  req: IncomingMessage,
-  res: ServerResponse,
+  request: RejectedRequest,
   rejection: Rejection,
 ): void => {
+  const { req, res } = request;
   const { getTable, readMetadata, hooks } = deps;
   const { log, metrics } = hooks;
   const { status, reason } = rejection;
@@ -141,7 +147,7 @@
     port: req.socket.remotePort,
   });
   if (rejection.limit !== undefined) metrics.callerLimits.inc({ limit: rejection.limit });
-  const send = (): void => sendRejection(deps, req, res, rejection, id);
+  const send = (): void => sendRejection(deps, request, rejection, id);
   // While a VM stops, a refusal behind others waits for them: it closes the connection if nothing has come behind it.
   if (res.socket === null && hooks.isShuttingDown()) res.once('socket', send);
   else send();
--- a/packages/router/src/request-body.ts
+++ b/packages/router/src/request-body.ts
@@ -13,7 +13,6 @@
   /** Time by which the body must have arrived, on the clock of `now`. */
   readonly timeoutAt: number;
   readonly now: () => number;
-  readonly callerRequest: CallerRequest;
 }
 
 /**
@@ -25,81 +24,111 @@
 export const hasBody = ({ headers }: IncomingMessage): boolean =>
   headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
 
+/** Bounds on what is read of a refused body. */
+export interface DiscardLimits {
+  readonly maxBytes: number;
+  readonly timeoutMs: number;
+}
+
+/** The body of a request, which is read from its arrival on. */
+export interface RequestBody {
+  /**
+   * Receives the body; the rest of one that exceeds its bounds is left unread. Calls back once, unless the
+   * connection closes before.
+   */
+  readonly receive: (limits: BodyLimits, onDone: (body: Result<Buffer, BodyFault>) => void) => void;
+  /**
+   * Reads and discards what is left of the body of a request that was refused. A connection that is closed with
+   * bytes unread is reset, and the reset may reach the caller before the refusal. Calls back once, with whether the
+   * body has ended, unless the connection closes before.
+   */
+  readonly discard: (limits: DiscardLimits, onDone: (isWhole: boolean) => void) => void;
+}
+
 /**
- * Receives the body of a request; the rest of one that exceeds its bounds is left unread.
+ * Starts to read the body of a request. A body that nobody reads stays in the HTTP server in its pieces, with an
+ * object for each, also while the request waits for its turn.
  *
- * @param onDone - called once, unless the connection closes before
  * @example
- * receiveBody(req, { maxBytes: 4_194_304, timeoutAt: now() + 14_000, now, callerRequest }, (body) => {});
+ * const body = readRequestBody(req, callerRequest);
+ * body.receive({ maxBytes: 4_194_304, timeoutAt: now() + 14_000, now }, (result) => {});
  */
-export const receiveBody = (
+export const readRequestBody = (
   req: IncomingMessage,
-  { maxBytes, timeoutAt, now, callerRequest }: BodyLimits,
-  onDone: (body: Result<Buffer, BodyFault>) => void,
-): void => {
+  callerRequest: Pick<CallerRequest, 'recordBody' | 'onNoRoom' | 'stopReading'>,
+): RequestBody => {
   const buffer = makeBodyBuffer();
-  const stop = (): void => {
-    cancelTimeout();
-    req.off('data', onData);
-    req.off('end', onEnd);
-  };
-  const finish = (body: Result<Buffer, BodyFault>): void => {
-    stop();
-    onDone(body);
+  let isEnded = false;
+  let onEnd = (): void => {};
+  let cancelTimeout = (): void => {};
+
+  const gather = (piece: Buffer): void => {
+    buffer.append(piece);
+    callerRequest.recordBody(buffer.getHeldBytes());
   };
-  const fail = (fault: BodyFault): void => {
-    // The request stays until its rest has been read.
+  let onPiece = gather;
+
+  /** Drops what was gathered and what comes. */
+  const drop = (): void => {
+    cancelTimeout();
+    onPiece = () => {};
+    onEnd = () => {};
     buffer.clear();
     callerRequest.recordBody(0);
-    finish(err(fault));
-  };
-  const onData = (piece: Buffer): void => {
-    buffer.append(piece);
-    if (buffer.getBytes() > maxBytes) fail('too-large');
-    else callerRequest.recordBody(buffer.getHeldBytes());
   };
-  const onEnd = (): void => {
-    const body = buffer.take();
-    callerRequest.recordBody(body.length);
-    finish(ok(body));
-  };
-  const cancelTimeout = hasBody(req)
-    ? startReadTimeout(() => fail('late'), Math.max(0, timeoutAt - now()))
-    : () => {};
-  callerRequest.onNoRoom(() => fail('no-room'));
-  req.on('data', onData);
-  req.on('end', onEnd);
+
+  req.on('data', (piece: Buffer) => onPiece(piece));
+  req.on('end', () => {
+    isEnded = true;
+    onEnd();
+  });
   // The responder handles the disconnect through the `close` event of the response.
   req.on('error', () => {});
-  req.on('close', stop);
-};
+  req.on('close', () => cancelTimeout());
 
-/**
- * Reads and discards what is left of the body of a request that was refused. A connection that is closed with
- * bytes unread is reset, and the reset may reach the caller before the refusal.
- *
- * @param onDone - called once, with whether the body has ended; not if the connection closes before
- * @example
- * discardBody(req, { maxBytes: 65_536, timeoutMs: 2_000 }, (isWhole) => {});
- */
-export const discardBody = (
-  req: IncomingMessage,
-  { maxBytes, timeoutMs }: { readonly maxBytes: number; readonly timeoutMs: number },
-  onDone: (isWhole: boolean) => void,
-): void => {
-  let bytes = 0;
-  const finish = (isWhole: boolean): void => {
-    cancelTimeout();
-    onDone(isWhole);
+  return {
+    receive: ({ maxBytes, timeoutAt, now }, onDone) => {
+      const fail = (fault: BodyFault): void => {
+        // The request stays until its rest has been read.
+        drop();
+        onDone(err(fault));
+      };
+      const checkSize = (): void => {
+        if (buffer.getBytes() > maxBytes) fail('too-large');
+      };
+      onPiece = (piece) => {
+        gather(piece);
+        checkSize();
+      };
+      onEnd = () => {
+        cancelTimeout();
+        const body = buffer.take();
+        callerRequest.recordBody(body.length);
+        onDone(ok(body));
+      };
+      if (hasBody(req) && !isEnded)
+        cancelTimeout = startReadTimeout(() => fail('late'), Math.max(0, timeoutAt - now()));
+      callerRequest.onNoRoom(() => fail('no-room'));
+      if (isEnded) onEnd();
+      else checkSize();
+    },
+    discard: ({ maxBytes, timeoutMs }, onDone) => {
+      drop();
+      if (isEnded) {
+        onDone(true);
+        return;
+      }
+      let bytes = 0;
+      // A caller that goes on sending is left the time to read the refusal.
+      cancelTimeout = startReadTimeout(() => onDone(false), timeoutMs);
+      onPiece = (piece) => {
+        bytes += piece.length;
+        if (bytes > maxBytes) callerRequest.stopReading();
+      };
+      onEnd = () => {
+        cancelTimeout();
+        onDone(true);
+      };
+    },
   };
-  // A caller that goes on sending is left the time to read the refusal.
-  const cancelTimeout = startReadTimeout(() => finish(false), timeoutMs);
-  req.on('data', (piece: Buffer) => {
-    bytes += piece.length;
-    if (bytes > maxBytes) req.pause();
-  });
-  req.on('end', () => finish(true));
-  req.on('error', () => {});
-  req.on('close', cancelTimeout);
-  req.resume();
 };
