Count what heads take in memory, not their characters

Callers with whole heads of many short fields ended processes at their heap limit (1,500 connections; 200 with requests sent ahead). A field of four characters takes 75 to 125 bytes: two strings, their places in two lists and an entry of an object. The account of requests counted the characters, a twentieth of that, so that it never reached its bound. It now counts 128 bytes a field besides its characters; an ordinary head of twelve fields counts 1.5 KB more.

--- a/packages/router/src/caller-connections.ts
+++ b/packages/router/src/caller-connections.ts
@@ -118,8 +118,14 @@
   isGivenUp: boolean;
 }
 
+/**
+ * What a field of a head costs besides its characters: two strings, their places in the list of fields and an entry
+ * of the parsed headers; 75 to 125 bytes on Node.js 20.
+ */
+const headerFieldBytes = 128;
+
 const countHeadBytes = ({ rawHeaders, url }: CallerMessage): number =>
-  rawHeaders.reduce((sum, text) => sum + text.length, (url ?? '').length);
+  rawHeaders.reduce((sum, text) => sum + text.length + headerFieldBytes / 2, (url ?? '').length);
 
 /**
  * Makes the registry of callers' connections. It bounds their number, what their requests hold together, and how
