Forward all fields of a head, also behind the thousandth

The HTTP server keeps a thousand fields of a head and drops the others without a word. The server now keeps as many as a head within the limit of the configuration can have, and one more, with which it is over the limit. A field counts 256 bytes, since its copy for the server is now there for all of them, and a head that has not ended counts what its bytes may take, every 100 ms. Tried before: no bound on the number; heads that stop short of their end then ended the process.

--- a/packages/router/src/caller-connections.test.ts
+++ b/packages/router/src/caller-connections.test.ts
@@ -195,7 +195,7 @@
   const { connections, open } = makeConnections();
   const socket = open();
   socket.bytesRead = 100_001;
-  connections.check();
+  connections.recordUnfinishedHeads();
   t.true(socket.isReset);
 });
 
--- a/packages/router/src/caller-connections.ts
+++ b/packages/router/src/caller-connections.ts
@@ -68,7 +68,9 @@
   readonly add: (socket: CallerSocket) => void;
   /** Adds a request; undefined if its connection had to give way. */
   readonly addRequest: (req: CallerMessage, res: CallerResponse) => CallerRequest | undefined;
-  /** Looks for callers that don't read, and for heads that don't end. */
+  /** Counts what heads hold that have not ended. */
+  readonly recordUnfinishedHeads: () => void;
+  /** Looks for callers that don't read. */
   readonly check: () => void;
   /** Calls back if the head of a request does not end, though the VM reads it. */
   readonly awaitHead: (socket: CallerSocket, onLate: () => void) => void;
@@ -120,9 +122,25 @@
 
 /**
  * What a field of a head costs besides its characters: two strings, their places in the list of fields and an entry
- * of the parsed headers; 75 to 125 bytes on Node.js 20.
+ * of the parsed headers, 75 to 125 bytes on Node.js 20, and as much again for the copy that is forwarded.
  */
-const headerFieldBytes = 128;
+const headerFieldBytes = 256;
+
+/** Characters of the shortest field with its separators, in a head as the configuration limits it. */
+const minFieldBytes = 5;
+
+/**
+ * Returns the number of fields that a head within a limit can have, and one more: the HTTP server drops the fields
+ * behind that number, and a head with so many is over the limit.
+ *
+ * @example
+ * countMaxFields(16_384); // 3277
+ */
+export const countMaxFields = (maxHeaderBytes: number): number =>
+  Math.floor(maxHeaderBytes / minFieldBytes) + 1;
+
+/** What a head that has not ended may take for each byte; nothing tells how many fields it has. */
+const unfinishedHeadFactor = 1 + headerFieldBytes / minFieldBytes;
 
 const countHeadBytes = ({ rawHeaders, url }: CallerMessage): number =>
   rawHeaders.reduce((sum, text) => sum + text.length + headerFieldBytes / 2, (url ?? '').length);
@@ -332,11 +350,15 @@
     countRequests: () =>
       [...connections.values()].reduce((sum, { openRequests }) => sum + openRequests, 0),
     getRequestBytes: memory.getBytes,
-    check: () => {
+    recordUnfinishedHeads: () =>
       idle.forEach((connection) => {
-        connection.heldBytes = connection.socket.bytesRead - connection.idleReadBytes;
+        const headBytes = connection.socket.bytesRead - connection.idleReadBytes;
+        const heldBytes = headBytes * unfinishedHeadFactor;
+        if (heldBytes === connection.heldBytes) return;
+        connection.heldBytes = heldBytes;
         updateMemory(connection);
-      });
+      }),
+    check: () => {
       connections.forEach(checkUnread);
       metrics.callerConnections.set(connections.size);
       metrics.requestBytes.set(memory.getBytes());
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -32,7 +32,11 @@
 import { joinQueues, makeStreamQueue } from '@hemlocksill/routing/stream-queue.js';
 import { acceptWaiting, runAfterReads, waitForReads } from '@hemlocksill/timers/run-after-reads.js';
 import type { LogRouterEvent } from './events.js';
-import { connectionCheckPeriodMs, makeCallerConnections } from './caller-connections.js';
+import {
+  connectionCheckPeriodMs,
+  countMaxFields,
+  makeCallerConnections,
+} from './caller-connections.js';
 import { makeCallerFlows } from './caller-flows.js';
 import { connectError, makeClientErrorHandler } from './client-errors.js';
 import { makeCallHandler } from './handle-call.js';
@@ -585,6 +589,7 @@
   callerServer.on('connection', connections.add);
   // `close` calls it; Node's own also destroys connections whose ended response isn't flushed.
   callerServer.closeIdleConnections = () => order.closeIdleConnections();
+  callerServer.maxHeadersCount = countMaxFields(maxParsedHeaderBytes);
   callerServer.headersTimeout = defaultHeaderTimeoutMs;
   callerServer.keepAliveTimeout = defaultIdleTimeoutMs;
 
@@ -602,6 +607,7 @@
   const applyLimits = (): void => {
     const callerLimits = view.getTable()?.config.limits;
     if (!callerLimits) return;
+    callerServer.maxHeadersCount = countMaxFields(callerLimits.maxHeaderBytes);
     callerServer.headersTimeout = callerLimits.headerTimeoutMs;
     callerServer.keepAliveTimeout = callerLimits.idleTimeoutMs;
   };
@@ -662,6 +668,7 @@
     const nowMs = now();
     loopDelay.recordTick(nowMs);
     heap.check();
+    connections.recordUnfinishedHeads();
     detectClockJump(nowMs);
     peers.tick(nowMs);
     sharedRates.tick(nowMs);
