Stop reading callers while the heap is nearly full

The accounts of what callers hold count what they know, and the process ends by what the heap holds: requests that run, copies, what libraries keep, and what a turn of the event loop reads before anything gives way. With 1,000 connections that sent requests with many fields ahead the process ended though each account was within its bound. The code cache is made with the same option, else it is not used.

--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -36,7 +36,7 @@
 });
 
 /** Node.js options of the router, as in system.toml; a code cache is valid only with the same. */
-const options = ['--max-old-space-size=110', '--max-semi-space-size=2'];
+const options = ['--expose-gc', '--max-old-space-size=110', '--max-semi-space-size=2'];
 
 mkdirSync('target', { recursive: true });
 copyFileSync(here('start.cjs'), 'target/router.cjs');
--- a/packages/router/src/caller-connections.test.ts
+++ b/packages/router/src/caller-connections.test.ts
@@ -60,6 +60,8 @@
     stallMs: 15_000,
     log: () => {},
     metrics: makeRouterMetrics(),
+    isShortOfMemory: () => false,
+    collectGarbage: () => {},
     runAfterReads: (callback) => callback(),
     now: () => clock.now,
     ...overrides,
@@ -190,12 +192,60 @@
   t.false(socket.destroyed);
 });
 
+// Guards against a process that ends at its heap limit, of which the account of requests knows nothing.
+test('callers are not read while the process is short of memory, and give way if that is not enough', async (t) => {
+  let isShort = true;
+  let collections = 0;
+  const { connections, open, send } = makeConnections({
+    isShortOfMemory: () => isShort,
+    collectGarbage: () => {
+      collections += 1;
+      isShort = collections < 2;
+    },
+    now: () => performance.now(),
+  });
+  const [idle, ahead] = [open(), open()];
+  [1, 2].forEach(() => send(ahead));
+  connections.checkMemory();
+  t.true(idle.isStopped);
+  const later = open();
+  t.true(later.isStopped);
+  await new Promise((resolve) => {
+    setTimeout(resolve, 200);
+  });
+  t.is(collections, 2);
+  t.true(ahead.isReset);
+  t.false(idle.destroyed);
+  t.false(idle.isStopped);
+  t.false(later.isStopped);
+});
+
+// Guards against garbage that is taken for what callers hold.
+test('nobody gives way if collecting garbage is enough', async (t) => {
+  let isShort = true;
+  const { connections, open, send } = makeConnections({
+    isShortOfMemory: () => isShort,
+    collectGarbage: () => {
+      isShort = false;
+    },
+    now: () => performance.now(),
+  });
+  const ahead = open();
+  [1, 2].forEach(() => send(ahead));
+  connections.checkMemory();
+  await new Promise((resolve) => {
+    setTimeout(resolve, 100);
+  });
+  t.false(ahead.destroyed);
+  t.false(ahead.isStopped);
+});
+
 // Guards against heads that hold memory without being requests yet.
 test('an unfinished head counts', (t) => {
   const { connections, open } = makeConnections();
   const socket = open();
   socket.bytesRead = 100_001;
-  connections.recordUnfinishedHeads();
+  connections.checkMemory();
   t.true(socket.isReset);
 });
 
--- a/packages/router/src/caller-connections.ts
+++ b/packages/router/src/caller-connections.ts
@@ -3,6 +3,7 @@
 import { makeRequestMemory } from '@hemlocksill/routing/request-memory.js';
 import type { RunAfterReads } from '@hemlocksill/timers/run-after-reads.js';
 import type { LogRouterEvent } from './events.js';
+import { makeMemoryRelief } from './memory-relief.js';
 import { makeReadTurns, type ReadTurns } from './read-turns.js';
 import type { RouterMetrics } from './router-metrics.js';
 
@@ -68,8 +69,8 @@
   readonly add: (socket: CallerSocket) => void;
   /** Adds a request; undefined if its connection had to give way. */
   readonly addRequest: (req: CallerMessage, res: CallerResponse) => CallerRequest | undefined;
-  /** Counts what heads hold that have not ended. */
-  readonly recordUnfinishedHeads: () => void;
+  /** Counts what heads hold that have not ended, and looks whether the process is short of memory. */
+  readonly checkMemory: () => void;
   /** Looks for callers that don't read. */
   readonly check: () => void;
   /** Calls back if the head of a request does not end, though the VM reads it. */
@@ -94,6 +95,9 @@
     RouterMetrics,
     'callerConnections' | 'callerLimits' | 'requestBytes' | 'stalledCallers'
   >;
+  /** Whether the process is short of memory. */
+  readonly isShortOfMemory: () => boolean;
+  readonly collectGarbage: () => void;
   readonly runAfterReads: RunAfterReads;
   readonly now: () => number;
 }
@@ -199,6 +203,22 @@
       giveWay(victim);
   };
 
+  const halveRequests = (): void => {
+    const limitBytes = memory.getBytes() / 2;
+    const choose = (): Connection | undefined => memory.chooseVictim(now(), limitBytes);
+    for (let victim = choose(); victim; victim = choose()) giveWay(victim);
+  };
+
+  const relief = makeMemoryRelief({
+    isShort: deps.isShortOfMemory,
+    collectGarbage: deps.collectGarbage,
+    holdReads: readTurns.hold,
+    releaseReads: readTurns.release,
+    halveRequests,
+    metrics,
+    now,
+  });
+
   const updateIdle = (connection: Connection): void => {
     const { openRequests, arrivingRequests, socket } = connection;
     if (arrivingRequests === 0) arriving.delete(connection);
@@ -312,6 +332,7 @@
       });
       hold(headBytes);
       if (connection.isGivenUp) return undefined;
+      relief.check();
       connection.turns.recordPiece();
       req.on('data', connection.turns.recordPiece);
       if (connection.openRequests >= maxOpenRequests) connection.turns.setAhead(true);
@@ -350,14 +371,16 @@
     countRequests: () =>
       [...connections.values()].reduce((sum, { openRequests }) => sum + openRequests, 0),
     getRequestBytes: memory.getBytes,
-    recordUnfinishedHeads: () =>
+    checkMemory: () => {
       idle.forEach((connection) => {
         const headBytes = connection.socket.bytesRead - connection.idleReadBytes;
         const heldBytes = headBytes * unfinishedHeadFactor;
         if (heldBytes === connection.heldBytes) return;
         connection.heldBytes = heldBytes;
         updateMemory(connection);
-      }),
+      });
+      relief.check();
+    },
     check: () => {
       connections.forEach(checkUnread);
       metrics.callerConnections.set(connections.size);
--- a/packages/router/src/heap-watch.ts
+++ b/packages/router/src/heap-watch.ts
@@ -3,7 +3,7 @@
 import type { RouterMetrics } from './router-metrics.js';
 
 /** Part of the heap's limit in use from which on the process is short of memory. */
-const shortShare = 0.8;
+const shortShare = 0.7;
 
 /** What the heap holds and may hold, in bytes. */
 export interface HeapUse {
@@ -42,6 +42,17 @@
   };
 };
 
+/**
+ * Collects what the heap holds for nothing, if Node.js runs with `--expose-gc`. What is in use tells how much is needed
+ * only then.
+ *
+ * @example
+ * collectGarbage();
+ */
+export const collectGarbage = (): void => {
+  globalThis.gc?.();
+};
+
 /**
  * Makes the watch of the heap. A process whose heap reaches its limit ends without a line of its own.
  *
--- a/packages/router/src/read-turns.ts
+++ b/packages/router/src/read-turns.ts
@@ -26,6 +26,14 @@
   readonly countHolds: () => number;
 }
 
+/** The reads of all connections. */
+export interface AllReadTurns {
+  readonly add: (socket: TurnSocket) => ReadTurns;
+  /** Reads no connection until `release`. */
+  readonly hold: () => void;
+  readonly release: () => void;
+}
+
 interface Reader {
   readonly socket: TurnSocket;
   /** Bytes received up to the latest read, and the requests and pieces in it. */
@@ -49,13 +57,14 @@
  * const turns = makeReadTurns();
  * server.on('connection', (socket) => turns.add(socket));
  */
-export const makeReadTurns = (): { readonly add: (socket: TurnSocket) => ReadTurns } => {
+export const makeReadTurns = (): AllReadTurns => {
   const readers = new Set<Reader>();
   /** Those that wait for their turn, in order. */
   const waiting = new Set<Reader>();
   /** Those that are not read for the rest of this turn of the event loop. */
   const held = new Set<Reader>();
   let areOthersHeld = false;
+  let areAllHeld = false;
   let isEndScheduled = false;
 
   const isPaused = ({ isWaiting, isAhead, isStopped }: Reader): boolean =>
@@ -77,8 +86,8 @@
     }
   };
 
-  const releaseOthers = (): void => {
-    areOthersHeld = false;
+  const releaseHeld = (): void => {
+    if (areOthersHeld || areAllHeld) return;
     const released = [...held];
     held.clear();
     released.forEach(resume);
@@ -90,8 +99,10 @@
    */
   const endTurn = (): void => {
     isEndScheduled = false;
-    if (areOthersHeld) releaseOthers();
-    else runTurn();
+    if (areOthersHeld) {
+      areOthersHeld = false;
+      releaseHeld();
+    } else runTurn();
     if (waiting.size > 0) scheduleEnd();
   };
 
@@ -101,14 +112,18 @@
     setImmediate(endTurn);
   };
 
+  const holdReader = (reader: Reader): void => {
+    if (reader.socket.isPaused()) return;
+    held.add(reader);
+    reader.holds += 1;
+    reader.socket.pause();
+  };
+
   const holdOthers = (reader: Reader): void => {
     if (areOthersHeld) return;
     areOthersHeld = true;
     readers.forEach((other) => {
-      if (other === reader || other.socket.isPaused()) return;
-      held.add(other);
-      other.holds += 1;
-      other.socket.pause();
+      if (other !== reader) holdReader(other);
     });
   };
 
@@ -128,6 +143,14 @@
   };
 
   return {
+    hold: () => {
+      areAllHeld = true;
+      readers.forEach(holdReader);
+    },
+    release: () => {
+      areAllHeld = false;
+      releaseHeld();
+    },
     add: (socket) => {
       const reader: Reader = {
         socket,
@@ -142,8 +165,9 @@
       readers.add(reader);
       // The HTTP server resumes a connection whenever the body of a request is read.
       socket.on('resume', () => {
-        if (!areOthersHeld && !isPaused(reader)) return;
-        if (areOthersHeld) held.add(reader);
+        const isHeld = areOthersHeld || areAllHeld;
+        if (!isHeld && !isPaused(reader)) return;
+        if (isHeld) held.add(reader);
         // After a resume and a pause in one turn, the server's listener reads from a stream that counts as paused.
         if (socket.isPaused()) socket.emit('pause');
         else socket.pause();
@@ -152,6 +176,7 @@
         [readers, waiting, held].forEach((set) => set.delete(reader));
         reader.deferred = [];
       });
+      if (areAllHeld) holdReader(reader);
       return {
         recordPiece: () => recordPiece(reader),
         run: (handle) => {
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -40,7 +40,7 @@
 import { makeCallerFlows } from './caller-flows.js';
 import { connectError, makeClientErrorHandler } from './client-errors.js';
 import { makeCallHandler } from './handle-call.js';
-import { makeHeapWatch, readHeapUse } from './heap-watch.js';
+import { collectGarbage, makeHeapWatch, readHeapUse } from './heap-watch.js';
 import { makeIdleConnections } from './idle-connections.js';
 import { makeLoopDelay } from './loop-delay.js';
 import { makeRequestOrder } from './request-order.js';
@@ -523,6 +523,16 @@
   const processBytes = readMemoryLimit();
   const memoryLimits = deriveMemoryLimits(settings.memory, processBytes);
   const flows = makeCallerFlows(memoryLimits, { log, metrics, now });
+  const heap = makeHeapWatch({
+    readHeapUse,
+    metrics,
+    log,
+    describeHolders: () => ({
+      requestBytes: connections.getRequestBytes(),
+      openConnections: connections.count(),
+      openRequests: connections.countRequests(),
+    }),
+  });
   const connections = makeCallerConnections({
     getMaxRequestBytes: () =>
       deriveRequestBytes(
@@ -534,6 +544,8 @@
     stallMs: memoryLimits.stallMs,
     log,
     metrics,
+    isShortOfMemory: () => heap.isShort(),
+    collectGarbage,
     runAfterReads,
     now,
   });
@@ -653,22 +665,12 @@
   };
 
   const loopDelay = makeLoopDelay({ periodMs: tickPeriodMs, metrics, log });
-  const heap = makeHeapWatch({
-    readHeapUse,
-    metrics,
-    log,
-    describeHolders: () => ({
-      requestBytes: connections.getRequestBytes(),
-      openConnections: connections.count(),
-      openRequests: connections.countRequests(),
-    }),
-  });
 
   const tick = setInterval(() => {
     const nowMs = now();
     loopDelay.recordTick(nowMs);
     heap.check();
-    connections.recordUnfinishedHeads();
+    connections.checkMemory();
     detectClockJump(nowMs);
     peers.tick(nowMs);
     sharedRates.tick(nowMs);
--- a/packages/routing/src/request-memory.ts
+++ b/packages/routing/src/request-memory.ts
@@ -38,8 +38,8 @@
   readonly update: (owner: T, held: HeldRequests, now: number) => void;
   readonly remove: (owner: T) => void;
   readonly getBytes: () => number;
-  /** Returns who has to give way; undefined if there is room, or nobody can. */
-  readonly chooseVictim: (now: number) => T | undefined;
+  /** Returns who has to give way; undefined if there is room, or nobody can. `limitBytes` replaces the bound. */
+  readonly chooseVictim: (now: number, limitBytes?: number) => T | undefined;
 }
 
 interface Holder {
@@ -83,8 +83,7 @@
       allBytes -= holders.get(owner)?.held.bytes ?? 0;
       holders.delete(owner);
     },
-    chooseVictim: (now) => {
-      const limitBytes = getLimitBytes();
+    chooseVictim: (now, limitBytes = getLimitBytes()) => {
       if (limitBytes === 0 || allBytes <= limitBytes) return undefined;
       const minBytes = allBytes > limitBytes * hardBoundFactor ? 0 : limitBytes / holders.size;
       let victim: { readonly owner: T; readonly holder: Holder } | undefined;
