Connect to backend servers through another VM when this one has lost its links

Two servers in a row that accept no connection, with none opened in between, now mean that the VM is partitioned (2121). It then opens connections through another VM, by a CONNECT request to the peers' endpoint, so that all else stays as it is: ids, limits, retries, streams, cancellation. The other VM forwards only to listed servers, refuses while it is partitioned itself or stops, and forwards a reset as a reset. The partitioned VM tries a server directly each 250 ms.

Ruled out: to say not ready alone, since the platform uses all VMs of a data centre when fewer than half are in rotation.

--- a/packages/router/src/charged-backends.test.ts
+++ b/packages/router/src/charged-backends.test.ts
@@ -25,6 +25,7 @@
     checkInstance: record('checkInstance'),
     order: record('order'),
     closeConnections: record('closeConnections'),
+    probe: record('probe'),
   };
   const client = makeChargedBackends(backends, {
     recordSend: () => {
--- a/packages/router/src/charged-backends.ts
+++ b/packages/router/src/charged-backends.ts
@@ -99,5 +99,6 @@
       backends.order(server, order, onDone);
     },
     closeConnections: backends.closeConnections,
+    probe: backends.probe,
   };
 };
--- a/packages/router/src/events.ts
+++ b/packages/router/src/events.ts
@@ -36,6 +36,8 @@
   2118: { level: 'warn', text: 'unknown data centre evacuated' },
   2119: { level: 'info', text: 'evacuated data centre taken back' },
   2120: { level: 'warn', text: 'newer configuration not received yet' },
+  2121: { level: 'warn', text: 'VM partitioned from the backend servers' },
+  2122: { level: 'info', text: 'backend servers reachable again' },
   2201: { level: 'info', text: 'peer responsive' },
   2202: { level: 'warn', text: 'peer unresponsive' },
   2203: { level: 'warn', text: 'peer message not readable' },
--- a/packages/router/src/router-metrics.ts
+++ b/packages/router/src/router-metrics.ts
@@ -36,6 +36,8 @@
   readonly storeReachable: Gauge;
   readonly loopDelayMs: Histogram;
   readonly heapBytes: Gauge;
+  readonly partitioned: Gauge;
+  readonly serverTunnels: Gauge;
   readonly droppedLogLines: Counter;
   /** Renders all metrics in the Prometheus text format. */
   readonly render: () => Promise<string>;
@@ -205,6 +207,16 @@
       help: 'Bytes of the heap in use, with those that the next collection frees',
       registers,
     }),
+    partitioned: new Gauge({
+      name: `${prefix}partitioned`,
+      help: '1 while the VM reaches no backend server itself',
+      registers,
+    }),
+    serverTunnels: new Gauge({
+      name: `${prefix}server_tunnels`,
+      help: 'Connections to backend servers that are open for other VMs',
+      registers,
+    }),
     droppedLogLines: new Counter({
       name: `${prefix}log_lines_left_out_total`,
       help: 'Log lines left out because their reader was slow',
--- /dev/null
+++ b/packages/router/src/server-tunnels.ts
@@ -0,0 +1,93 @@
+import type { Server } from 'node:http';
+import { connect, type Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
+import { isResetPending } from './reset-pending.js';
+
+/** Time limit for opening the connection to the server; the other VM waits somewhat longer. */
+const connectTimeoutMs = 100;
+
+/** Connections to servers that other VMs have open through this one. */
+export interface ServerTunnels {
+  readonly count: () => number;
+}
+
+/** Dependencies of the tunnels. */
+export interface ServerTunnelsDeps {
+  /** Whether an address is that of a backend server that may get requests. */
+  readonly isServer: (address: string) => boolean;
+  /** Whether this VM reaches the servers and is not about to stop. */
+  readonly acceptsTunnels: () => boolean;
+  readonly maxTunnels: number;
+}
+
+const statusLines = {
+  opened: '200 OK',
+  notFound: '404 Not Found',
+  unreachable: '502 Bad Gateway',
+  refused: '503 Service Unavailable',
+} as const;
+
+const formatHead = (status: keyof typeof statusLines): string =>
+  `HTTP/1.1 ${statusLines[status]}\r\nContent-Length: 0\r\n\r\n`;
+
+/** Forwards the bytes of one connection to the other, and the way in which it ends. */
+const forward = (from: Socket, to: Socket): void => {
+  from.pipe(to, { end: false });
+  from.on('end', () => {
+    // Taken for a regular end, a reset would make a response without a length look complete.
+    if (isResetPending(from)) to.resetAndDestroy();
+    else to.end();
+  });
+  from.on('error', () => to.resetAndDestroy());
+  from.on('close', () => {
+    if (!from.readableEnded) to.resetAndDestroy();
+  });
+};
+
+/**
+ * Lets other VMs open connections to backend servers through this one, by CONNECT requests to the peers' endpoint.
+ * A VM that has lost its own links serves its callers that way.
+ *
+ * @example
+ * const tunnels = serveServerTunnels(peerServer, { isServer, acceptsTunnels: () => true, maxTunnels: 256 });
+ */
+export const serveServerTunnels = (server: Server, deps: ServerTunnelsDeps): ServerTunnels => {
+  const tunnels = new Set<Duplex>();
+
+  const openTunnel = (address: string, socket: Socket): void => {
+    const [, host, port] = /^(.+):(\d+)$/.exec(address) ?? [];
+    const target = connect({ host, port: Number(port), noDelay: true, allowHalfOpen: true });
+    tunnels.add(socket);
+    socket.allowHalfOpen = true;
+    socket.setNoDelay(true);
+    const refuse = (): void => {
+      target.destroy();
+      if (socket.writable) socket.end(formatHead('unreachable'));
+    };
+    const timer = setTimeout(refuse, connectTimeoutMs);
+    socket.on('close', () => {
+      clearTimeout(timer);
+      tunnels.delete(socket);
+      target.destroy();
+    });
+    target.once('error', refuse);
+    target.once('connect', () => {
+      clearTimeout(timer);
+      target.off('error', refuse);
+      socket.write(formatHead('opened'));
+      forward(target, socket);
+      forward(socket, target);
+    });
+  };
+
+  server.on('connect', (req, socket: Duplex) => {
+    socket.on('error', () => {});
+    const address = req.url ?? '';
+    if (!deps.acceptsTunnels() || tunnels.size >= deps.maxTunnels)
+      socket.end(formatHead('refused'));
+    else if (!deps.isServer(address)) socket.end(formatHead('notFound'));
+    else openTunnel(address, socket as Socket);
+  });
+
+  return { count: () => tunnels.size };
+};
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -7,6 +7,7 @@
   BackendClient,
   OnServerNotice,
   ReadCallMetadata,
+  ServerRoutes,
   StoreFormat,
 } from '@hemlocksill/types/routing-ports.js';
 import { deriveMemoryLimits } from '@hemlocksill/routing/caller-memory.js';
@@ -18,9 +19,11 @@
 import { measureMemory } from '@hemlocksill/routing/measure-memory.js';
 import type { PlacementView } from '@hemlocksill/routing/place-work.js';
 import { deriveRequestBytes } from '@hemlocksill/routing/request-memory.js';
+import { makeRelayChoice } from '@hemlocksill/routing/relay-choice.js';
 import { makeRetryBudget, type RetryBudget } from '@hemlocksill/routing/retry-budget.js';
 import { makeResponseTimes } from '@hemlocksill/routing/response-times.js';
 import { makeServerDirectory } from '@hemlocksill/routing/server-directory.js';
+import { makeServerReach } from '@hemlocksill/routing/server-reach.js';
 import { makeServerHealth } from '@hemlocksill/routing/server-health.js';
 import { makeStreamTiming } from '@hemlocksill/routing/stream-timing.js';
 import {
@@ -64,6 +67,7 @@
 import { makeRateController } from './rate-controller.js';
 import { makeEvacuationController } from './evacuation-controller.js';
 import { makeLimitController } from './limit-controller.js';
+import { serveServerTunnels } from './server-tunnels.js';
 import { makeViewController } from './view-controller.js';
 import { makeViewTransfers } from './view-transfers.js';
 
@@ -113,6 +117,12 @@
  */
 const minClockJumpMs = 1_000;
 
+/** Interval of the attempts of a partitioned VM to reach a server directly. */
+const probePeriodMs = 250;
+
+/** Number of connections that other VMs may have open through this one. */
+const maxTunnels = 256;
+
 /** Share of the VMs that must be responsive if this VM's list of backend servers is to count as current. */
 const minCurrentShare = 0.5;
 
@@ -120,7 +130,7 @@
 export interface RouterPorts {
   readonly store: Store;
   readonly format: StoreFormat;
-  readonly makeBackends: (onNotice: OnServerNotice) => BackendClient;
+  readonly makeBackends: (onNotice: OnServerNotice, routes: ServerRoutes) => BackendClient;
   readonly readMetadata: ReadCallMetadata;
   /** Path of the load balancer's readiness check. */
   readonly readyPath: string;
@@ -388,8 +398,31 @@
     ...(usesEngineRates ? { rateDraw: Math.random } : {}),
   });
 
+  const reach = makeServerReach();
+  const relays = makeRelayChoice(
+    () => peers.listResponsivePeers().map(({ address }) => address),
+    Math.random,
+  );
+
+  const routes: ServerRoutes = {
+    chooseRelay: () => (reach.isPartitioned() ? relays.choose(now()) : undefined),
+    recordDirect: (server, isOpened) => {
+      if (isOpened) {
+        if (reach.recordConnected()) log(2122, { server: server.id });
+        return;
+      }
+      if (!reach.recordFailed(server.id, listServers().length, now())) return;
+      const servers = reach.listFailed();
+      log(2121, { servers });
+      servers.forEach(health.endCooldown);
+      probeServer();
+    },
+    recordRelayFailed: (relay) => relays.recordFailed(relay, now()),
+  };
+
   const onNotice: OnServerNotice = (server, notice) => {
     if (notice.kind === 'unreachable') {
+      if (reach.isPartitioned()) return;
       if (settings.sharesFailures && failingEngines.recordUnreachable(server.id, now()))
         peers.notifyChange({ kind: 'failing' });
       return;
@@ -407,11 +440,18 @@
     log(2113, { server: server.id, durationMs: notice.durationMs });
   };
 
-  const backends = makeChargedBackends(ports.makeBackends(onNotice), {
+  const backends = makeChargedBackends(ports.makeBackends(onNotice, routes), {
     ...limits,
     isEvacuated: ({ dataCentre }) => evacuations.isEvacuated(dataCentre),
   });
 
+  /** Tries whether a server can be reached directly again. */
+  function probeServer(): void {
+    const servers = listServers().filter(({ state }) => state === 'ready');
+    const server = servers[Math.floor(Math.random() * servers.length)];
+    if (server) backends.probe(server);
+  }
+
   /** Ready servers of a service, without those in evacuated data centres. */
   const listUsable = (service: string): readonly BackendServer[] => {
     const ready = directory.listReady(service, now());
@@ -655,6 +695,13 @@
     onError: (error) => log(2005, { reason: error.message }),
   });
 
+  const tunnels = serveServerTunnels(peerServer, {
+    isServer: (address) => listServers().some(({ host, port }) => `${host}:${port}` === address),
+    acceptsTunnels: () => !isShuttingDown && !reach.isPartitioned(),
+    maxTunnels,
+  });
+
+  let nextProbeAt = 0;
   let nextWaitingAt = 0;
   let lastOffset = Date.now() - now();
   const detectClockJump = (nowMs: number): void => {
@@ -671,6 +718,12 @@
     loopDelay.recordTick(nowMs);
     heap.check();
     connections.checkMemory();
+    metrics.partitioned.set(reach.isPartitioned() ? 1 : 0);
+    metrics.serverTunnels.set(tunnels.count());
+    if (reach.isPartitioned() && nowMs >= nextProbeAt) {
+      nextProbeAt = nowMs + probePeriodMs;
+      probeServer();
+    }
     detectClockJump(nowMs);
     peers.tick(nowMs);
     sharedRates.tick(nowMs);
@@ -731,6 +784,7 @@
         abandonAtStop.forEach((abandon) => abandon());
         await Promise.race([closed, sleep(abandonedFlushMs)]);
       }
+      while (tunnels.count() > 0 && now() < shutdownDeadline) await sleep(tickPeriodMs);
       log(2004, { openRequests: abandonAtStop.size, openConnections: connections.count() });
       clearInterval(tick);
       clearInterval(connectionCheck);
--- a/packages/routing/src/server-health.ts
+++ b/packages/routing/src/server-health.ts
@@ -48,6 +48,8 @@
   readonly recordPeerFailure: (id: string, now: number) => void;
   /** Records that a backend server wants no request for a time. */
   readonly recordPause: (id: string, durationMs: number, now: number) => void;
+  /** Ends the cooldown of a backend server whose failures were this VM's own. */
+  readonly endCooldown: (id: string) => void;
   /** Whether a backend server asked for a pause that has not ended; it must get no request. */
   readonly isPaused: (id: string, now: number) => boolean;
   /** Whether a backend server should get no requests because of recent failures. */
@@ -115,6 +117,12 @@
       const pausedUntil = now + Math.min(maxPauseMs, durationMs);
       health.pausedUntil = Math.max(health.pausedUntil, pausedUntil);
     },
+    endCooldown: (id) => {
+      const health = getOrCreate(id);
+      health.cooldownUntil = 0;
+      health.cooldownMs = initialCooldownMs;
+      health.consecutiveFailures = 0;
+    },
     isPaused: (id, now) => (healthById.get(id)?.pausedUntil ?? 0) > now,
     isCoolingDown: (id, now) => (healthById.get(id)?.cooldownUntil ?? 0) > now,
     getFailureShare: (id) => healthById.get(id)?.failureShare ?? 0,
--- a/packages/types/src/routing-ports.ts
+++ b/packages/types/src/routing-ports.ts
@@ -131,6 +131,16 @@
       readonly latencyMs: number;
     };
 
+/** How connections to backend servers are opened, and what became of it. */
+export interface ServerRoutes {
+  /** Peers' address of the VM through which a connection is opened; undefined to open it directly. */
+  readonly chooseRelay: () => string | undefined;
+  /** Records whether a connection could be opened directly. */
+  readonly recordDirect: (server: BackendServer, isOpened: boolean) => void;
+  /** Records that a VM opened no connection, for a reason of its own. */
+  readonly recordRelayFailed: (relay: string) => void;
+}
+
 /** Receives the notices of backend servers. */
 export type OnServerNotice = (server: BackendServer, notice: ServerNotice) => void;
 
@@ -170,6 +180,8 @@
   ) => void;
   /** Closes the idle connections to a backend server that was removed. */
   readonly closeConnections: (server: BackendServer) => void;
+  /** Opens a direct connection to a backend server, and closes it, to learn whether it can be reached. */
+  readonly probe: (server: BackendServer) => void;
 }
 
 /** The result of a prefill. */
