Read connections with small reads before those of a crowd

After a read of many pieces the other connections were read in the order of their opening, and the first that was again read much held the rest: a connection that came after a crowd waited until the crowd's older connections had sent all they had. Connections whose reads had few pieces now go on first, then new ones, then those whose read of many pieces is longest ago. Beside 1,000 connections with chunks of one byte it still isn't answered within 10 s: a listener accepts one connection a turn.

--- a/packages/router/src/read-turns.test.ts
+++ b/packages/router/src/read-turns.test.ts
@@ -102,3 +102,45 @@
   t.true(socket.isStopped);
   t.is(stops, 1);
 });
+
+// Guards against a crowd that keeps the connections that come after it from being read.
+test('connections with small reads go on first, then new ones, then those that read much longest ago', async (t) => {
+  const turns = makeReadTurns();
+  const readers = { heavy: openReader(turns), light: openReader(turns), older: openReader(turns) };
+  const newer = openReader(turns);
+  const next = openReader(turns);
+  readers.heavy.read(129);
+  await endOfTurn();
+  await endOfTurn();
+  readers.light.read(1);
+  readers.light.read(1);
+  const resumed: string[] = [];
+  Object.entries({ ...readers, newer }).forEach(([name, { socket }]) =>
+    socket.on('resume', () => resumed.push(name)),
+  );
+  next.read(129);
+  await endOfTurn();
+  t.deepEqual(resumed, ['light', 'newer', 'older', 'heavy']);
+});
+
+test('no connection is read while all are held, also one that opens or is resumed then', (t) => {
+  const turns = makeReadTurns();
+  const before = openReader(turns);
+  turns.hold();
+  const after = openReader(turns);
+  before.socket.resume();
+  t.true(before.socket.isStopped);
+  t.true(after.socket.isStopped);
+  turns.release();
+  t.false(before.socket.isStopped);
+  t.false(after.socket.isStopped);
+});
+
+test('a connection that is stopped is not read any more', (t) => {
+  const { socket, reads } = openReader(makeReadTurns());
+  reads.stop();
+  socket.resume();
+  reads.setAhead(true);
+  reads.setAhead(false);
+  t.true(socket.isStopped);
+});
--- a/packages/router/src/read-turns.ts
+++ b/packages/router/src/read-turns.ts
@@ -42,6 +42,11 @@
   isWaiting: boolean;
   isAhead: boolean;
   isStopped: boolean;
+  /** Place among all connections in the order of their opening, from 1. */
+  readonly number: number;
+  /** Whether a read had few pieces, and the place of the latest read that had many, from 1. */
+  hasLightRead: boolean;
+  latestHeavyRead: number;
   holds: number;
   /** Handles the requests that were read, but wait. */
   deferred: (() => void)[];
@@ -67,6 +72,19 @@
   let areAllHeld = false;
   let isEndScheduled = false;
 
+  let connections = 0;
+  let heavyReads = 0;
+
+  /**
+   * Compares who is read first: connections whose reads had few pieces, then new ones, the newest first, then those
+   * that waited longest. A crowd would else keep a connection that came after it from being read.
+   */
+  const compareReaders = (a: Reader, b: Reader): number => {
+    if (a.latestHeavyRead !== b.latestHeavyRead) return a.latestHeavyRead - b.latestHeavyRead;
+    if (a.hasLightRead !== b.hasLightRead) return a.hasLightRead ? -1 : 1;
+    return b.number - a.number;
+  };
+
   const isPaused = ({ isWaiting, isAhead, isStopped }: Reader): boolean =>
     isWaiting || isAhead || isStopped;
 
@@ -88,7 +106,7 @@
 
   const releaseHeld = (): void => {
     if (areOthersHeld || areAllHeld) return;
-    const released = [...held];
+    const released = [...held].sort(compareReaders);
     held.clear();
     released.forEach(resume);
   };
@@ -130,12 +148,15 @@
   const recordPiece = (reader: Reader): void => {
     const { bytesRead } = reader.socket;
     if (reader.readBytes !== bytesRead) {
+      if (reader.readBytes > 0 && !reader.isWaiting) reader.hasLightRead = true;
       reader.readBytes = bytesRead;
       reader.piecesInRead = 0;
     }
     reader.piecesInRead += 1;
     if (reader.isWaiting || reader.piecesInRead <= maxPiecesPerRead) return;
     reader.isWaiting = true;
+    heavyReads += 1;
+    reader.latestHeavyRead = heavyReads;
     reader.socket.pause();
     holdOthers(reader);
     waiting.add(reader);
@@ -152,8 +173,12 @@
       releaseHeld();
     },
     add: (socket) => {
+      connections += 1;
       const reader: Reader = {
         socket,
+        number: connections,
+        hasLightRead: false,
+        latestHeavyRead: 0,
         readBytes: 0,
         piecesInRead: 0,
         isWaiting: false,
