--- a/packages/router/src/reset-pending.ts
+++ b/packages/router/src/reset-pending.ts
@@ -9,6 +9,7 @@
  * socket.on('end', () => isResetPending(socket));
  */
 export const isResetPending = (socket: Socket): boolean => {
-  socket.write('');
+  // A write after the own end would be an error by itself.
+  if (socket.writable) socket.write('');
   return socket.errored !== null;
 };
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -415,6 +415,8 @@
       const servers = reach.listFailed();
       log(2121, { servers });
       servers.forEach(health.endCooldown);
+      // Those that were opened before the partition may be silent for good.
+      listServers().forEach(backends.closeConnections);
       probeServer();
     },
     recordRelayFailed: (relay) => relays.recordFailed(relay, now()),
