--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -33,6 +33,7 @@
 } from '@hemlocksill/routing/stream-admission.js';
 import { countBoundTokens } from '@hemlocksill/routing/bound-streams.js';
 import { joinQueues, makeStreamQueue } from '@hemlocksill/routing/stream-queue.js';
+import { startReadTimeout } from '@hemlocksill/timers/read-timeout.js';
 import { acceptWaiting, runAfterReads, waitForReads } from '@hemlocksill/timers/run-after-reads.js';
 import type { LogRouterEvent } from './events.js';
 import {
@@ -120,6 +121,9 @@
 /** Interval of the attempts of a partitioned VM to reach a server directly. */
 const probePeriodMs = 250;
 
+/** Number of servers that are tried before a VM takes itself for partitioned. */
+const suspicionProbes = 3;
+
 /** Number of connections that other VMs may have open through this one. */
 const maxTunnels = 256;
 
@@ -404,6 +408,15 @@
     Math.random,
   );
 
+  const confirmPartition = (): void => {
+    if (!reach.confirm()) return;
+    const servers = reach.listFailed();
+    log(2121, { servers });
+    servers.forEach(health.endCooldown);
+    // Those that were opened before the partition may be silent for good.
+    listServers().forEach(backends.closeConnections);
+  };
+
   const routes: ServerRoutes = {
     chooseRelay: () => (reach.isPartitioned() ? relays.choose(now()) : undefined),
     recordDirect: (server, isOpened) => {
@@ -412,12 +425,8 @@
         return;
       }
       if (!reach.recordFailed(server.id, listServers().length, now())) return;
-      const servers = reach.listFailed();
-      log(2121, { servers });
-      servers.forEach(health.endCooldown);
-      // Those that were opened before the partition may be silent for good.
-      listServers().forEach(backends.closeConnections);
-      probeServer();
+      probeServers(suspicionProbes);
+      startReadTimeout(confirmPartition, connectTimeoutMs);
     },
     recordRelayFailed: (relay) => relays.recordFailed(relay, now()),
   };
@@ -447,11 +456,16 @@
     isEvacuated: ({ dataCentre }) => evacuations.isEvacuated(dataCentre),
   });
 
-  /** Tries whether a server can be reached directly again. */
-  function probeServer(): void {
-    const servers = listServers().filter(({ state }) => state === 'ready');
-    const server = servers[Math.floor(Math.random() * servers.length)];
-    if (server) backends.probe(server);
+  /** Tries whether servers can be reached directly. */
+  function probeServers(count: number): void {
+    const failed = reach.listFailed();
+    const ready = listServers().filter(({ state }) => state === 'ready');
+    const others = ready.filter(({ id }) => !failed.includes(id));
+    const candidates = others.length > 0 ? others : ready;
+    const first = Math.floor(Math.random() * candidates.length);
+    [...candidates.slice(first), ...candidates.slice(0, first)]
+      .slice(0, count)
+      .forEach(backends.probe);
   }
 
   /** Ready servers of a service, without those in evacuated data centres. */
@@ -724,7 +738,7 @@
     metrics.serverTunnels.set(tunnels.count());
     if (reach.isPartitioned() && nowMs >= nextProbeAt) {
       nextProbeAt = nowMs + probePeriodMs;
-      probeServer();
+      probeServers(1);
     }
     detectClockJump(nowMs);
     peers.tick(nowMs);
