--- a/packages/router/src/request-body.ts
+++ b/packages/router/src/request-body.ts
@@ -33,8 +33,8 @@
 /** The body of a request, which is read from its arrival on. */
 export interface RequestBody {
   /**
-   * Receives the body; the rest of one that exceeds its bounds is left unread. Calls back once, unless the
-   * connection closes before.
+   * Receives the body; the rest of one that exceeds its bounds is dropped. Calls back once, unless the connection
+   * closes before.
    */
   readonly receive: (limits: BodyLimits, onDone: (body: Result<Buffer, BodyFault>) => void) => void;
   /**
