Count refused requests until they leave memory

A request that was refused, or gave way, left the account at once, but its head stayed in memory: until its body ended or five seconds had passed, also after its connection was closed, since a request whose response has ended gets no event of the close; and for two seconds if its caller had time to read the refusal. Crowds of 600 and 1,500 connections with heads of 1,990 fields over the limit ended the process. A request now counts until its body and its response have ended, the timers end with the connection, and of those that give way only as many linger as hold half of the bound.

--- a/packages/router/src/caller-connections.test.ts
+++ b/packages/router/src/caller-connections.test.ts
@@ -192,6 +192,36 @@
   t.false(socket.destroyed);
 });
 
+// Guards against refused requests that hold their heads, in no account, while their bodies do not come.
+test('a refused request counts until its body has ended', (t) => {
+  const { connections, open, send } = makeConnections();
+  const { req, res } = send(open());
+  const heldBytes = connections.getRequestBytes();
+  t.true(heldBytes > 0);
+  res.emit('close');
+  t.is(connections.getRequestBytes(), heldBytes);
+  req.emit('end');
+  t.is(connections.getRequestBytes(), 0);
+});
+
+// Guards against requests that gave way, but stay in memory until their callers have read the refusal.
+test('of many that give way, only some are refused with time to read it', (t) => {
+  const { open, send } = makeConnections({ getMaxRequestBytes: () => 20_000 });
+  const refusals: string[] = [];
+  const sockets = ['first', 'second'].map((name) => {
+    const socket = open();
+    const { request } = send(socket);
+    request?.onNoRoom(() => refusals.push(name));
+    request?.recordBody(30_000);
+    return socket;
+  });
+  t.deepEqual(refusals, ['first']);
+  t.deepEqual(
+    sockets.map(({ isReset }) => isReset),
+    [false, true],
+  );
+});
+
 // Guards against a process that ends at its heap limit, of which the account of requests knows nothing.
 test('callers are not read while the process is short of memory, and give way if that is not enough', async (t) => {
   let isShort = true;
--- a/packages/router/src/caller-connections.ts
+++ b/packages/router/src/caller-connections.ts
@@ -20,6 +20,9 @@
  */
 const maxExcess = 1.2;
 
+/** Part of the bound on what requests hold that refused ones may hold besides while their callers read the refusal. */
+const lingeringShare = 0.5;
+
 /** Interval of the checks. */
 export const connectionCheckPeriodMs = 1_000;
 
@@ -111,6 +114,8 @@
   arrivingRequests: number;
   /** Bytes of heads and bodies. */
   heldBytes: number;
+  /** Bytes of the latest head. */
+  headBytes: number;
   /** Bytes received when the connection became idle; more belong to an unfinished head. */
   idleReadBytes: number;
   /** Bytes that the operating system has taken of responses, and when it last took some or there were none. */
@@ -163,6 +168,8 @@
   const memory = makeRequestMemory<Connection>(deps.getMaxRequestBytes);
   const readTurns = makeReadTurns();
   const connections = new Map<CallerSocket, Connection>();
+  /** Bytes of requests that gave way and whose callers have some time to read the refusal. */
+  let lingeringBytes = 0;
   /** Connections without a request, and those with one that arrives, in the order in which they became so. */
   const idle = new Set<Connection>();
   const arriving = new Set<Connection>();
@@ -187,9 +194,16 @@
     metrics.callerLimits.inc({ limit: 'request-memory' });
     connection.isGivenUp = true;
     memory.remove(connection);
+    const lingerBytes = connection.headBytes + requestBytes;
+    const hasRoom = lingeringBytes + lingerBytes <= deps.getMaxRequestBytes() * lingeringShare;
     // Behind other responses a refusal would have to wait for its turn.
-    if (refuse && openRequests === 1) refuse();
-    else socket.resetAndDestroy();
+    if (refuse && openRequests === 1 && hasRoom) {
+      lingeringBytes += lingerBytes;
+      connection.closeCallbacks.add(() => {
+        lingeringBytes -= lingerBytes;
+      });
+      refuse();
+    } else socket.resetAndDestroy();
   };
 
   const updateMemory = (connection: Connection): void => {
@@ -281,6 +295,7 @@
         openRequests: 0,
         arrivingRequests: 0,
         heldBytes: 0,
+        headBytes: 0,
         idleReadBytes: 0,
         takenBytes: 0,
         takenAt: now(),
@@ -308,6 +323,9 @@
       if (idle.delete(connection)) connection.heldBytes = 0;
       arriving.add(connection);
       let requestHeldBytes = 0;
+      /** Whether the body has ended, and the response. */
+      let hasArrived = false;
+      let isAnswered = false;
       const hold = (bytes: number): void => {
         if (bytes === requestHeldBytes) return;
         connection.heldBytes += bytes - requestHeldBytes;
@@ -315,18 +333,26 @@
         updateMemory(connection);
       };
       const headBytes = countHeadBytes(req);
+      connection.headBytes = headBytes;
       connection.requests += 1;
       connection.openRequests += 1;
       connection.arrivingRequests += 1;
+      // The head of a request that was refused stays in memory until its body has ended.
+      const release = (): void => {
+        if (hasArrived && isAnswered) hold(0);
+      };
       req.once('end', () => {
+        hasArrived = true;
         connection.arrivingRequests -= 1;
         connection.refuse = undefined;
+        release();
         updateMemory(connection);
         updateIdle(connection);
       });
       res.once('close', () => {
+        isAnswered = true;
         connection.openRequests -= 1;
-        hold(0);
+        release();
         if (connection.openRequests < resumeOpenRequests) connection.turns.setAhead(false);
         updateIdle(connection);
       });
--- a/packages/router/src/request-body.ts
+++ b/packages/router/src/request-body.ts
@@ -120,7 +120,13 @@
       }
       let bytes = 0;
       // A caller that goes on sending is left the time to read the refusal.
-      cancelTimeout = startReadTimeout(() => onDone(false), timeoutMs);
+      const cancelWait = startReadTimeout(() => onDone(false), timeoutMs);
+      cancelTimeout = () => {
+        cancelWait();
+        req.socket.off('close', cancelTimeout);
+      };
+      // A request whose response has ended is not closed with its connection.
+      req.socket.once('close', cancelTimeout);
       onPiece = (piece) => {
         bytes += piece.length;
         if (bytes > maxBytes) callerRequest.stopReading();
