Read one connection with a large head in a turn of the event loop

Four fields above 32 now count as a piece, so that a connection with a large head waits for its turn and no other one is read in the same.

--- a/packages/router/src/caller-connections.ts
+++ b/packages/router/src/caller-connections.ts
@@ -148,6 +148,14 @@
 export const countMaxFields = (maxHeaderBytes: number): number =>
   Math.floor(maxHeaderBytes / minFieldBytes) + 1;
 
+/** Fields of an ordinary head, and the number of further ones that cost as much as a request or a piece of a body. */
+const ordinaryFields = 32;
+const fieldsPerPiece = 4;
+
+/** Counts a head as the pieces that it costs as much as. */
+const countPieces = ({ rawHeaders }: CallerMessage): number =>
+  1 + Math.max(0, Math.floor((rawHeaders.length / 2 - ordinaryFields) / fieldsPerPiece));
+
 /** What a head that has not ended may take for each byte; nothing tells how many fields it has. */
 const unfinishedHeadFactor = 1 + headerFieldBytes / minFieldBytes;
 
@@ -359,8 +367,8 @@
       hold(headBytes);
       if (connection.isGivenUp) return undefined;
       relief.check();
-      connection.turns.recordPiece();
-      req.on('data', connection.turns.recordPiece);
+      connection.turns.recordPiece(countPieces(req));
+      req.on('data', () => connection.turns.recordPiece());
       if (connection.openRequests >= maxOpenRequests) connection.turns.setAhead(true);
       return {
         run: (handle) =>
--- a/packages/router/src/read-turns.test.ts
+++ b/packages/router/src/read-turns.test.ts
@@ -144,3 +144,14 @@
   reads.setAhead(false);
   t.true(socket.isStopped);
 });
+
+// Guards against a crowd whose large heads are all read in one turn of the event loop.
+test('after a large head the others are read in the next turn', async (t) => {
+  const turns = makeReadTurns();
+  const [first, second] = [openReader(turns), openReader(turns)];
+  first.socket.bytesRead = 10_000;
+  first.reads.recordPiece(400);
+  t.true(second.socket.isStopped);
+  await endOfTurn();
+  t.false(second.socket.isStopped);
+});
--- a/packages/router/src/read-turns.ts
+++ b/packages/router/src/read-turns.ts
@@ -14,8 +14,8 @@
 
 /** The reads of one connection. */
 export interface ReadTurns {
-  /** Records a request, or a piece of a body, that was read. */
-  readonly recordPiece: () => void;
+  /** Records a request, or a piece of a body, that was read; a large head counts as several. */
+  readonly recordPiece: (count?: number) => void;
   /** Handles a request, later if the connection has to wait for its turn. */
   readonly run: (handle: () => void) => void;
   /** Sets whether the connection is not read because of the requests that were sent ahead. */
@@ -145,14 +145,14 @@
     });
   };
 
-  const recordPiece = (reader: Reader): void => {
+  const recordPiece = (reader: Reader, count: number): void => {
     const { bytesRead } = reader.socket;
     if (reader.readBytes !== bytesRead) {
       if (reader.readBytes > 0 && !reader.isWaiting) reader.hasLightRead = true;
       reader.readBytes = bytesRead;
       reader.piecesInRead = 0;
     }
-    reader.piecesInRead += 1;
+    reader.piecesInRead += count;
     if (reader.isWaiting || reader.piecesInRead <= maxPiecesPerRead) return;
     reader.isWaiting = true;
     heavyReads += 1;
@@ -203,7 +203,7 @@
       });
       if (areAllHeld) holdReader(reader);
       return {
-        recordPiece: () => recordPiece(reader),
+        recordPiece: (count = 1) => recordPiece(reader, count),
         run: (handle) => {
           if (reader.isWaiting) reader.deferred.push(handle);
           else handle();
