Forward the end of a server's connection through another VM as it was

Callers of a partitioned VM got the part of a response without a length as a complete answer (MIXED), if its server reset the connection beside their upload: the VM that forwards asked for a reset by a write of no bytes, which waits behind the upload, and forwarded a regular end. Two opposite mistakes have the same cause. A response that ended in the regular way was forwarded as a reset if a reset followed, and an early 413 with a length was lost if writing the upload met the reset before the answer was read.

The connection to the server now reports resets as those of a VM itself do (`reportResets`), so that what came before is forwarded first. When the server closes, the rest of the upload is read and dropped, so that the tunnel closes with the other VM. A reset by the other VM is not held back: its server is closed at once, which a test with an upload that is not read checks.

Ruled out: to report resets on the connection of the other VM in the same way.

--- a/packages/router/src/server-tunnels.test.ts
+++ b/packages/router/src/server-tunnels.test.ts
@@ -6,9 +6,10 @@
   type Socket,
 } from 'node:net';
 import { once } from 'node:events';
+import { setTimeout as sleep } from 'node:timers/promises';
 import test, { type ExecutionContext } from 'ava';
+import { reportResets } from '@hemlocksill/sockets/report-resets.js';
 import { openTunnel, type TunnelFault } from './open-tunnel.js';
-import { isResetPending } from './reset-pending.js';
 import { serveServerTunnels } from './server-tunnels.js';
 
 const listen = async (t: ExecutionContext, server: Server): Promise<string> => {
@@ -46,12 +47,11 @@
   new Promise((resolve) => {
     let received = '';
     let isReset = false;
+    reportResets(socket);
     socket.on('data', (chunk) => {
       received += chunk.toString('utf8');
     });
-    socket.on('end', () => {
-      isReset ||= isResetPending(socket);
-    });
+    socket.on('end', () => socket.destroy());
     socket.on('error', () => {
       isReset = true;
     });
@@ -84,6 +84,52 @@
   return undefined;
 });
 
+/** Sends bytes to a server that reads none of them through another VM, and tells what is received. */
+const sendUpload = async (
+  t: ExecutionContext,
+  bytes: number,
+  respond: (socket: Socket) => void,
+): Promise<string> => {
+  const { relay, target, tunnels } = await startRelay(t, (socket) => {
+    socket.once('data', () => {
+      socket.pause();
+      respond(socket);
+    });
+  });
+  const socket = await open(t, relay, target);
+  if (typeof socket === 'string') return socket;
+  const received = readAll(socket);
+  socket.write(Buffer.alloc(bytes));
+  const result = await received;
+  const deadline = Date.now() + 2_000;
+  while (tunnels.count() > 0 && Date.now() < deadline) await sleep(10);
+  return tunnels.count() === 0 ? result : `${result}, tunnel open`;
+};
+
+[10, 4_000_000, 32 * 1_024 * 1_024].forEach((bytes) => {
+  // Guards against responses without a length that are broken off beside an upload and look complete.
+  [0, 5, 100].forEach((delayMs) => {
+    test(`a reset is forwarded as a reset after ${delayMs} ms, beside an upload of ${bytes} bytes`, async (t) => {
+      for (let n = 0; n < 5; n += 1) {
+        const result = await sendUpload(t, bytes, (socket) => {
+          socket.write('part');
+          if (delayMs === 0) socket.resetAndDestroy();
+          else setTimeout(() => socket.resetAndDestroy(), delayMs);
+        });
+        t.regex(result, / reset$/);
+      }
+    });
+  });
+
+  // Guards against early responses that are lost because a reset follows their end, and tunnels that stay open.
+  test(`an end before a reset is forwarded as an end, beside an upload of ${bytes} bytes`, async (t) => {
+    const result = await sendUpload(t, bytes, (socket) => {
+      socket.end('all', () => socket.resetAndDestroy());
+    });
+    t.is(result, 'all end');
+  });
+});
+
 // Guards against runs that go on after their caller has left.
 test('a connection that the other VM closes is closed at the server', async (t) => {
   let closed: Promise<unknown> = Promise.resolve();
@@ -99,6 +145,29 @@
   return undefined;
 });
 
+test('a connection that the other VM resets is closed at a server that does not read its upload', async (t) => {
+  let closed: Promise<unknown> = Promise.resolve();
+  const { relay, target, tunnels } = await startRelay(t, (socket) => {
+    socket.on('error', () => {});
+    socket.once('data', () => {
+      socket.pause();
+      closed = new Promise((resolve) => {
+        socket.on('close', resolve);
+      });
+      const timer = setInterval(() => socket.write('event'), 20);
+      socket.on('close', () => clearInterval(timer));
+    });
+  });
+  const socket = await open(t, relay, target);
+  if (typeof socket === 'string') return t.fail(socket);
+  socket.write(Buffer.alloc(32 * 1_024 * 1_024));
+  await once(socket, 'data');
+  socket.resetAndDestroy();
+  await closed;
+  t.is(tunnels.count(), 0);
+  return undefined;
+});
+
 test('tunnels are refused to what is no server, over the limit, and by a VM that takes none', async (t) => {
   const { relay, target, state } = await startRelay(t, () => {});
   t.is(await open(t, relay, '127.0.0.1:1'), 'relay-unavailable');
--- a/packages/router/src/server-tunnels.ts
+++ b/packages/router/src/server-tunnels.ts
@@ -1,7 +1,7 @@
 import type { Server } from 'node:http';
 import { connect, type Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
-import { isResetPending } from './reset-pending.js';
+import { reportResets } from '@hemlocksill/sockets/report-resets.js';
 
 /** Time limit for opening the connection to the server; the other VM waits somewhat longer. */
 const connectTimeoutMs = 100;
@@ -33,15 +33,13 @@
 /** Forwards the bytes of one connection to the other, and the way in which it ends. */
 const forward = (from: Socket, to: Socket): void => {
   from.pipe(to, { end: false });
-  from.on('end', () => {
-    // Taken for a regular end, a reset would make a response without a length look complete.
-    if (isResetPending(from)) to.resetAndDestroy();
-    else to.end();
-  });
+  from.on('end', () => to.end());
   from.on('error', () => to.resetAndDestroy());
   from.on('close', () => {
     if (!from.readableEnded) to.resetAndDestroy();
   });
+  // A socket that is no longer read would not notice that the other side closes it.
+  to.on('close', () => from.resume());
 };
 
 /**
@@ -75,8 +73,12 @@
       clearTimeout(timer);
       target.off('error', refuse);
       socket.write(formatHead('opened'));
+      // Taken for a regular end, a reset would make a response without a length look complete.
+      reportResets(target);
       forward(target, socket);
       forward(socket, target);
+      // A reset of the other VM, too, can be reported as its end; a write of no bytes gets the error.
+      socket.on('end', () => socket.writable && socket.write(''));
     });
   };
 
