Entry: take a response that is reset for broken off

Callers of the entry library got the part of a service's response that had arrived as a complete answer, if it had no length and its connection was reset: at any size of the request, also without an upload. An answer of an engine was read in the same way.

Cause: the HTTP client itself ends a response without a length when its connection fails with ECONNRESET, and on the end that libuv reports in place of a reset. Only the client of `platform` looked at how the connection had ended.

The clients of services and engines now open their connections with `makeConnector` of sockets, which makes a reset an error of its own. A request that may run once is answered `outcome-unknown` as after any other lost answer; an early 413 with a length and an answer that ends in the regular way are delivered as before.

--- a/packages/entry/src/call-service.ts
+++ b/packages/entry/src/call-service.ts
@@ -6,6 +6,7 @@
   refuseNoCapacity,
 } from '@hemlocksill/errors/refusals.js';
 import { chooseOfTwo } from '@hemlocksill/placement/two-choices.js';
+import { makeConnector } from '@hemlocksill/sockets/make-connector.js';
 import type { BackendServer, ServiceRoute } from '@hemlocksill/types/config-document.js';
 import type { Random } from '@hemlocksill/types/ports.js';
 import { readClock } from './clock.js';
@@ -58,7 +59,7 @@
   opts: CallServiceOptions,
 ): { handler: Handler; close: () => void } => {
   const agent = new Agent({
-    connect: { timeout: connectTimeoutMs },
+    connect: makeConnector({ timeout: connectTimeoutMs }),
     maxResponseSize: maxResponseBytes,
   });
   const openRequests = new Map<string, number>();
--- a/packages/entry/src/engine-client.ts
+++ b/packages/entry/src/engine-client.ts
@@ -2,8 +2,10 @@
 import { err, ok, type Result } from 'neverthrow';
 import { Agent, request } from 'undici';
 import { z } from 'zod';
+import { makeConnector } from '@hemlocksill/sockets/make-connector.js';
 import type { DecodeStart, EngineStart } from '@hemlocksill/types/engine-protocol.js';
 
+const connectTimeoutMs = 1_000;
 const defaultTimeoutMs = 2_000;
 
 /** Maximum size of a response other than a stream. */
@@ -146,7 +148,10 @@
  * const load = await engines.readLoad('http://127.0.0.1:7300');
  */
 export const makeEngineClient = (): EngineClient => {
-  const agent = new Agent({ connect: { timeout: 1_000 }, keepAliveTimeout: 30_000 });
+  const agent = new Agent({
+    connect: makeConnector({ timeout: connectTimeoutMs }),
+    keepAliveTimeout: 30_000,
+  });
 
   /** Sends a request; its response must be read by `readResponse` within the time limit. */
   const sendRequest = async <T>(
