Store: take an answer that is reset for broken off

The entry library read the part of an answer of its store without a length that had arrived before a reset as the whole, from the same cause as answers of services: the HTTP client ends such a response when its connection is reset. The client of the store now opens its connections with `makeConnector` of sockets, and such a call is `unreachable`.

Evidence: the new test got an entry from a connection that was reset, before.

--- a/packages/store/src/http-store.ts
+++ b/packages/store/src/http-store.ts
@@ -1,5 +1,6 @@
 import { err, ok, type Result } from 'neverthrow';
 import { Agent, request } from 'undici';
+import { makeConnector } from '@hemlocksill/sockets/make-connector.js';
 import type {
   CasResponse,
   CasRequest,
@@ -74,7 +75,7 @@
  * const entry = await store.get('/greeting');
  */
 export const makeHttpStore = (urls: readonly string[], countCall: CountCall): Store => {
-  const agent = new Agent({ connections: 16, keepAliveTimeout: 30_000 });
+  const agent = new Agent({ connect: makeConnector(), connections: 16, keepAliveTimeout: 30_000 });
   let preferredIndex = 0;
 
   const send = async (call: StoreCall): Promise<Result<RawResponse, StoreFault>> => {
