Open no tunnel by an answer whose field names are invalid

A VM took the answer of another one to CONNECT for the opening of a tunnel although a field name in its head held a blank: unlike that of the HTTP client, the parser of Node.js lets such names pass. Its names are now checked, and the VM tries another one.

--- a/packages/router/src/open-tunnel.ts
+++ b/packages/router/src/open-tunnel.ts
@@ -1,4 +1,4 @@
-import { request } from 'node:http';
+import { request, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import { err, ok, type Result } from 'neverthrow';
 
@@ -12,6 +12,12 @@
 const openedStatus = 200;
 const serverUnreachableStatus = 502;
 
+/** A field name of HTTP. The parser of Node.js accepts names with blanks, too. */
+const fieldNamePattern = /^[\w!#$%&'*+.^`|~-]+$/;
+
+const hasValidHead = ({ rawHeaders }: IncomingMessage): boolean =>
+  rawHeaders.every((text, index) => index % 2 === 1 || fieldNamePattern.test(text));
+
 /**
  * Opens a connection to a backend server through another VM, by a CONNECT request to its peers' endpoint. Calls back
  * once.
@@ -35,7 +41,8 @@
     onDone(result);
   };
   const req = request({ host, port, method: 'CONNECT', path: address, agent: false });
-  req.on('connect', ({ statusCode }, socket: Socket) => {
+  req.on('connect', (res, socket: Socket) => {
+    const statusCode = hasValidHead(res) ? res.statusCode : undefined;
     if (statusCode === openedStatus && !isDone) {
       socket.setNoDelay(true);
       finish(ok(socket));
