Reset the tunnels that are still open when a VM stops

A response without a length that came through another VM looked complete when that VM stopped: at the end of the grace period its process exited, and the operating system ended the connections as if their servers had closed them.

Such tunnels are now reset before the process exits, so that the VM of the caller takes the response for broken off, as it does with a reset by the server itself.

Evidence: the new test, with the deployed program, a grace period of 4 s and a server that sends a part and then nothing, saw a regular end before and sees a reset now. A VM that is killed can't do this; its connections still end in the regular way.

--- a/packages/router/src/server-tunnels.ts
+++ b/packages/router/src/server-tunnels.ts
@@ -9,6 +9,8 @@
 /** Connections to servers that other VMs have open through this one. */
 export interface ServerTunnels {
   readonly count: () => number;
+  /** Resets those that are open. At the end of the process they would end as if their servers had closed them. */
+  readonly reset: () => void;
 }
 
 /** Dependencies of the tunnels. */
@@ -50,7 +52,7 @@
  * const tunnels = serveServerTunnels(peerServer, { isServer, acceptsTunnels: () => true, maxTunnels: 256 });
  */
 export const serveServerTunnels = (server: Server, deps: ServerTunnelsDeps): ServerTunnels => {
-  const tunnels = new Set<Duplex>();
+  const tunnels = new Set<Socket>();
 
   const openTunnel = (address: string, socket: Socket): void => {
     const [, host, port] = /^(.+):(\d+)$/.exec(address) ?? [];
@@ -91,5 +93,8 @@
     else openTunnel(address, socket as Socket);
   });
 
-  return { count: () => tunnels.size };
+  return {
+    count: () => tunnels.size,
+    reset: () => tunnels.forEach((socket) => socket.resetAndDestroy()),
+  };
 };
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -801,6 +801,7 @@
         await Promise.race([closed, sleep(abandonedFlushMs)]);
       }
       while (tunnels.count() > 0 && now() < shutdownDeadline) await sleep(tickPeriodMs);
+      tunnels.reset();
       log(2004, { openRequests: abandonAtStop.size, openConnections: connections.count() });
       clearInterval(tick);
       clearInterval(connectionCheck);
