Store: check the bodies of answers

The client of the entry library's store threw on a 200 whose body was empty or `null`, so that its caller got a rejected promise instead of a fault, and passed on whatever else it got as an entry, a listing or a lease.

Cause: bodies were cast, not checked.

--- a/packages/store/src/http-store.test.ts
+++ b/packages/store/src/http-store.test.ts
@@ -37,3 +37,21 @@
   t.is((await broken.get('a'))._unsafeUnwrapErr(), 'unreachable');
   t.is((await broken.renewLease('4'))._unsafeUnwrapErr(), 'unreachable');
 });
+
+// Guards against an exception in place of a fault, and against a value that is none.
+['', 'null', '[]', '{}', '{"entry":{"key":"a"}}', '{"entry":7}', '{"entry":{"key":"a"'].forEach(
+  (body) => {
+    test(`an answer that is no result is a fault: '${body}'`, async (t) => {
+      const store = await startRawStore(t, head + body, end);
+      const entry = await store.get('a');
+      // The stand-in leaves out an entry that does not exist.
+      if (body === '{}') t.is(entry._unsafeUnwrap(), undefined);
+      else t.is(entry._unsafeUnwrapErr(), 'bad-answer');
+      t.is((await store.list('a'))._unsafeUnwrapErr(), 'bad-answer');
+      const write = { key: 'a', expected: 3, value: 'x' };
+      t.is((await store.cas(write))._unsafeUnwrapErr(), 'bad-answer');
+      t.is((await store.grantLease(1_000))._unsafeUnwrapErr(), 'bad-answer');
+      t.is((await store.watch('a', 1, 10))._unsafeUnwrapErr(), 'bad-answer');
+    });
+  },
+);
--- a/packages/store/src/http-store.ts
+++ b/packages/store/src/http-store.ts
@@ -1,15 +1,8 @@
 import { err, ok, type Result } from 'neverthrow';
 import { Agent, request } from 'undici';
+import { z } from 'zod';
 import { makeConnector } from '@hemlocksill/sockets/make-connector.js';
-import type {
-  CasResponse,
-  CasRequest,
-  Store,
-  StoreEntry,
-  StoreFault,
-  StoreListing,
-  WatchResponse,
-} from '@hemlocksill/types/ports.js';
+import type { CasResponse, CasRequest, Store, StoreFault } from '@hemlocksill/types/ports.js';
 
 /** Timeout of one call in milliseconds; a watch adds its own waiting time. */
 const callTimeoutMs = 2_000;
@@ -30,6 +23,31 @@
   readonly isRetryable: boolean;
 }
 
+const entrySchema = z.object({ key: z.string(), value: z.string(), revision: z.number() });
+const getSchema = z.object({ entry: entrySchema.nullish() });
+const listSchema = z.object({ entries: z.array(entrySchema), revision: z.number() });
+const casSchema = z.discriminatedUnion('written', [
+  z.object({ written: z.literal(true), revision: z.number() }),
+  z.object({ written: z.literal(false), current: entrySchema.nullish() }),
+]);
+const leaseSchema = z.object({ leaseId: z.string() });
+const watchEventSchema = z.object({
+  key: z.string(),
+  value: z
+    .string()
+    .nullish()
+    .transform((value) => value ?? undefined),
+  revision: z.number(),
+});
+const watchSchema = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('events'),
+    events: z.array(watchEventSchema),
+    revision: z.number(),
+  }),
+  z.object({ kind: z.literal('compacted') }),
+]);
+
 const classifyError = (error: unknown): StoreFault => {
   const code = (error as { code?: string }).code ?? '';
   const name = (error as { name?: string }).name ?? '';
@@ -89,49 +107,51 @@
     return lastResult;
   };
 
-  const runCall = async <T>(call: StoreCall): Promise<Result<T, StoreFault>> => {
+  const runCall = async <T>(
+    call: StoreCall,
+    schema: z.ZodType<T>,
+  ): Promise<Result<T, StoreFault>> => {
     const result = (await send(call)).andThen(({ status, body }) => {
       const fault = classifyStatus(status);
-      return fault === undefined ? ok(body as T) : err(fault);
+      if (fault !== undefined) return err(fault);
+      const parsed = schema.safeParse(body);
+      return parsed.success ? ok(parsed.data) : err('bad-answer' as const);
     });
     countCall(call.kind, result.isOk() ? 'ok' : result.error);
     return result;
   };
 
-  const read = <T>(kind: string, body: unknown) =>
-    runCall<T>({ kind, body, timeoutMs: callTimeoutMs, isRetryable: true });
-  const write = <T>(kind: string, body: unknown) =>
-    runCall<T>({ kind, body, timeoutMs: callTimeoutMs, isRetryable: false });
+  const read = <T>(kind: string, body: unknown, schema: z.ZodType<T>) =>
+    runCall({ kind, body, timeoutMs: callTimeoutMs, isRetryable: true }, schema);
+  const write = <T>(kind: string, body: unknown, schema: z.ZodType<T>) =>
+    runCall({ kind, body, timeoutMs: callTimeoutMs, isRetryable: false }, schema);
 
   return {
     get: async (key) =>
-      (await read<{ entry: StoreEntry | null }>('get', { key })).map(
-        (body) => body.entry ?? undefined,
-      ),
-    list: (prefix) => read<StoreListing>('list', { prefix }),
+      (await read('get', { key }, getSchema)).map(({ entry }) => entry ?? undefined),
+    list: (prefix) => read('list', { prefix }, listSchema),
     cas: async (req: CasRequest) =>
-      (
-        await write<{ written: boolean; revision: number; current: StoreEntry | null }>('cas', {
-          ...req,
-          value: req.value ?? null,
-        })
-      ).map((body): CasResponse =>
-        body.written
-          ? { kind: 'written', revision: body.revision }
-          : { kind: 'conflict', current: body.current ?? undefined },
+      (await write('cas', { ...req, value: req.value ?? null }, casSchema)).map(
+        (body): CasResponse =>
+          body.written
+            ? { kind: 'written', revision: body.revision }
+            : { kind: 'conflict', current: body.current ?? undefined },
       ),
     grantLease: async (ttlMs) =>
-      (await write<{ leaseId: string }>('lease/grant', { ttlMs })).map((body) => body.leaseId),
+      (await write('lease/grant', { ttlMs }, leaseSchema)).map(({ leaseId }) => leaseId),
     renewLease: async (leaseId) =>
-      (await write<unknown>('lease/renew', { leaseId })).map(() => undefined),
+      (await write('lease/renew', { leaseId }, z.unknown())).map(() => undefined),
     revokeLease: async (leaseId) =>
-      (await write<unknown>('lease/revoke', { leaseId })).map(() => undefined),
+      (await write('lease/revoke', { leaseId }, z.unknown())).map(() => undefined),
     watch: (prefix, after, waitMs) =>
-      runCall<WatchResponse>({
-        kind: 'watch',
-        body: { prefix, after, waitMs },
-        timeoutMs: waitMs + callTimeoutMs,
-        isRetryable: false,
-      }),
+      runCall(
+        {
+          kind: 'watch',
+          body: { prefix, after, waitMs },
+          timeoutMs: waitMs + callTimeoutMs,
+          isRetryable: false,
+        },
+        watchSchema,
+      ),
   };
 };
