Log which instance ran a stream and which events it sent

The lines named the listed version of an engine only, so that they could not tell an engine that had started again from the one that is listed, nor a response that ended early from a whole one. 2305 and 2307 now name the listed start time, and a new line, 2325, names for each run the first and the last event and how the response ended. No change of logic.

--- a/packages/router/src/log-placement.ts
+++ b/packages/router/src/log-placement.ts
@@ -20,6 +20,7 @@
     id: ctx.call.metadata.id,
     prefill: prefill?.id,
     decode: decode.id,
+    startedAt: decode.startedAt,
     softwareVersion: decode.softwareVersion,
     prefillVersion: prefill?.softwareVersion,
     promptTokens,
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -47,6 +47,18 @@
 /** Fault of an engine that answers a stream which must go on with an error. */
 const resumedStreamFault: CallFault = { kind: 'unknown', reason: 'the resumed stream failed' };
 
+/** How a run of a stream ended, for its log line. */
+type RunEnd =
+  /** With the end that its framing names. */
+  | 'framed'
+  /** A response without a length ended with its connection. */
+  | 'connection-closed'
+  | 'error-answer'
+  | 'broken'
+  /** The stream goes on at another engine. */
+  | 'left'
+  | 'cancelled';
+
 /** A prefill result that its decode engine may not have fetched. */
 interface UnusedPrefill extends PrefillResult {
   /** Whether memory was reserved at the decode engine. */
@@ -394,7 +406,7 @@
         );
       },
       leave: (next, reason) => {
-        if (!tryFinish()) return;
+        if (!tryFinish('left')) return;
         cancelSend();
         mayHaveRun = true;
         recordFault(server, 'decode', { kind: 'unknown', reason });
@@ -407,6 +419,7 @@
           fromVersion: server.softwareVersion,
           fault: 'silent',
           at: next.id,
+          atStartedAt: next.startedAt,
           atVersion: next.softwareVersion,
         });
       },
@@ -415,12 +428,21 @@
         unusable.add(next.id);
       },
     });
-    const tryFinish = (): boolean => {
+    const tryFinish = (end: RunEnd): boolean => {
       if (!isRunning) return false;
       isRunning = false;
       handOver.stop();
       runWatch.stop();
       allocation.release();
+      deps.log(2325, {
+        id,
+        server: server.id,
+        startedAt: server.startedAt,
+        softwareVersion: server.softwareVersion,
+        firstEvent: splitter.getFirstId(),
+        lastEvent: splitter.getLastId(),
+        end,
+      });
       return true;
     };
     const takeOver = (reason: string): void => {
@@ -433,6 +455,11 @@
       handOver.restart();
     };
     const isErrorHead = (): boolean => head !== undefined && head.status >= 300;
+    const getEnd = (isFramed: boolean, isCut: boolean): RunEnd => {
+      if (isErrorHead()) return 'error-answer';
+      if (isCut) return 'broken';
+      return isFramed ? 'framed' : 'connection-closed';
+    };
     const forwardEvents = (events: Buffer): void => {
       lastEventId = splitter.getLastId() ?? lastEventId;
       engines.recordBegin(server);
@@ -489,7 +516,7 @@
           const cutReason = `the stream ended ${isEmpty ? 'before its first event' : 'inside an event'}`;
           if (isCut && tryLeaveBroken(cutReason)) return;
           if (isError && handOver.tryComplete(resumedStreamFault.reason)) return;
-          if (!tryFinish()) return;
+          if (!tryFinish(getEnd(isFramed, isCut))) return;
           if (runToLeave) {
             runToLeave.keep(resumedStreamFault);
             return;
@@ -512,7 +539,7 @@
           if (fault.kind === 'not-sent') sentTo.delete(server.id);
           const { kind, reason } = fault;
           if (kind === 'unknown' ? tryLeaveBroken(reason) : handOver.tryComplete(reason)) return;
-          if (!tryFinish()) return;
+          if (!tryFinish('broken')) return;
           if (fault.kind === 'unknown') mayHaveRun = true;
           if (fault.kind === 'rejected') deps.engineLedger.recordFull(server.id, deps.now());
           if (runToLeave) {
@@ -543,20 +570,20 @@
     };
     /** Treats a response that is not valid as a broken connection. */
     const breakOff = (reason: string): void => {
-      if (tryLeaveBroken(reason) || !tryFinish()) return;
+      if (tryLeaveBroken(reason) || !tryFinish('broken')) return;
       cancelSend();
       mayHaveRun = true;
       handleBreak({ kind: 'unknown', reason });
     };
     const forwardErrorResponse = (errorHead: ResponseHead, chunk: Buffer): void => {
       if (runToLeave) {
-        if (!tryFinish()) return;
+        if (!tryFinish('error-answer')) return;
         cancelSend();
         runToLeave.keep(resumedStreamFault);
         return;
       }
       if (!isForwardingError && responder.hasSentHead()) {
-        if (handOver.tryComplete(resumedStreamFault.reason) || !tryFinish()) return;
+        if (handOver.tryComplete(resumedStreamFault.reason) || !tryFinish('error-answer')) return;
         cancelSend();
         resumeOrFail(server, resumedStreamFault);
         return;
@@ -568,13 +595,13 @@
       }
       errorBytes += chunk.length;
       if (errorBytes <= maxErrorBytes) responder.write(chunk);
-      else if (tryFinish()) {
+      else if (tryFinish('error-answer')) {
         cancelSend();
         responder.fail(502, 'the error response is too large');
       }
     };
     const cancel = (): void => {
-      if (!tryFinish()) return;
+      if (!tryFinish('cancelled')) return;
       cancelSend();
       // Before the first event, the decode engine may not have fetched the prefill result.
       if (isFirstChunk && prefilled) deps.backends.releasePrefill(prefilled);
@@ -639,6 +666,7 @@
         after: lastEventId,
         ...origin,
         at: server.id,
+        atStartedAt: server.startedAt,
         atVersion: server.softwareVersion,
       });
       runDecode(server, undefined, undefined, allocateMemory(server));
