Ask who was told of a stream also while only one version is known

A stream that began at a new version, or at the other service of a split route, went on at the version or service that the VM of the second attempt knew of, so that its caller had events of two versions.

A VM whose own history has one version, and whose view counts as current, answered at once with that version. Its view may lag: it may not have heard of the first engine of another version yet, and be cut off for a second and a half before it notices. On a split route it answered with the service that was drawn for the second attempt.

The VMs that were told of the stream before its first event left are now asked in each case, and one that remembers the stream wins. If none does, one version counts as before, but a VM that gets no answer at all relies on it only if it counts all others as gone. Callers mostly come because a VM was killed, whose answer is missing for 200 ms. So three answers of the first four VMs are enough for one version: the holders are the first three without the VM that began the stream.

The unit test "while a service has only one version, nobody is asked" demanded the fault: no datagram. In its place are tests that the stream is found as before, that a question costs twelve datagrams at most, that 40 streams are not held up by a VM that was killed, and that a VM without an answer, or without others, does as described.

--- a/packages/router/src/origin-controller.test.ts
+++ b/packages/router/src/origin-controller.test.ts
@@ -23,12 +23,19 @@
   /** Decides which datagrams are lost. */
   readonly isLost?: (from: number, to: number) => boolean;
   readonly isViewCurrent?: boolean;
+  /** Whether the VMs have not heard each other for some time. */
+  readonly isUnresponsive?: boolean;
 }
 
 /** Makes VMs that exchange datagrams in memory. */
 const makeFleet = (
   count: number,
-  { isFirstStart = false, isLost = () => false, isViewCurrent = true }: FleetOptions = {},
+  {
+    isFirstStart = false,
+    isLost = () => false,
+    isViewCurrent = true,
+    isUnresponsive = false,
+  }: FleetOptions = {},
 ) => {
   const gone = new Set<number>();
   let datagrams = 0;
@@ -36,7 +43,9 @@
   const vms: OriginController[] = Array.from({ length: count }, (_, from) =>
     makeOriginController({
       listPeers: () =>
-        vms.flatMap((__, to) => (to === from ? [] : [{ vm: `vm-${to}`, address: getAddress(to) }])),
+        vms.flatMap((__, to) =>
+          to === from ? [] : [{ vm: `vm-${to}`, address: getAddress(to), isUnresponsive }],
+        ),
       sendDatagram: (bytes, address) => {
         datagrams += 1;
         const to = vms.findIndex((__, vm) => getAddress(vm) === address);
@@ -112,15 +121,74 @@
   t.true(performance.now() - startedAt < 2_000);
 });
 
-test('while a service has only one version, nobody is asked', async (t) => {
+test('while a service has only one version, a stream that nobody remembers began at it', async (t) => {
   const fleet = makeFleet(8, { isFirstStart: true });
   fleet.vms.forEach((vm) => vm.updateServers([engine('v1')]));
   t.deepEqual(await fleet.find(1, 'r1'), origin);
-  t.is(fleet.countDatagrams(), 0);
+  t.deepEqual(await fleet.find(1, undefined), origin);
   fleet.vms.forEach((vm) => vm.updateServers([engine('v1'), engine('v2')]));
   t.is(await fleet.find(1, 'r1'), undefined);
 });
 
+// Serial, since other tests of the file hold up the datagrams.
+test.serial('a question costs a message to six VMs and their answers at most', async (t) => {
+  const fleet = makeFleet(30, { isFirstStart: true });
+  fleet.vms.forEach((vm) => vm.updateServers([engine('v1')]));
+  t.deepEqual(await fleet.find(1, 'r1'), origin);
+  t.true(fleet.countDatagrams() <= 12, `${fleet.countDatagrams()} datagrams`);
+});
+
+test.serial(
+  'a stream whose VM was killed is not held up by the silence of that VM, while there is one version',
+  async (t) => {
+    const fleet = makeFleet(8, { isFirstStart: true });
+    fleet.vms.forEach((vm) => vm.updateServers([engine('v1')]));
+    const requests = Array.from({ length: 40 }, (_, n) => `unheard-of-${n}`);
+    await fleet.find(1, 'warm-up');
+    fleet.gone.add(0);
+    const startedAt = performance.now();
+    await checkKnown(t, fleet, 1, requests);
+    const tookMs = performance.now() - startedAt;
+    // The wait for an answer that doesn't come is 200 ms.
+    t.true(tookMs < 150, `${tookMs} ms`);
+  },
+);
+
+// Guards against a stream of two versions: the VM that it is taken up at hears of the second one late.
+test('a stream of a version that only some VMs know is taken up at that version everywhere', async (t) => {
+  const fleet = makeFleet(8, { isFirstStart: true });
+  fleet.vms.forEach((vm, n) => vm.updateServers([engine('v1'), ...(n > 0 ? [] : [engine('v2')])]));
+  const newer = { service: 'llm', softwareVersion: 'v2' };
+  const requests = Array.from({ length: 20 }, (_, n) => `r${n}`);
+  requests.forEach((id) => fleet.vms[0]?.recordBegin(id, newer, performance.now() + 10_000));
+  await settle();
+  fleet.gone.add(0);
+  for (let vm = 1; vm < 8; vm += 1) {
+    const found = await Promise.all(requests.map((request) => fleet.find(vm, request)));
+    found.forEach((result) => t.is(result?.softwareVersion, 'v2'));
+  }
+});
+
+test('a VM that gets no answer does not rely on what it knew, also while its view counts as current', async (t) => {
+  const fleet = makeFleet(8, { isFirstStart: true });
+  fleet.vms.forEach((vm) => vm.updateServers([engine('v1')]));
+  for (let vm = 0; vm < 8; vm += 1) if (vm !== 1) fleet.gone.add(vm);
+  t.is(await fleet.find(1, 'r1'), undefined);
+});
+
+test('a VM without others relies on what it knows', async (t) => {
+  const fleet = makeFleet(1, { isFirstStart: true });
+  fleet.vms.forEach((vm) => vm.updateServers([engine('v1')]));
+  t.deepEqual(await fleet.find(0, 'r1'), origin);
+});
+
+test('a VM whose others are all known to be gone relies on what it knows', async (t) => {
+  const fleet = makeFleet(2, { isFirstStart: true, isUnresponsive: true });
+  fleet.vms.forEach((vm) => vm.updateServers([engine('v1')]));
+  fleet.gone.add(1);
+  t.deepEqual(await fleet.find(0, 'r1'), origin);
+});
+
 test('a VM that has just started learns from its peers that there is only one version', async (t) => {
   const old = makeFleet(2, { isFirstStart: true });
   const young = makeFleet(2);
--- a/packages/router/src/origin-controller.ts
+++ b/packages/router/src/origin-controller.ts
@@ -74,10 +74,22 @@
 /** A question that other VMs have not all answered. */
 interface Question {
   readonly answers: Map<string, OriginAnswer>;
-  readonly asked: ReadonlySet<string>;
+  /** The holders first. */
+  readonly asked: readonly PeerAddress[];
+  /** Whether the answers so far, if no other one came, tell the origin. */
+  readonly hasOrigin: () => boolean;
   readonly finish: () => void;
 }
 
+/**
+ * Whether the VMs that were told of a stream have answered, or all that may answer. They are the first ones of the
+ * asked, without the VM that began it; so of one more than their number, one may be silent, since it is mostly that VM.
+ */
+const haveHoldersAnswered = ({ answers, asked }: Question): boolean =>
+  asked.slice(0, holderCount + 1).filter(({ address }) => answers.has(address)).length >=
+    holderCount ||
+  asked.every(({ address, isUnresponsive }) => isUnresponsive || answers.has(address));
+
 /** Knows at which version streams began, also those of other VMs. */
 export interface OriginController {
   /** Remembers a stream whose first event is about to be sent, here and at other VMs. */
@@ -124,8 +136,9 @@
  *
  * A stream may be taken up at any VM, mostly because the one that began it is gone. So a few VMs, chosen
  * by the id of the request, are told of each stream before its first event leaves, and asked when it is
- * taken up. While a service has one version for longer than a stream lives, nobody is asked. What outlives
- * a loss of all VMs is in the store, and read only if no VM knows.
+ * taken up, also while this VM knows of one version only: it may not have heard of another one yet. If they
+ * don't remember it and the service has had one version for longer than a stream lives, that one began it. What
+ * outlives a loss of all VMs is in the store, and read only if no VM knows.
  *
  * @example
  * const origins = makeOriginController(deps);
@@ -155,6 +168,20 @@
     return state.kind === 'only' ? { ...state, service } : state;
   };
 
+  /** Combines what other VMs answered with what this one knows. */
+  const combineWithLocal = (
+    answers: readonly OriginAnswer[],
+    request: string,
+    service: string,
+  ): StreamOrigin | undefined => {
+    // Without any answer this VM may be cut off, and what it knows may be old.
+    const isCurrent =
+      answers.length > 0 ||
+      (deps.isViewCurrent() && deps.listPeers().every(({ isUnresponsive }) => isUnresponsive));
+    const local = isCurrent ? [getLocalAnswer(request, service)] : [];
+    return combineAnswers([...answers, ...local], service);
+  };
+
   const ask = (
     request: string,
     service: string,
@@ -173,28 +200,25 @@
       if (!questions.delete(question)) return;
       clearInterval(repeatTimer);
       cancelTimeout();
-      // Without any answer this VM may be cut off, and what it knows may be old.
-      const isCurrent = deps.isViewCurrent() || answers.size > 0;
-      const local = getLocalAnswer(request, service);
-      const known = [...answers.values(), ...(isCurrent ? [local] : [])];
-      onDone(combineAnswers(known, service), [...answers.values()]);
+      const received = [...answers.values()];
+      onDone(combineWithLocal(received, request, service), received);
     };
+    const hasOrigin = (): boolean =>
+      combineWithLocal([...answers.values()], request, service) !== undefined;
     const repeatTimer = setInterval(send, repeatMs);
     const cancelTimeout = startReadTimeout(finish, answerTimeoutMs);
-    questions.set(question, {
-      answers,
-      asked: new Set(peers.map(({ address }) => address)),
-      finish,
-    });
+    questions.set(question, { answers, asked: peers, hasOrigin, finish });
     send();
     if (peers.length === 0) finish();
   };
 
   const recordAnswer = (question: number, answer: OriginAnswer, sender: string): void => {
     const pending = questions.get(question);
-    if (!pending?.asked.has(sender)) return;
+    if (!pending?.asked.some(({ address }) => address === sender)) return;
     pending.answers.set(sender, answer);
-    if (answer.kind === 'begun' || pending.answers.size === pending.asked.size) pending.finish();
+    const isAnswered = pending.answers.size === pending.asked.length;
+    const isDecided = haveHoldersAnswered(pending) && pending.hasOrigin();
+    if (answer.kind === 'begun' || isAnswered || isDecided) pending.finish();
   };
 
   const stored = records && {
@@ -247,9 +271,7 @@
     }
     const until = now() + Math.max(0, timeoutAt - now()) * storeWaitShare;
     stored.keeper.awaitRead(until, () => {
-      const isCurrent = deps.isViewCurrent() || answers.length > 0;
-      const local = isCurrent ? [getLocalAnswer(request ?? '', service)] : [];
-      const known = combineAnswers([...answers, ...local], service);
+      const known = combineWithLocal(answers, request ?? '', service);
       if (known) onDone(known, 'store');
       else if (request === undefined) onDone(undefined, 'store');
       else
@@ -270,18 +292,17 @@
     },
     find: (request, service, timeoutAt, onDone) => {
       const known = request === undefined ? undefined : origins.find(request, now());
-      const state = getState(service);
       const finish = (origin: StreamOrigin | undefined, source: string): void => {
         deps.metrics.resumedStreams.inc({ source: origin ? source : 'unknown' });
         log(2314, { resumed: request, source, softwareVersion: origin?.softwareVersion });
         onDone(origin);
       };
       if (known) finish(known, 'here');
-      else if (state.kind === 'only' && deps.isViewCurrent())
-        finish({ service, softwareVersion: state.softwareVersion }, getOnlySource());
       else
         ask(request ?? '', service, (origin, answers) => {
-          if (origin) finish(origin, 'peers');
+          const isBegun = answers.some(({ kind }) => kind === 'begun');
+          const isOnly = !isBegun && getState(service).kind === 'only';
+          if (origin) finish(origin, isOnly ? getOnlySource() : 'peers');
           else findInStore(request, service, timeoutAt, answers, finish);
         });
     },
