Remember a stream for as long as its caller waits, not for a minute

Callers may wait for longer than the minute for which versions that are gone count, while the VMs that were told of a stream forgot it after a minute. A stream of a version that was gone for a minute was then taken up at the only version that was left. Those VMs now remember it until its caller's time is over, for ten minutes at most; the number of streams is bounded as before.

Evidence: unit test only, with eight VMs and a clock that is moved by 75 s: a stream whose caller waits for 120 s was taken up at the other version and is now taken up at its own. What the store keeps for a loss of all VMs is still under a lease of a minute.

--- a/packages/router/src/origin-controller.test.ts
+++ b/packages/router/src/origin-controller.test.ts
@@ -39,6 +39,8 @@
 ) => {
   const gone = new Set<number>();
   let datagrams = 0;
+  let aheadMs = 0;
+  const now = (): number => performance.now() + aheadMs;
   const getAddress = (vm: number): string => `10.0.0.${vm}:7000`;
   const vms: OriginController[] = Array.from({ length: count }, (_, from) =>
     makeOriginController({
@@ -59,14 +61,19 @@
       records: undefined,
       log: () => {},
       metrics: makeRouterMetrics(),
-      now: () => performance.now(),
+      now,
     }),
   );
   const find = (vm: number, request: string | undefined): Promise<StreamOrigin | undefined> =>
     new Promise((resolve) => {
-      vms[vm]?.find(request, 'llm', performance.now() + 5_000, resolve);
+      vms[vm]?.find(request, 'llm', now() + 5_000, resolve);
     });
-  return { vms, gone, find, countDatagrams: () => datagrams };
+  /** Lets a time pass, with a tick of each VM at its end. */
+  const advance = (ms: number): void => {
+    aheadMs += ms;
+    vms.forEach((vm) => vm.tick(now()));
+  };
+  return { vms, gone, find, advance, countDatagrams: () => datagrams };
 };
 
 /** Lets the datagrams that were sent arrive. */
@@ -176,6 +183,23 @@
   t.is(await fleet.find(1, 'r1'), undefined);
 });
 
+// Guards against a stream of two versions: the only version that is left is a later one.
+test.serial(
+  'a stream whose caller waits for two minutes is remembered for as long, its version or not',
+  async (t) => {
+    const fleet = makeFleet(8, { isFirstStart: true });
+    fleet.vms.forEach((vm) => vm.updateServers([engine('v1')]));
+    const requests = Array.from({ length: 20 }, (_, n) => `r${n}`);
+    requests.forEach((id) => fleet.vms[0]?.recordBegin(id, origin, performance.now() + 122_000));
+    await settle();
+    fleet.gone.add(0);
+    fleet.vms.forEach((vm) => vm.updateServers([engine('v2')]));
+    fleet.advance(75_000);
+    t.true(fleet.vms[1]?.hasOnlyVersion('llm'));
+    for (let vm = 1; vm < 8; vm += 1) await checkKnown(t, fleet, vm, requests);
+  },
+);
+
 test('a VM without others relies on what it knows', async (t) => {
   const fleet = makeFleet(1, { isFirstStart: true });
   fleet.vms.forEach((vm) => vm.updateServers([engine('v1')]));
--- a/packages/router/src/origin-controller.ts
+++ b/packages/router/src/origin-controller.ts
@@ -29,6 +29,12 @@
 /** Part of the time left of a caller for which its request waits for the store. */
 const storeWaitShare = 1 / 3;
 
+/**
+ * Time for which a VM that was told of a stream remembers it at most. Callers may wait for longer than versions that
+ * are gone count.
+ */
+const maxToldLifeMs = 600_000;
+
 /** Interval between two removals of streams that can't be taken up any more. */
 const prunePeriodMs = 5_000;
 
@@ -316,7 +322,7 @@
     },
     onMessage: (message, sender) => {
       if (message.kind === 'told') {
-        const lifeMs = Math.min(message.lifeMs, maxStreamLifeMs);
+        const lifeMs = Math.min(message.lifeMs, maxToldLifeMs);
         origins.record(message.request, message.origin, now() + lifeMs);
       } else if (message.kind === 'record') {
         const lifeMs = Math.min(message.lifeMs, maxStreamLifeMs);
