Break off responses without a length whose server has ended

Callers got a stream or a plain body without a length as a whole one although its server's process had been killed inside it: the missing events or bytes could not be seen, with 200, the last chunk and a regular end of the connection.

Cause: such a response ends with its connection, and the kernel closes the connections of a killed process as if their responses were over.

Change: at the regular end of a response without a length, the server is asked which instance it is (`response-ends`). Where it refuses connections, or is another instance than the listed one, the response counts as broken off: a resumable stream goes on at another engine, not at the same address; an idempotent request is repeated; others end in 502 or a connection that is reset. A server that can't be asked, or does not answer within 500 ms, has not ended; a fast failure is asked once more. An instance behind a late entry that was found before the request was sent counts as its server.

The cost is one report for each response without a length. A hand-over, a disconnect and the end of the grace period hold in the meantime.

What it does not tell apart: a server that exits right after a whole response that can't be repeated. That answer now ends in 502 or is broken off.

`run-plain.test` has the new dependency, its assertions are unchanged.

--- a/packages/router/src/plain-attempt.ts
+++ b/packages/router/src/plain-attempt.ts
@@ -8,6 +8,7 @@
 import type { CallContext } from './call-context.js';
 import type { GatheredFlow } from './caller-flows.js';
 import type { CrashWatch } from './crash-watch.js';
+import { endedServerReason } from './response-ends.js';
 import type { RunDeps } from './run-deps.js';
 
 /** Maximum size of a buffered response; a larger response counts as a fault. */
@@ -30,7 +31,7 @@
     };
 
 /** Dependencies of an attempt. */
-export type AttemptDeps = Pick<RunDeps, 'plainLedger' | 'now'> & {
+export type AttemptDeps = Pick<RunDeps, 'plainLedger' | 'responseEnds' | 'now'> & {
   readonly backends: Pick<BackendClient, 'send'>;
   readonly crashWatch: Pick<CrashWatch, 'watchRun'>;
   /** Opens the flow of a response, which holds back servers while callers hold too much. */
@@ -55,7 +56,7 @@
  * const { cancel } = sendPlainAttempt(deps, ctx, server, (outcome) => {});
  */
 export const sendPlainAttempt = (
-  { backends, plainLedger, crashWatch, openGathered, now }: AttemptDeps,
+  { backends, plainLedger, crashWatch, responseEnds, openGathered, now }: AttemptDeps,
   { call, crashParts, timeoutAt }: Pick<CallContext, 'call' | 'crashParts' | 'timeoutAt'>,
   server: BackendServer,
   onDone: (outcome: AttemptOutcome) => void,
@@ -63,6 +64,7 @@
   const allocation = plainLedger.addDecode(server.id, 0);
   const runWatch = crashWatch.watchRun(crashParts, server);
   const flow = openGathered();
+  const sentAt = now();
   let bufferedChunks: Buffer[] = [];
   let bufferedBytes = 0;
   let head: ResponseHead | undefined;
@@ -82,6 +84,17 @@
   const onFault = (fault: CallFault, isCrashing = false): void =>
     onDone({ kind: 'fault', fault, isCrashing });
 
+  const onBreak = (fault: CallFault): void =>
+    finishOnce(() => onFault(fault, fault.kind === 'unknown' && runWatch.recordBreak()));
+
+  const onWhole = (wholeHead: ResponseHead): void =>
+    finishOnce(() =>
+      onDone({
+        kind: 'response',
+        response: { head: wholeHead, body: Buffer.concat(bufferedChunks) },
+      }),
+    );
+
   cancelSend = backends.send(
     server,
     call,
@@ -102,16 +115,24 @@
             onFault({ kind: 'unknown', reason: 'answer too large' });
           });
       },
-      end: () =>
-        finishOnce(() => {
-          // A server that crashes ends an answer without framing in the same way as a whole one.
-          if (head?.isFramed || head?.hasBody === false) runWatch.recordEnd();
-          if (head)
-            onDone({ kind: 'response', response: { head, body: Buffer.concat(bufferedChunks) } });
-          else onFault({ kind: 'unknown', reason: 'answer without a head' });
-        }),
-      fault: (fault) =>
-        finishOnce(() => onFault(fault, fault.kind === 'unknown' && runWatch.recordBreak())),
+      end: () => {
+        const endedHead = head;
+        if (isFinished) return;
+        if (!endedHead) {
+          finishOnce(() => onFault({ kind: 'unknown', reason: 'answer without a head' }));
+          return;
+        }
+        if (endedHead.isFramed || !endedHead.hasBody) {
+          runWatch.recordEnd();
+          onWhole(endedHead);
+          return;
+        }
+        responseEnds.check(server, sentAt, (isWhole) => {
+          if (isWhole) onWhole(endedHead);
+          else onBreak({ kind: 'unknown', reason: endedServerReason });
+        });
+      },
+      fault: onBreak,
     },
   );
   return { cancel: () => finishOnce(cancelSend), isHeldBack: flow.isFull };
--- /dev/null
+++ b/packages/router/src/response-ends.test.ts
@@ -0,0 +1,71 @@
+import test from 'ava';
+import type { InstanceResult } from '@hemlocksill/types/routing-ports.js';
+import { makeServer } from '@hemlocksill/routing/fixtures.js';
+import { makeResponseEnds } from './response-ends.js';
+
+const server = makeServer({ id: 'e1', startedAt: 1_000 });
+
+/** Makes checks whose server answers with these results, one after the other. */
+const makeChecks = (results: readonly InstanceResult[], askMs = 0) => {
+  const remaining = [...results];
+  const logged: number[] = [];
+  let now = 0;
+  const ends = makeResponseEnds({
+    checkInstance: (_, onDone) => {
+      now += askMs;
+      const result = remaining.shift();
+      if (result) onDone(result);
+    },
+    log: (event) => logged.push(event),
+    now: () => now,
+  });
+  return {
+    logged,
+    remaining,
+    setNow: (time: number) => {
+      now = time;
+    },
+    check: (sentAt: number) =>
+      new Promise<boolean>((resolve) => {
+        ends.check(server, sentAt, resolve);
+      }),
+  };
+};
+
+const running = (startedAt: number): InstanceResult => ({ kind: 'running', startedAt });
+
+// Guards against a response that ends with its server and counts as whole.
+test('a response is whole if the listed instance runs, not if it has ended or another one runs', async (t) => {
+  const checks = makeChecks([running(1_000), { kind: 'ended' }, running(2_000)]);
+  t.deepEqual(
+    [await checks.check(0), await checks.check(0), await checks.check(0)],
+    [true, false, false],
+  );
+  t.deepEqual(checks.logged, [2324, 2324]);
+});
+
+test('a server that can’t be asked is asked once more, then the response is whole', async (t) => {
+  const checks = makeChecks([{ kind: 'unknown' }, { kind: 'ended' }]);
+  t.false(await checks.check(0));
+  const twice = makeChecks([{ kind: 'unknown' }, { kind: 'unknown' }, { kind: 'ended' }]);
+  t.true(await twice.check(0));
+  t.is(twice.remaining.length, 1);
+});
+
+test('a server that did not answer in time is not asked again', async (t) => {
+  const checks = makeChecks([{ kind: 'unknown' }, { kind: 'ended' }], 500);
+  t.true(await checks.check(0));
+  t.is(checks.remaining.length, 1);
+});
+
+// Guards against whole responses that fail for as long as the entry of their server is late.
+test('an instance behind a late entry that was found before a request was sent counts as its server', async (t) => {
+  const checks = makeChecks([running(2_000), running(2_000), running(2_000), running(3_000)]);
+  checks.setNow(10);
+  t.false(await checks.check(0));
+  checks.setNow(20);
+  t.deepEqual(
+    [await checks.check(5), await checks.check(15), await checks.check(15)],
+    [false, true, false],
+  );
+});
--- a/packages/router/src/run-deps.ts
+++ b/packages/router/src/run-deps.ts
@@ -11,6 +11,7 @@
 import type { LogRouterEvent } from './events.js';
 import type { LimitController } from './limit-controller.js';
 import type { OriginController } from './origin-controller.js';
+import type { ResponseEnds } from './response-ends.js';
 import type { RouterMetrics } from './router-metrics.js';
 
 /** Dependencies shared by all runs of requests. */
@@ -59,6 +60,7 @@
   /** Notifies the other VMs that work was placed at an engine or has ended there. */
   readonly notifyLoadChange: (server: BackendServer) => void;
   readonly crashWatch: CrashWatch;
+  readonly responseEnds: ResponseEnds;
   readonly origins: Pick<OriginController, 'recordBegin' | 'hasOnlyVersion' | 'isRecorded'>;
   readonly log: LogRouterEvent;
   readonly metrics: RouterMetrics;
--- a/packages/router/src/run-plain.test.ts
+++ b/packages/router/src/run-plain.test.ts
@@ -161,6 +161,9 @@
           };
         },
       },
+      responseEnds: {
+        check: (_, __, onDone) => queueMicrotask(() => onDone(true)),
+      },
       health: {
         ...health,
         record: (id, outcome) => healthRecords.push(`${id} ${outcome}`),
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -11,6 +11,7 @@
 import { makeHandOver, silenceReason, type NextRun, type PreviousRun } from './hand-over.js';
 import { logPlacement } from './log-placement.js';
 import { prepareEngine, type PreparedEngine } from './prepare-engine.js';
+import { endedServerReason } from './response-ends.js';
 import type { RunDeps } from './run-deps.js';
 import { makeEventSplitter } from './sse-events.js';
 import { makeStreamClass } from './stream-class.js';
@@ -87,6 +88,8 @@
   let mayHaveRun = false;
   /** Whether the stream was continued at the engine whose connection broke. */
   let hasContinued = false;
+  /** Whether nothing may be left of the stream, since an engine that has ended may have ended it before. */
+  let mayBeWhole = false;
   /** Time by which the stream must be placed again, once it had to leave an engine. */
   let resumeBy = 0;
   let lastEventId: string | undefined;
@@ -509,13 +512,17 @@
         end: () => {
           if (!isErrorHead()) takeOver(silenceReason);
           const isFramed = head !== undefined && (head.isFramed || !head.hasBody);
-          const isEmpty = isFirstChunk && !isFramed && !isErrorHead();
+          const isEmpty = isFirstChunk && !isFramed && !isErrorHead() && !mayBeWhole;
           const isCut = isEmpty || splitter.hasIncompleteEvent();
           // An error response without a body to a stream that has already begun.
           const isError = isErrorHead() && !isForwardingError && responder.hasSentHead();
           const cutReason = `the stream ended ${isEmpty ? 'before its first event' : 'inside an event'}`;
           if (isCut && tryLeaveBroken(cutReason)) return;
           if (isError && handOver.tryComplete(resumedStreamFault.reason)) return;
+          if (!isFramed && !isCut && !isError && !runToLeave) {
+            checkEnd();
+            return;
+          }
           if (!tryFinish(getEnd(isFramed, isCut))) return;
           if (runToLeave) {
             runToLeave.keep(resumedStreamFault);
@@ -530,10 +537,8 @@
             handleBreak({ kind: 'unknown', reason: cutReason });
             return;
           }
-          // An engine that crashes between two events ends a stream without framing in the same way.
-          if (isFramed) runWatch.recordEnd();
-          if (!responder.hasSentHead() && head) responder.sendHead(head);
-          responder.end();
+          runWatch.recordEnd();
+          endResponse();
         },
         fault: (fault) => {
           if (fault.kind === 'not-sent') sentTo.delete(server.id);
@@ -558,16 +563,40 @@
       if (runWatch.recordBreak()) leftServers.pop();
       return true;
     };
-    /** Continues a stream that broke, unless another engine would probably crash on it, too. */
-    const handleBreak = (fault: CallFault): void => {
+    /**
+     * Continues a stream that broke, unless another engine would probably crash on it, too; `goOn` says where,
+     * by default at the same engine.
+     */
+    const handleBreak = (fault: CallFault, goOn = continueOrResume): void => {
       const isCrashing = fault.kind === 'unknown' && runWatch.recordBreak();
       if (!isCrashing) {
-        continueOrResume(server, fault, unusedPrefill);
+        goOn(server, fault, unusedPrefill);
         return;
       }
       recordFault(server, 'decode', fault);
       failOrRefuse(fault.reason, noEngineRetryAfterMs);
     };
+    const endResponse = (): void => {
+      if (!responder.hasSentHead() && head) responder.sendHead(head);
+      responder.end();
+    };
+    /**
+     * Ends a stream whose response has no length, or goes on elsewhere if the engine has ended with it. An engine
+     * that takes the stream over meanwhile goes on with it.
+     */
+    const checkEnd = (): void =>
+      deps.responseEnds.check(server, sentAt, (isWhole) => {
+        mayBeWhole ||= !isWhole;
+        if (!isRunning || (!isWhole && tryLeaveBroken(endedServerReason))) return;
+        if (!tryFinish(isWhole ? getEnd(false, false) : 'broken')) return;
+        if (isWhole) {
+          endResponse();
+          return;
+        }
+        mayHaveRun = true;
+        if (isForwardingError) responder.fail(502, endedServerReason);
+        else handleBreak({ kind: 'unknown', reason: endedServerReason }, resumeOrFail);
+      });
     /** Treats a response that is not valid as a broken connection. */
     const breakOff = (reason: string): void => {
       if (tryLeaveBroken(reason) || !tryFinish('broken')) return;
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -57,6 +57,7 @@
 import type { RunDeps } from './run-deps.js';
 import { makePlainOutbox } from './plain-outbox.js';
 import { makePlainPlacement } from './plain-placement.js';
+import { makeResponseEnds } from './response-ends.js';
 import { runPlain, type PlainDeps } from './run-plain.js';
 import { runStream } from './run-stream.js';
 import { makeCrashWatch } from './crash-watch.js';
@@ -541,6 +542,7 @@
       if (queue.size() > 0) setImmediate(() => queue.process(now()));
     },
     crashWatch,
+    responseEnds: makeResponseEnds({ checkInstance: backends.checkInstance, log, now }),
     origins,
     log,
     metrics,
