Frame what is forwarded from servers, so that a killed VM's end is no end

What callers saw: a VM that reaches no server forwards its requests through another VM. When that VM was killed while it forwarded a response without a length, the caller got the part that had come through as the whole response: 200 for a plain request, a stream that ended in the regular way.

Cause: the operating system closes the connections of a killed process. If nothing unread is left on them, that is a regular end, which the VM of the caller can't tell from the end that the server made.

Change: both VMs agree by a field of the CONNECT request and its answer that what the server sends is forwarded in frames, and its regular end as a frame of length 0. An end without that frame is an error of the socket, reported once what came before it is read, so that a response with a length whose last byte has come isn't lost. A VM that doesn't know the field forwards bytes as before.

Why it works: only the process that has read the end of the server's connection writes the frame; the operating system can't. To ask the other VM afterwards whether it still lives was ruled out: the listener of a process that is being killed may close after its connections, a VM that restarted at once answers, too, and the question costs a round trip for each such response.

--- a/packages/router/src/open-tunnel.ts
+++ b/packages/router/src/open-tunnel.ts
@@ -1,6 +1,7 @@
 import { request, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import { err, ok, type Result } from 'neverthrow';
+import { framing, framingField, readFrames } from './tunnel-frames.js';
 
 /** Why no connection was opened through a VM. */
 export type TunnelFault =
@@ -40,11 +41,22 @@
     isDone = true;
     onDone(result);
   };
-  const req = request({ host, port, method: 'CONNECT', path: address, agent: false });
-  req.on('connect', (res, socket: Socket) => {
+  const req = request({
+    host,
+    port,
+    method: 'CONNECT',
+    path: address,
+    headers: { [framingField]: framing },
+    agent: false,
+  });
+  req.on('connect', (res, socket: Socket, head) => {
     const statusCode = hasValidHead(res) ? res.statusCode : undefined;
     if (statusCode === openedStatus && !isDone) {
       socket.setNoDelay(true);
+      if (res.headers[framingField.toLowerCase()] === framing) {
+        readFrames(socket);
+        if (head.length > 0) socket.push(head);
+      }
       finish(ok(socket));
       return;
     }
--- a/packages/router/src/server-tunnels.test.ts
+++ b/packages/router/src/server-tunnels.test.ts
@@ -1,5 +1,6 @@
 import { createServer } from 'node:http';
 import {
+  connect,
   createServer as createTcpServer,
   type AddressInfo,
   type Server,
@@ -69,6 +70,19 @@
   return undefined;
 });
 
+// Guards against an upgrade during which VMs of two versions can't forward for each other.
+test('bytes are forwarded unframed to a VM that does not ask for frames', async (t) => {
+  const { relay, target } = await startRelay(t, (socket) => socket.pipe(socket));
+  const [host = '', port] = relay.split(':');
+  const socket = connect(Number(port), host);
+  t.teardown(() => socket.destroy());
+  const received = readAll(socket);
+  socket.write(`CONNECT ${target} HTTP/1.1\r\nHost: ${relay}\r\n\r\n`);
+  await once(socket, 'data');
+  socket.end('hello');
+  t.is(await received, 'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nhello end');
+});
+
 // Guards against responses without a length that are broken off and look complete.
 test('a reset is forwarded as a reset', async (t) => {
   const { relay, target } = await startRelay(t, (socket) => {
--- a/packages/router/src/server-tunnels.ts
+++ b/packages/router/src/server-tunnels.ts
@@ -2,6 +2,7 @@
 import { connect, type Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import { reportResets } from '@hemlocksill/sockets/report-resets.js';
+import { forwardAsFrames, framing, framingField } from './tunnel-frames.js';
 
 /** Time limit for opening the connection to the server; the other VM waits somewhat longer. */
 const connectTimeoutMs = 100;
@@ -29,13 +30,17 @@
   refused: '503 Service Unavailable',
 } as const;
 
-const formatHead = (status: keyof typeof statusLines): string =>
-  `HTTP/1.1 ${statusLines[status]}\r\nContent-Length: 0\r\n\r\n`;
+const formatHead = (status: keyof typeof statusLines, lines: readonly string[] = []): string =>
+  [`HTTP/1.1 ${statusLines[status]}`, 'Content-Length: 0', ...lines, '\r\n'].join('\r\n');
 
-/** Forwards the bytes of one connection to the other, and the way in which it ends. */
-const forward = (from: Socket, to: Socket): void => {
+const forwardBytes = (from: Socket, to: Socket): void => {
   from.pipe(to, { end: false });
   from.on('end', () => to.end());
+};
+
+/** Forwards one connection to the other, and the way in which it ends. */
+const forward = (from: Socket, to: Socket, forwardData = forwardBytes): void => {
+  forwardData(from, to);
   from.on('error', () => to.resetAndDestroy());
   from.on('close', () => {
     if (!from.readableEnded) to.resetAndDestroy();
@@ -54,7 +59,7 @@
 export const serveServerTunnels = (server: Server, deps: ServerTunnelsDeps): ServerTunnels => {
   const tunnels = new Set<Socket>();
 
-  const openTunnel = (address: string, socket: Socket): void => {
+  const openTunnel = (address: string, socket: Socket, isFramed: boolean): void => {
     const [, host, port] = /^(.+):(\d+)$/.exec(address) ?? [];
     const target = connect({ host, port: Number(port), noDelay: true, allowHalfOpen: true });
     tunnels.add(socket);
@@ -74,10 +79,10 @@
     target.once('connect', () => {
       clearTimeout(timer);
       target.off('error', refuse);
-      socket.write(formatHead('opened'));
+      socket.write(formatHead('opened', isFramed ? [`${framingField}: ${framing}`] : []));
       // Taken for a regular end, a reset would make a response without a length look complete.
       reportResets(target);
-      forward(target, socket);
+      forward(target, socket, isFramed ? forwardAsFrames : forwardBytes);
       forward(socket, target);
       // A reset of the other VM, too, can be reported as its end; a write of no bytes gets the error.
       socket.on('end', () => socket.writable && socket.write(''));
@@ -90,7 +95,10 @@
     if (!deps.acceptsTunnels() || tunnels.size >= deps.maxTunnels)
       socket.end(formatHead('refused'));
     else if (!deps.isServer(address)) socket.end(formatHead('notFound'));
-    else openTunnel(address, socket as Socket);
+    else {
+      const isFramed = req.headers[framingField.toLowerCase()] === framing;
+      openTunnel(address, socket as Socket, isFramed);
+    }
   });
 
   return {
