Wait for VMs that remember a stream beside those that have just started

Three of the first four VMs that are asked were enough for the only version that is known, also if they had restarted since the stream began and had forgotten it. The answer of the one that remembers it then came too late. An answer of a VM that has just started, and says that it doesn't know how many versions there were, no longer counts among the three; if all that may answer have done so, nothing is waited for, as before.

Evidence: a unit test, in which three VMs that have just started answer before the one that remembers: the stream went on at v1 in place of v2. A VM that has read the record of versions in the store says that there is one also after a restart, and still counts.

--- a/packages/router/src/origin-controller.test.ts
+++ b/packages/router/src/origin-controller.test.ts
@@ -8,6 +8,7 @@
   decodeOriginMessage,
   encodeOriginMessage,
   originTag,
+  type OriginAnswer,
   type OriginMessage,
 } from './origin-message.js';
 import { makeRouterMetrics } from './router-metrics.js';
@@ -200,6 +201,31 @@
   },
 );
 
+// Guards against a stream of two versions: VMs that were told of it restarted, and have forgotten it.
+test('VMs that have just started are not enough for the only version that is known', async (t) => {
+  const asked: string[] = [];
+  const controller = makeOriginController({
+    listPeers: () =>
+      Array.from({ length: 8 }, (_, n) => ({ vm: `vm-${n}`, address: `10.0.0.${n}:7000` })),
+    sendDatagram: (_, address) => asked.push(address),
+    isViewCurrent: () => true,
+    isFirstStart: true,
+    records: undefined,
+    log: () => {},
+    metrics: makeRouterMetrics(),
+    now: () => performance.now(),
+  });
+  controller.updateServers([engine('v1')]);
+  const found = new Promise<StreamOrigin | undefined>((resolve) => {
+    controller.find('r1', 'llm', performance.now() + 5_000, resolve);
+  });
+  const answer = (address: string | undefined, known: OriginAnswer): void =>
+    controller.onMessage({ kind: 'answered', question: 1, answer: known }, address ?? '');
+  asked.slice(0, 3).forEach((address) => answer(address, { kind: 'unknown' }));
+  answer(asked[3], { kind: 'begun', service: 'llm', softwareVersion: 'v2' });
+  t.is((await found)?.softwareVersion, 'v2');
+});
+
 test('a VM without others relies on what it knows', async (t) => {
   const fleet = makeFleet(1, { isFirstStart: true });
   fleet.vms.forEach((vm) => vm.updateServers([engine('v1')]));
--- a/packages/router/src/origin-controller.ts
+++ b/packages/router/src/origin-controller.ts
@@ -90,9 +90,12 @@
 /**
  * Whether the VMs that were told of a stream have answered, or all that may answer. They are the first ones of the
  * asked, without the VM that began it; so of one more than their number, one may be silent, since it is mostly that VM.
+ * A VM that has just started, and doesn't know how many versions there were, may have forgotten the stream.
  */
 const haveHoldersAnswered = ({ answers, asked }: Question): boolean =>
-  asked.slice(0, holderCount + 1).filter(({ address }) => answers.has(address)).length >=
+  asked
+    .slice(0, holderCount + 1)
+    .filter(({ address }) => (answers.get(address)?.kind ?? 'unknown') !== 'unknown').length >=
     holderCount ||
   asked.every(({ address, isUnresponsive }) => isUnresponsive || answers.has(address));
 
