Pass on no events that are out of order

Callers got events twice, numbers that went back, or events without those before them, within one answer, when an engine went on too early, at the first event or too late, or repeated events. An engine that took a silent stream over did so with its first byte, so that the stream left a sound engine for one whose answer was then cut or out of order.

Cause: the ids of events were read for the log and for resumption, and never compared.

Evidence: `event-order` of platform plays such engines over real sockets before a router process.

Change: `event-order` of routing compares the ids of a stream over all its runs. Ids that are whole numbers must rise; where they have risen by one each, the first event of a run must be the next one. A silent stream leaves its engine only for whole events in order, or after 250 ms as before.

The splitter reads no ids any more. Three tests of `sse-events` that asked it for the last id read it from the order of the events that it returned; the last of them compares the event itself, since nothing after it was returned.

Not seen: a gap within a run, a gap after a single event, and ids of more than 15 digits, which are not compared.

--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -6,6 +6,11 @@
   PrefillResult,
 } from '@hemlocksill/types/routing-ports.js';
 import type { MemoryAllocation } from '@hemlocksill/routing/engine-ledger.js';
+import {
+  describeOrderFault,
+  makeEventOrder,
+  type OrderFault,
+} from '@hemlocksill/routing/event-order.js';
 import type { CallContext, Responder } from './call-context.js';
 import { blockedRetryAfterMs, describePart, getBlockedReason } from './crash-watch.js';
 import { makeHandOver, silenceReason, type NextRun, type PreviousRun } from './hand-over.js';
@@ -93,6 +98,7 @@
   /** Time by which the stream must be placed again, once it had to leave an engine. */
   let resumeBy = 0;
   let lastEventId: string | undefined;
+  const eventOrder = makeEventOrder(call.metadata.lastEventId);
   let cancelAttempt: CancelCall = () => {};
 
   const getRemainingMs = (): number => ctx.timeoutAt - deps.now();
@@ -365,6 +371,7 @@
     const unusedPrefill = prefilled && { ...prefilled, hadReservation: reservation !== undefined };
     const runWatch = deps.crashWatch.watchRun(ctx.crashParts, server);
     const splitter = makeEventSplitter();
+    const runOrder = eventOrder.startRun();
     const sentAt = deps.now();
     let head: ResponseHead | undefined;
     let isFirstChunk = true;
@@ -442,8 +449,8 @@
         server: server.id,
         startedAt: server.startedAt,
         softwareVersion: server.softwareVersion,
-        firstEvent: splitter.getFirstId(),
-        lastEvent: splitter.getLastId(),
+        firstEvent: runOrder.getFirstId(),
+        lastEvent: runOrder.getLastId(),
         end,
       });
       return true;
@@ -464,7 +471,7 @@
       return isFramed ? 'framed' : 'connection-closed';
     };
     const forwardEvents = (events: Buffer): void => {
-      lastEventId = splitter.getLastId() ?? lastEventId;
+      lastEventId = runOrder.getLastId() ?? lastEventId;
       engines.recordBegin(server);
       if (!responder.hasSentHead() && head) responder.sendHead(head);
       responder.write(events);
@@ -485,7 +492,6 @@
         },
         data: (chunk) => {
           if (!isRunning) return;
-          if (!isErrorHead()) takeOver(silenceReason);
           if (head && isErrorHead()) {
             forwardErrorResponse(head, chunk);
             return;
@@ -503,20 +509,26 @@
             return;
           }
           if (!events) return;
-          runWatch.recordEvent();
-          allocation.grow(engine?.tokensPerEvent ?? 1);
-          forwardEvents(events);
-          // Bytes without a complete event don't count: a stalled stream may still send some.
-          handOver.restart();
+          const { bytes, fault } = runOrder.accept(events);
+          if (bytes > 0) {
+            // The engine that the stream leaves may be sound, so only events that go on with it count.
+            takeOver(silenceReason);
+            runWatch.recordEvent();
+            allocation.grow(engine?.tokensPerEvent ?? 1);
+            forwardEvents(events.subarray(0, bytes));
+            // Bytes without a complete event don't count: a stalled stream may still send some.
+            handOver.restart();
+          }
+          if (fault) leaveFaulty(fault);
         },
         end: () => {
-          if (!isErrorHead()) takeOver(silenceReason);
           const isFramed = head !== undefined && (head.isFramed || !head.hasBody);
           const isEmpty = isFirstChunk && !isFramed && !isErrorHead() && !mayBeWhole;
           const isCut = isEmpty || splitter.hasIncompleteEvent();
           // An error response without a body to a stream that has already begun.
           const isError = isErrorHead() && !isForwardingError && responder.hasSentHead();
           const cutReason = `the stream ended ${isEmpty ? 'before its first event' : 'inside an event'}`;
+          if (!isErrorHead() && !isCut) takeOver(silenceReason);
           if (isCut && tryLeaveBroken(cutReason)) return;
           if (isError && handOver.tryComplete(resumedStreamFault.reason)) return;
           if (!isFramed && !isCut && !isError && !runToLeave) {
@@ -525,7 +537,7 @@
           }
           if (!tryFinish(getEnd(isFramed, isCut))) return;
           if (runToLeave) {
-            runToLeave.keep(resumedStreamFault);
+            runToLeave.keep(isCut ? { kind: 'unknown', reason: cutReason } : resumedStreamFault);
             return;
           }
           if (isError) {
@@ -599,10 +611,32 @@
       });
     /** Treats a response that is not valid as a broken connection. */
     const breakOff = (reason: string): void => {
-      if (tryLeaveBroken(reason) || !tryFinish('broken')) return;
+      const fault: CallFault = { kind: 'unknown', reason };
+      if (keepPrevious(fault) || tryLeaveBroken(reason) || !tryFinish('broken')) return;
+      cancelSend();
+      mayHaveRun = true;
+      handleBreak(fault);
+    };
+    /** Leaves an engine whose events are out of order; it has not crashed, but is not gone back to. */
+    const leaveFaulty = (orderFault: OrderFault): void => {
+      const fault: CallFault = { kind: 'unknown', reason: describeOrderFault(orderFault) };
+      excluded.add(server.id);
+      if (keepPrevious(fault)) return;
+      if (handOver.tryComplete(fault.reason)) {
+        leftServers.pop();
+        return;
+      }
+      if (!tryFinish('broken')) return;
       cancelSend();
       mayHaveRun = true;
-      handleBreak({ kind: 'unknown', reason });
+      resumeOrFail(server, fault, unusedPrefill);
+    };
+    /** Stays with the run that the stream has not left yet, since this one failed; false if there is none. */
+    const keepPrevious = (fault: CallFault): boolean => {
+      if (!runToLeave || !tryFinish('broken')) return false;
+      cancelSend();
+      runToLeave.keep(fault);
+      return true;
     };
     const forwardErrorResponse = (errorHead: ResponseHead, chunk: Buffer): void => {
       if (runToLeave) {
--- a/packages/router/src/sse-events.test.ts
+++ b/packages/router/src/sse-events.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import fc from 'fast-check';
+import { makeEventOrder } from '@hemlocksill/routing/event-order.js';
 import { makeEventSplitter, maxEventBytes } from './sse-events.js';
 
 test('complete events are returned in order, however the bytes are split into chunks', (t) => {
@@ -13,14 +14,18 @@
         })
         .join('');
       const splitter = makeEventSplitter();
+      const run = makeEventOrder().startRun();
       let out = '';
       let remaining = `${text}id: 99\ndata: unfinished`;
       [...cuts, remaining.length].forEach((cut) => {
-        out += splitter.push(Buffer.from(remaining.slice(0, cut)))?.toString() ?? '';
+        const complete = splitter.push(Buffer.from(remaining.slice(0, cut)));
+        if (complete && run.accept(complete).bytes !== complete.length)
+          throw new Error('events out of order');
+        out += complete?.toString() ?? '';
         remaining = remaining.slice(cut);
       });
       const expectedId = events.length > 0 ? String(events.length) : undefined;
-      return out === text && splitter.getLastId() === expectedId && splitter.hasIncompleteEvent();
+      return out === text && run.getLastId() === expectedId && splitter.hasIncompleteEvent();
     }),
   );
   t.pass();
@@ -30,13 +35,16 @@
   const splitter = makeEventSplitter();
   const events = splitter.push(Buffer.from('weight-versions: 2\nid: 4\ndata: x\n\n'));
   t.is(events?.toString(), 'weight-versions: 2\nid: 4\ndata: x\n\n');
-  t.is(splitter.getLastId(), '4');
+  const run = makeEventOrder().startRun();
+  t.is(events && run.accept(events).fault, undefined);
+  t.is(run.getLastId(), '4');
   t.false(splitter.hasIncompleteEvent());
 });
 
 test('an event without an end is reported before it takes more memory than allowed', (t) => {
   const splitter = makeEventSplitter();
-  t.is(splitter.push(Buffer.from('id: 1\ndata: a\n\n'))?.length, 15);
+  const events = splitter.push(Buffer.from('id: 1\ndata: a\n\n'));
+  t.is(events?.length, 15);
   const chunk = Buffer.alloc(1_000, 'x');
   let bytes = 0;
   while (!splitter.hasOversizedEvent() && bytes < 10 * maxEventBytes) {
@@ -45,7 +53,7 @@
   }
   t.true(bytes > maxEventBytes && bytes <= maxEventBytes + chunk.length);
   t.true(splitter.hasIncompleteEvent());
-  t.is(splitter.getLastId(), '1');
+  t.is(events?.toString(), 'id: 1\ndata: a\n\n');
 });
 
 test('an event that was returned does not change when more bytes arrive', (t) => {
--- a/packages/router/src/sse-events.ts
+++ b/packages/router/src/sse-events.ts
@@ -2,10 +2,6 @@
 export interface EventSplitter {
   /** Adds bytes and returns the events completed by them, if any. */
   readonly push: (chunk: Buffer) => Buffer | undefined;
-  /** Id of the first complete event. */
-  readonly getFirstId: () => string | undefined;
-  /** Id of the last complete event. */
-  readonly getLastId: () => string | undefined;
   /** Whether bytes of an incomplete event are buffered. */
   readonly hasIncompleteEvent: () => boolean;
   /** Whether the incomplete event is larger than `maxEventBytes`; nothing may be added then. */
@@ -29,20 +25,6 @@
   return 0;
 };
 
-/** Reads the value of the id field that starts at a position, or before the line break there. */
-const readIdAt = (text: string, fieldStart: number): string | undefined => {
-  if (fieldStart < 0) return undefined;
-  const valueStart = text.indexOf(':', fieldStart) + 1;
-  const end = text.indexOf('\n', valueStart);
-  return text.slice(valueStart, end < 0 ? undefined : end).trim();
-};
-
-const readFirstId = (text: string): string | undefined =>
-  readIdAt(text, text.startsWith('id:') ? 0 : text.indexOf('\nid:'));
-
-const readLastId = (text: string): string | undefined =>
-  readIdAt(text, Math.max(text.lastIndexOf('\nid:'), text.startsWith('id:') ? 0 : -1));
-
 /**
  * Makes a splitter; an incomplete event is never forwarded.
  *
@@ -53,8 +35,6 @@
   /** Holds the incomplete event in its first bytes. */
   let buffer: Buffer = Buffer.alloc(0);
   let bufferedBytes = 0;
-  let firstId: string | undefined;
-  let lastId: string | undefined;
 
   const append = (chunk: Buffer): void => {
     if (chunk.length === 0) return;
@@ -85,13 +65,8 @@
       buffer = Buffer.alloc(0);
       bufferedBytes = 0;
       append(data.subarray(end));
-      const text = events.toString('latin1');
-      firstId ??= readFirstId(text);
-      lastId = readLastId(text) ?? lastId;
       return events;
     },
-    getFirstId: () => firstId,
-    getLastId: () => lastId,
     hasIncompleteEvent: () => bufferedBytes > 0,
     hasOversizedEvent: () => bufferedBytes > maxEventBytes,
   };
