Keep an instance that the copy of a restored store shows before its restart

The store came back from a copy that was older than the restart of some engines, so that their entries named the process before: the earlier start time, and its version. Streams that began there until the engines wrote again were bound to that version, and went on at an engine that has it.

The directory let any entry of a later era replace the known one. An entry that was in the copy (up to the first listing of the era) and names an earlier start time describes a process that has ended, so the known instance is kept until it is written again. In the same way, an entry of an instance before the one that was removed last names no server.

--- a/packages/routing/src/server-directory.test.ts
+++ b/packages/routing/src/server-directory.test.ts
@@ -118,3 +118,30 @@
   t.false(directory.isLeftOver(makeListed('a', makeStoreRevision(1, 10), { startedAt: 2 })));
   t.false(directory.isLeftOver(makeListed('a', makeStoreRevision(1, 21))));
 });
+
+// Guards against streams that are bound to the version of a process that has ended.
+test('after a restore, an instance stays known though the copy shows the one before it', (t) => {
+  const directory = makeServerDirectory();
+  directory.applyEntry(makeListed('a', 10, { startedAt: 1 }));
+  directory.applyEntry(makeListed('a', 40, { startedAt: 2, softwareVersion: 'v2' }));
+  const restoredAt = makeStoreRevision(1, 20);
+  const copied = makeListed('a', makeStoreRevision(1, 10), { startedAt: 1 });
+  directory.recordListing(restoredAt);
+  t.false(directory.applyEntry(copied));
+  directory.applyListing(restoredAt, [copied], 1_000);
+  const listVersions = () =>
+    directory.listReady('desk', 9_000).map(({ softwareVersion }) => softwareVersion);
+  t.deepEqual(listVersions(), ['v2']);
+  const written = { startedAt: 2, softwareVersion: 'v2', state: 'draining' as const };
+  t.true(directory.applyEntry(makeListed('a', makeStoreRevision(1, 21), written)));
+  t.deepEqual(listVersions(), []);
+});
+
+test('after a restore, an entry of an instance before the removed one names no server', (t) => {
+  const directory = makeServerDirectory();
+  directory.applyEntry(makeListed('a', 10, { startedAt: 1 }));
+  directory.applyEntry(makeListed('a', 30, { startedAt: 2 }));
+  directory.applyRemoval('a', 40, 100);
+  directory.recordListing(makeStoreRevision(1, 20));
+  t.true(directory.isLeftOver(makeListed('a', makeStoreRevision(1, 10), { startedAt: 1 })));
+});
--- a/packages/routing/src/server-directory.ts
+++ b/packages/routing/src/server-directory.ts
@@ -34,7 +34,7 @@
    */
   readonly recordListing: (revision: number) => void;
   /**
-   * Whether an entry is left over in a restored store although its instance was removed before;
+   * Whether an entry is left over in a restored store although its instance, or a later one, was removed before;
    * the instance has not written it since.
    */
   readonly isLeftOver: (listed: ListedServer) => boolean;
@@ -108,11 +108,23 @@
     }
   };
 
+  /** Whether an entry was in the copy with which the store was restored since the known one was written. */
+  const isFromCopy = (revision: number, current: Entry): boolean =>
+    getStoreEra(revision) > getStoreEra(current.revision) && revision <= firstListingOfEra;
+
   const applyEntry = (listed: ListedServer): boolean => {
     latestRevision = Math.max(latestRevision, listed.revision);
     const current = entries.get(listed.key);
     if (current && current.revision >= listed.revision) return false;
     const { server } = listed;
+    // The copy may hold the entry of an instance that ended; the later one writes its own again.
+    if (
+      current?.server &&
+      server &&
+      server.startedAt < current.server.startedAt &&
+      isFromCopy(listed.revision, current)
+    )
+      return false;
     if (current?.server && current.server.startedAt !== server?.startedAt)
       leavingInstances.delete(getInstanceKey(current.server));
     // A restored store may hold the state from before an instance began to drain.
@@ -133,9 +145,9 @@
       return (
         current?.goneStartedAt !== undefined &&
         current.removedAt === undefined &&
-        current.goneStartedAt === server?.startedAt &&
-        getStoreEra(revision) > getStoreEra(current.revision) &&
-        revision <= firstListingOfEra
+        server !== undefined &&
+        server.startedAt <= current.goneStartedAt &&
+        isFromCopy(revision, current)
       );
     },
     applyListing: (revision, listed, now) => {
