Send streams only to the instance that is listed, confirmed on their connection

An engine that came back under its id and address with another version has, until its entry shows that, the entry of the process before. Streams that had begun went on there, and streams that began there were bound to the version of the entry and went on at an engine that has it.

The version was a fact about an id, the events those of a process. The start time of an engine was asked for only when a stream that had begun was about to be placed, not while all entries named one version, which is when the first engine with a new one appears; on another connection than the run's, so that the engine could restart between the report and the run; and never when a stream began.

The identity now belongs to the connection, which ends with the process at its other end. Runs and reservations of resumable streams, and of those that callers take up, are sent only on a connection on which the engine has stated the start time that is listed; one on which it has not is asked first. Otherwise the call is a fault 'not-sent' that names the start time that was found. The question is one request a connection, charged at limited engines; a retry that was taken for a run that was not sent is given back.

A VM that has found a later instance sends no stream to it until its entry changes (2123); there is no cooldown, which would last into the time of the new entry. Only while its service has no other engine for streams, as in an outage of the store that outlasts the restart of all engines, streams begin there; they are bound to that instance by a version of its own.

Not covered: prefills are sent without a confirmation, and streams that are neither resumable nor taken up.

--- a/packages/router/src/charged-backends.test.ts
+++ b/packages/router/src/charged-backends.test.ts
@@ -1,5 +1,9 @@
 import test from 'ava';
-import type { BackendClient, ForwardedCall } from '@hemlocksill/types/routing-ports.js';
+import type {
+  BackendClient,
+  ForwardedCall,
+  InstanceOptions,
+} from '@hemlocksill/types/routing-ports.js';
 import { makeServer } from '@hemlocksill/routing/fixtures.js';
 import { makeChargedBackends } from './charged-backends.js';
 
@@ -63,6 +67,35 @@
   t.is(getCharged(), 7);
 });
 
+test('the question for the instance that a call wants is charged when it is sent', (t) => {
+  const asked: (() => void)[] = [];
+  const charged: (string | undefined)[] = [];
+  const take = ({ onInstanceAsked }: InstanceOptions = {}): (() => void) => {
+    if (onInstanceAsked) asked.push(onInstanceAsked);
+    return () => {};
+  };
+  const { client: others } = makeClient({});
+  const client = makeChargedBackends(
+    {
+      ...others,
+      send: (_, __, options) => take(options),
+      prefill: (_, __, ___, ____, options) => take(options),
+      reserve: (_, __, ___, ____, options) => take(options),
+    },
+    {
+      recordSend: (_, request) => charged.push(request),
+      hasRoom: () => true,
+      isCold: () => false,
+      isEvacuated: () => false,
+    },
+  );
+  sendAll(client, []);
+  const before = charged.length;
+  t.is(asked.length, 3);
+  asked.forEach((ask) => ask());
+  t.deepEqual(charged.slice(before), [undefined, undefined, undefined]);
+});
+
 test('nothing reaches an evacuated data centre, and each caller is told, after its call has returned', async (t) => {
   const { client, sent, getCharged } = makeClient({ isEvacuated: true });
   const outcomes: unknown[] = [];
--- a/packages/router/src/charged-backends.ts
+++ b/packages/router/src/charged-backends.ts
@@ -1,5 +1,10 @@
 import type { BackendServer } from '@hemlocksill/types/routing.js';
-import type { BackendClient, CallFault, CancelCall } from '@hemlocksill/types/routing-ports.js';
+import type {
+  BackendClient,
+  CallFault,
+  CancelCall,
+  InstanceOptions,
+} from '@hemlocksill/types/routing-ports.js';
 
 /** Accounts of the requests to backend servers that name a limit. */
 export interface SendAccounts {
@@ -43,31 +48,38 @@
 ): BackendClient => {
   const mayRelease = (server: BackendServer): boolean =>
     !isEvacuated(server) && (!isCold(server) || hasRoom(server));
+  /** Has the question for the instance charged when it is sent, if it is. */
+  const chargeQuestion = (server: BackendServer): InstanceOptions => ({
+    onInstanceAsked: () => recordSend(server),
+  });
 
   return {
     send: (server, call, options, observer) => {
       if (isEvacuated(server)) return reportUnsent(() => observer.fault(unsentFault));
       recordSend(server, call.metadata.id);
-      return backends.send(server, call, options, observer);
+      return backends.send(server, call, { ...options, ...chargeQuestion(server) }, observer);
     },
-    prefill: (server, call, remainingMs, onDone) => {
+    prefill: (server, call, remainingMs, onDone, options) => {
       if (isEvacuated(server))
         return reportUnsent(() => onDone({ kind: 'fault', fault: unsentFault }));
       recordSend(server, call.metadata.id);
-      return backends.prefill(server, call, remainingMs, onDone);
+      return backends.prefill(server, call, remainingMs, onDone, {
+        ...options,
+        ...chargeQuestion(server),
+      });
     },
     releasePrefill: (result) => {
       if (!mayRelease(result.server)) return;
       recordSend(result.server);
       backends.releasePrefill(result);
     },
-    reserve: (server, tokens, ttlMs, onDone) => {
+    reserve: (server, tokens, ttlMs, onDone, options) => {
       if (isEvacuated(server)) {
         reportUnsent(() => onDone({ kind: 'fault', reason: evacuatedReason }));
         return;
       }
       recordSend(server);
-      backends.reserve(server, tokens, ttlMs, onDone);
+      backends.reserve(server, tokens, ttlMs, onDone, { ...options, ...chargeQuestion(server) });
     },
     releaseReservation: (server, reservation) => {
       if (!mayRelease(server)) return;
--- a/packages/router/src/events.ts
+++ b/packages/router/src/events.ts
@@ -38,6 +38,7 @@
   2120: { level: 'warn', text: 'newer configuration not received yet' },
   2121: { level: 'warn', text: 'VM partitioned from the backend servers' },
   2122: { level: 'info', text: 'backend servers reachable again' },
+  2123: { level: 'info', text: 'backend server restarted, its entry is older' },
   2201: { level: 'info', text: 'peer responsive' },
   2202: { level: 'warn', text: 'peer unresponsive' },
   2203: { level: 'warn', text: 'peer message not readable' },
--- a/packages/router/src/prepare-engine.test.ts
+++ b/packages/router/src/prepare-engine.test.ts
@@ -23,7 +23,7 @@
     getBegunVersion: () => undefined,
     fits: () => true,
     recordBegin: () => {},
-    confirmInstance: (_, onDone) => onDone(true),
+    confirmsInstance: true,
     choosePrefill: () => ({ server: prefill, expectedMs: 90 }),
     choosePlacement: () => (hasPlacement ? { decode, prefill, prefillMs: 90 } : undefined),
     allocateMemory: () => ({
--- a/packages/router/src/run-deps.ts
+++ b/packages/router/src/run-deps.ts
@@ -44,6 +44,8 @@
   readonly notifyBoundWaiting: (engines: readonly BackendServer[]) => void;
   readonly limits: LimitController;
   readonly listReady: (service: string) => readonly BackendServer[];
+  /** Records that a later instance, which started at `foundStartedAt`, answers for a listed one. */
+  readonly recordLaterInstance: (server: BackendServer, foundStartedAt: number) => void;
   readonly getPlacementView: () => PlacementView;
   /** Takes one retry from this VM's budget for a service; false when the budget is spent. */
   readonly tryTakeRetry: (service: string) => boolean;
@@ -59,7 +61,7 @@
   /** Notifies the other VMs that work was placed at an engine or has ended there. */
   readonly notifyLoadChange: (server: BackendServer) => void;
   readonly crashWatch: CrashWatch;
-  readonly origins: Pick<OriginController, 'recordBegin' | 'hasOnlyVersion' | 'isRecorded'>;
+  readonly origins: Pick<OriginController, 'recordBegin' | 'isRecorded'>;
   readonly log: LogRouterEvent;
   readonly metrics: RouterMetrics;
   /** Milliseconds on a monotonic clock. */
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -87,6 +87,8 @@
   let mayHaveRun = false;
   /** Whether the stream was continued at the engine whose connection broke. */
   let hasContinued = false;
+  /** Whether a retry was taken for the next run. */
+  let hasTakenRetry = false;
   /** Time by which the stream must be placed again, once it had to leave an engine. */
   let resumeBy = 0;
   let lastEventId: string | undefined;
@@ -359,6 +361,9 @@
       return { cancel: () => {}, takeOver: () => {} };
     }
     sentTo.add(server.id);
+    // A prompt that was read has used the retry of its run.
+    const hasUnusedRetry = !prefilled && (previousRun !== undefined || hasTakenRetry);
+    if (!previousRun) hasTakenRetry = false;
     const unusedPrefill = prefilled && { ...prefilled, hadReservation: reservation !== undefined };
     const runWatch = deps.crashWatch.watchRun(ctx.crashParts, server);
     const splitter = makeEventSplitter();
@@ -472,6 +477,7 @@
       {
         remainingMs: getRemainingMs(),
         flow: responder.flow,
+        confirmsInstance: engines.confirmsInstance,
         ...(prefilled === undefined ? {} : { prefilled }),
         ...(reservation === undefined ? {} : { reservation }),
         ...(lastEventId === undefined ? {} : { resumeAfter: lastEventId }),
@@ -536,7 +542,10 @@
           responder.end();
         },
         fault: (fault) => {
-          if (fault.kind === 'not-sent') sentTo.delete(server.id);
+          if (fault.kind === 'not-sent') {
+            sentTo.delete(server.id);
+            if (hasUnusedRetry) deps.returnRetry(service.name);
+          }
           const { kind, reason } = fault;
           if (kind === 'unknown' ? tryLeaveBroken(reason) : handOver.tryComplete(reason)) return;
           if (!tryFinish('broken')) return;
@@ -636,41 +645,27 @@
       return;
     }
     hasContinued = true;
+    hasTakenRetry = true;
     recordFault(server, 'decode', fault);
-    runAgainAt(server, 'continued', { from: server.id, fault: fault.kind }, () => {
-      deps.returnRetry(service.name);
-      resumeOrFail(server, fault, unusedPrefill);
-    });
+    runAgainAt(server, 'continued', { from: server.id, fault: fault.kind });
   };
 
-  /** Goes on at an engine that has had the stream before, if it is still the same instance. */
+  /** Goes on at an engine that has had the stream before. */
   const runAgainAt = (
     server: BackendServer,
     reason: 'continued' | 'returned',
     origin: Readonly<Record<string, string>>,
-    onOtherInstance: () => void,
   ): void => {
-    let isCancelled = false;
-    cancelAttempt = () => {
-      isCancelled = true;
-    };
-    engines.confirmInstance(server, (isConfirmed) => {
-      if (isCancelled || !responder.isOpen()) return;
-      if (!isConfirmed) {
-        onOtherInstance();
-        return;
-      }
-      deps.metrics.retries.inc({ reason });
-      deps.log(2307, {
-        id,
-        after: lastEventId,
-        ...origin,
-        at: server.id,
-        atStartedAt: server.startedAt,
-        atVersion: server.softwareVersion,
-      });
-      runDecode(server, undefined, undefined, allocateMemory(server));
+    deps.metrics.retries.inc({ reason });
+    deps.log(2307, {
+      id,
+      after: lastEventId,
+      ...origin,
+      at: server.id,
+      atStartedAt: server.startedAt,
+      atVersion: server.softwareVersion,
     });
+    runDecode(server, undefined, undefined, allocateMemory(server));
   };
 
   const findLeftServer = (): BackendServer | undefined =>
@@ -682,9 +677,7 @@
   const goBackTo = (server: BackendServer): void => {
     leftServers.splice(leftServers.indexOf(server), 1);
     excluded.delete(server.id);
-    runAgainAt(server, 'returned', { fault: 'left' }, () =>
-      failOrRefuse('the engine has restarted', noEngineRetryAfterMs),
-    );
+    runAgainAt(server, 'returned', { fault: 'left' });
   };
 
   const handleUnusedPrefill = (
@@ -731,6 +724,7 @@
       failOrRefuse(fault.reason, noEngineRetryAfterMs);
       return;
     }
+    hasTakenRetry = true;
     if (!canPlace && leftServer) {
       goBackTo(leftServer);
       return;
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -528,6 +528,11 @@
       ),
     limits,
     listReady,
+    recordLaterInstance: (server, foundStartedAt) => {
+      if (!directory.recordLaterInstance(server, foundStartedAt)) return;
+      const { id, startedAt } = server;
+      log(2123, { server: id, startedAt, foundStartedAt });
+    },
     getPlacementView,
     tryTakeRetry: (service) => getRetryBudget(service).tryTakeRetry(peers.countVms(), now()),
     returnRetry: (service) => getRetryBudget(service).returnRetry(),
--- a/packages/router/src/stream-engines.ts
+++ b/packages/router/src/stream-engines.ts
@@ -63,10 +63,10 @@
   /** Binds the stream to the software version of the engine whose first event is about to be sent. */
   readonly recordBegin: (server: BackendServer) => void;
   /**
-   * Confirms that a server is still the instance that is listed: one that came back under its id may have
-   * another version, and does not check what it goes on with.
+   * Whether only listed instances get the stream: an engine that came back under its id may have another version,
+   * and does not check what it goes on with.
    */
-  readonly confirmInstance: (server: BackendServer, onDone: (isConfirmed: boolean) => void) => void;
+  readonly confirmsInstance: boolean;
   /** Chooses engines with memory for the stream; undefined if there are none now. */
   readonly choosePlacement: (excluded: ReadonlySet<string>) => Placement | undefined;
   /** Chooses a prefill engine for a decode engine; undefined if there is none. */
@@ -112,13 +112,17 @@
   ctx: CallContext,
   priority: number,
 ): StreamEngines => {
-  const { call, service } = ctx;
+  const { call, route, service } = ctx;
   const { engine } = service;
   const { id } = call.metadata;
   const requirement = estimateMemoryRequirement(ctx);
   const { promptTokens } = requirement;
 
+  // What others can go on with holds events of one version.
+  const confirmsInstance = route.isResumable || ctx.origin !== undefined;
+
   const recordFault = (server: BackendServer, step: string, fault: CallFault): void => {
+    const foundStartedAt = fault.kind === 'not-sent' ? fault.foundStartedAt : undefined;
     deps.log(2306, {
       id,
       request: ctx.fingerprint,
@@ -127,8 +131,12 @@
       step,
       fault: fault.kind,
       reason: fault.reason,
+      foundStartedAt,
     });
-    if (fault.kind === 'not-sent') deps.health.record(server.id, 'unreachable', deps.now());
+    // The later instance is sound, and used once its entry tells what it is.
+    if (foundStartedAt !== undefined && foundStartedAt > server.startedAt)
+      deps.recordLaterInstance(server, foundStartedAt);
+    else if (fault.kind === 'not-sent') deps.health.record(server.id, 'unreachable', deps.now());
     if (fault.kind === 'unknown') deps.health.record(server.id, 'broken', deps.now());
     if (fault.kind === 'rejected' && fault.reason === 'other-instance')
       deps.health.record(server.id, 'replaced', deps.now());
@@ -166,19 +174,6 @@
   const chooseFittingPrefill: StreamEngines['choosePrefill'] = (decode, excluded) =>
     choosePrefill(listFitting(), promptTokens, decode, deps.getPlacementView(), excluded);
 
-  const confirmInstance: StreamEngines['confirmInstance'] = (server, onDone) => {
-    if (begunVersion === undefined || deps.origins.hasOnlyVersion(service.name)) {
-      onDone(true);
-      return;
-    }
-    deps.backends.report(server, (report) => {
-      const isConfirmed = report !== undefined && report.startedAt === server.startedAt;
-      if (!isConfirmed)
-        recordFault(server, 'confirm', { kind: 'not-sent', reason: 'not the listed instance' });
-      onDone(isConfirmed);
-    });
-  };
-
   const reserveMemory: StreamEngines['reserve'] = (placement, onDone) => {
     const ttlMs = Math.min(
       engine?.maxReservationMs ?? 0,
@@ -196,9 +191,10 @@
       (outcome) => {
         if (outcome.kind === 'full') deps.engineLedger.recordFull(placement.decode.id, deps.now());
         if (outcome.kind === 'fault')
-          recordFault(placement.decode, 'reserve', { kind: 'not-sent', reason: outcome.reason });
+          recordFault(placement.decode, 'reserve', { ...outcome, kind: 'not-sent' });
         onDone(outcome);
       },
+      { confirmsInstance },
     );
   };
 
@@ -217,7 +213,7 @@
         ctx.arrivedAt + callerTimeoutMs + takeUpMarginMs,
       );
     },
-    confirmInstance,
+    confirmsInstance,
     choosePrefill: chooseFittingPrefill,
     choosePlacement: (excluded) => {
       if (!engine) return undefined;
@@ -269,15 +265,9 @@
       };
     },
     reserve: (placement, onDone) => {
-      confirmInstance(placement.decode, (isConfirmed) => {
-        if (!isConfirmed) {
-          onDone({ kind: 'fault', reason: 'not the listed instance' });
-          return;
-        }
-        deps.limits.hold(placement.decode, id);
-        if (placement.prefill) deps.limits.hold(placement.prefill, id);
-        reserveMemory(placement, onDone);
-      });
+      deps.limits.hold(placement.decode, id);
+      if (placement.prefill) deps.limits.hold(placement.prefill, id);
+      reserveMemory(placement, onDone);
     },
     readPrompt: ({ prefill, prefillMs }, onDone) => {
       deps.timing.recordPrompt(promptTokens);
--- a/packages/routing/src/server-directory.test.ts
+++ b/packages/routing/src/server-directory.test.ts
@@ -145,3 +145,27 @@
   directory.recordListing(makeStoreRevision(1, 20));
   t.true(directory.isLeftOver(makeListed('a', makeStoreRevision(1, 10), { startedAt: 1 })));
 });
+
+// Guards against streams that are bound to the version of a process that has ended.
+test('an instance that its entry does not show yet is used only while no other is, with a version of its own', (t) => {
+  const directory = makeServerDirectory();
+  const listVersions = () => directory.listReady('desk', 0).map((server) => server.softwareVersion);
+  const first = makeServer({ id: 'a', startedAt: 1, softwareVersion: 'v1' });
+  directory.applyEntry({ key: 'a', revision: 1, server: first });
+  directory.applyEntry(makeListed('b', 2, { startedAt: 1, softwareVersion: 'v1' }));
+  t.false(directory.recordLaterInstance(first, 1));
+  t.true(directory.recordLaterInstance(first, 2));
+  t.false(directory.recordLaterInstance(first, 2));
+  t.deepEqual(listReadyIds(directory), ['b']);
+  directory.applyEntry(makeListed('b', 3, { startedAt: 1, state: 'draining' }));
+  const [found] = directory.listReady('desk', 0);
+  t.deepEqual([found?.id, found?.startedAt], ['a', 2]);
+  t.not(found?.softwareVersion, 'v1');
+  t.true(found !== undefined && directory.recordLaterInstance(found, 3));
+  t.deepEqual(
+    directory.listReady('desk', 0).map(({ startedAt }) => startedAt),
+    [3],
+  );
+  directory.applyEntry(makeListed('a', 4, { startedAt: 3, softwareVersion: 'v2' }));
+  t.deepEqual(listVersions(), ['v2']);
+});
--- a/packages/routing/src/server-directory.ts
+++ b/packages/routing/src/server-directory.ts
@@ -48,6 +48,11 @@
   readonly recordStoreState: (isReachable: boolean, now: number) => void;
   /** Records that an instance announced that it is leaving; returns whether that is new. */
   readonly recordLeaving: (server: BackendServer) => boolean;
+  /**
+   * Records that a later instance answers for a server, whose version is not known until its entry shows it. Until
+   * then it takes requests only while its service has no other server for whole requests. Returns whether that is new.
+   */
+  readonly recordLaterInstance: (server: BackendServer, startedAt: number) => boolean;
   /** Backend servers of a service that accept new requests. */
   readonly listReady: (service: string, now: number) => readonly BackendServer[];
   readonly list: () => readonly ListedServer[];
@@ -73,24 +78,57 @@
   let expiryGraceUntil = 0;
   /** Instances that announced that they are leaving, or were draining before a restore. */
   const leavingInstances = new Set<string>();
+  /** Start times of instances that answer in place of listed ones. */
+  const laterInstances = new Map<string, number>();
   /** Revision of the first listing of the latest era. */
   let firstListingOfEra = 0;
   let readyByService = new Map<string, BackendServer[]>();
   let needsRebuild = true;
 
+  /** Returns the instance that answers for a listed server; its version is its own if the entry is older. */
+  const findInstance = (server: BackendServer): BackendServer => {
+    const startedAt = laterInstances.get(getInstanceKey(server));
+    if (startedAt === undefined) return server;
+    const later = { ...server, startedAt };
+    return findInstance({ ...later, softwareVersion: `unknown (${getInstanceKey(later)})` });
+  };
+
+  /** Forgets what is known of an instance whose entry shows another one, or none, now. */
+  const forgetInstance = (
+    { id, startedAt }: Pick<BackendServer, 'id' | 'startedAt'>,
+    listedStart?: number,
+  ): void => {
+    const key = getInstanceKey({ id, startedAt });
+    const later = laterInstances.get(key);
+    laterInstances.delete(key);
+    leavingInstances.delete(key);
+    if (later !== undefined && later !== listedStart)
+      forgetInstance({ id, startedAt: later }, listedStart);
+  };
+
   const rebuild = (now: number): void => {
     readyByService = new Map();
     needsRebuild = false;
+    const unconfirmed: BackendServer[] = [];
+    const addReady = (server: BackendServer): void => {
+      const readyServers = readyByService.get(server.service);
+      if (readyServers) readyServers.push(server);
+      else readyByService.set(server.service, [server]);
+    };
     entries.forEach((entry) => {
       if (entry.removedAt !== undefined && entry.removedAt <= now) return;
       // An entry in its grace period must be checked again when the period ends.
       if (entry.removedAt !== undefined) needsRebuild = true;
-      const { server } = entry;
+      const server = entry.server && findInstance(entry.server);
       if (server?.state !== 'ready' || leavingInstances.has(getInstanceKey(server))) return;
-      const readyServers = readyByService.get(server.service);
-      if (readyServers) readyServers.push(server);
-      else readyByService.set(server.service, [server]);
+      if (server.startedAt === entry.server?.startedAt) addReady(server);
+      else unconfirmed.push(server);
     });
+    unconfirmed
+      .filter(
+        ({ service }) => !readyByService.get(service)?.some(({ stage }) => stage !== 'prefill'),
+      )
+      .forEach(addReady);
   };
 
   const remove = (entry: Entry, revision: number, now: number): void => {
@@ -103,7 +141,7 @@
     else if (!isStoreReachable || now < expiryGraceUntil)
       entry.removedAt = Math.max(now, expiryGraceUntil);
     else {
-      if (entry.server) leavingInstances.delete(getInstanceKey(entry.server));
+      if (entry.server) forgetInstance(entry.server);
       entry.server = undefined;
     }
   };
@@ -126,7 +164,7 @@
     )
       return false;
     if (current?.server && current.server.startedAt !== server?.startedAt)
-      leavingInstances.delete(getInstanceKey(current.server));
+      forgetInstance(current.server, server?.startedAt);
     // A restored store may hold the state from before an instance began to drain.
     const isRestored = current && getStoreEra(listed.revision) > getStoreEra(current.revision);
     if (isRestored && current.server?.state === 'draining')
@@ -182,6 +220,13 @@
       needsRebuild = true;
       return true;
     },
+    recordLaterInstance: (server, startedAt) => {
+      const instance = getInstanceKey(server);
+      if (startedAt <= (laterInstances.get(instance) ?? server.startedAt)) return false;
+      laterInstances.set(instance, startedAt);
+      needsRebuild = true;
+      return true;
+    },
     listReady: (service, now) => {
       if (needsRebuild) rebuild(now);
       return readyByService.get(service) ?? [];
--- a/packages/types/src/routing-ports.ts
+++ b/packages/types/src/routing-ports.ts
@@ -5,7 +5,12 @@
 /** Why a call to a backend server failed, classified by whether the request may have run. */
 export type CallFault =
   /** No byte was sent. */
-  | { readonly kind: 'not-sent'; readonly reason: string }
+  | {
+      readonly kind: 'not-sent';
+      readonly reason: string;
+      /** Start time of the instance that answered in place of the listed one, if one did, in Unix milliseconds. */
+      readonly foundStartedAt?: number;
+    }
   /** The backend server reported that it did not run the request. */
   | { readonly kind: 'rejected'; readonly reason: 'full' | 'other-instance' }
   /** The request may have run. */
@@ -57,8 +62,16 @@
   readonly onRoom: (callback: () => void) => void;
 }
 
+/** Whether a call may reach only the listed instance of a server, not one that came back under its id. */
+export interface InstanceOptions {
+  /** Sends the call only on a connection on which the server has stated the start time that is listed. */
+  readonly confirmsInstance?: boolean;
+  /** Called each time the server is asked for it, which is a request of its own. */
+  readonly onInstanceAsked?: () => void;
+}
+
 /** Options of one attempt to send a call. */
-export interface SendOptions {
+export interface SendOptions extends InstanceOptions {
   /** Time remaining until the caller's deadline or the route's timeout. */
   readonly remainingMs: number;
   /** Prefill result that the engine must fetch before it decodes. */
@@ -157,6 +170,7 @@
     call: ForwardedCall,
     remainingMs: number,
     onDone: (outcome: PrefillOutcome) => void,
+    options?: InstanceOptions,
   ) => CancelCall;
   readonly releasePrefill: (result: PrefillResult) => void;
   readonly reserve: (
@@ -164,6 +178,7 @@
     tokens: number,
     ttlMs: number,
     onDone: (outcome: ReserveOutcome) => void,
+    options?: InstanceOptions,
   ) => void;
   readonly releaseReservation: (server: BackendServer, reservation: string) => void;
   /** Asks an engine for its report; undefined if it can't be had. */
@@ -193,7 +208,12 @@
 export type ReserveOutcome =
   | { readonly kind: 'reserved'; readonly reservation: string }
   | { readonly kind: 'full' }
-  | { readonly kind: 'fault'; readonly reason: string };
+  | {
+      readonly kind: 'fault';
+      readonly reason: string;
+      /** Start time of the instance that answered in place of the listed one, if one did, in Unix milliseconds. */
+      readonly foundStartedAt?: number;
+    };
 
 /** Parses a caller's headers, or returns the problem that makes them invalid. */
 export type ReadCallMetadata = (
