Break off relayed responses whose server another VM can't reach

A VM that is partitioned from all servers reads their responses through other VMs, which pass on how they end. A response without a length whose server's process was killed looked whole there: the VM that was asked for a connection to the server answered that it can't reach it, which counted as not known.

Evidence: in `killed-engines`, a client reads a stream through a relay process, and the engine's process is killed between two events. The response ended in the regular way with two of five events, and the check called it whole (1 of 1 run); where the engine was started again, the check found the other start time.

Change: `checkInstance` reports such a server as `unreachable`, and `response-ends` takes it for ended. The watch for crashes goes on to take it for unknown.

Not run: a partitioned router process with an engine that is killed; the tests use its client and a relay process.

`truncated-answers` has its relayed client from a module that both files use, its assertions are unchanged.

--- a/packages/router/src/instance-checks.ts
+++ b/packages/router/src/instance-checks.ts
@@ -73,7 +73,7 @@
         result.kind === 'ended' ||
         (foundStartedAt !== undefined && foundStartedAt !== record.startedAt);
       if (hasEnded) record.endedAt = checkedAt;
-      if (result.kind !== 'unknown') {
+      if (result.kind === 'running' || result.kind === 'ended') {
         record.startedAt = foundStartedAt;
         log(2324, { server: server.id, startedAt: server.startedAt, foundStartedAt, hasEnded });
       }
--- a/packages/router/src/response-ends.test.ts
+++ b/packages/router/src/response-ends.test.ts
@@ -44,6 +44,10 @@
   t.deepEqual(checks.logged, [2324, 2324]);
 });
 
+test('a response is not whole if another VM can’t reach its server', async (t) => {
+  t.false(await makeChecks([{ kind: 'unreachable' }]).check(0));
+});
+
 test('a server that can’t be asked is asked once more, then the response is whole', async (t) => {
   const checks = makeChecks([{ kind: 'unknown' }, { kind: 'ended' }]);
   t.false(await checks.check(0));
--- a/packages/router/src/response-ends.ts
+++ b/packages/router/src/response-ends.ts
@@ -27,7 +27,7 @@
 export interface ResponseEnds {
   /**
    * Finds out whether a response without a length, to a request sent at `sentAt`, has just ended as a whole:
-   * its server still runs, or can't be asked. Never calls back before the return.
+   * its server still runs, or it can't be told. One that another VM can't reach has ended. Never calls back before the return.
    */
   readonly check: (
     server: BackendServer,
--- a/packages/types/src/routing-ports.ts
+++ b/packages/types/src/routing-ports.ts
@@ -89,7 +89,7 @@
 
 /**
  * Which instance answers for a backend server: `ended` if its address refuses connections or is another
- * server's, `unknown` if it can't be told.
+ * server's, `unreachable` if another VM through which it is asked can't reach it, `unknown` if it can't be told.
  */
 export type InstanceResult =
   | {
@@ -98,6 +98,7 @@
       readonly startedAt: number;
     }
   | { readonly kind: 'ended' }
+  | { readonly kind: 'unreachable' }
   | { readonly kind: 'unknown' };
 
 /** An order to change the stage of an engine. */
