Read the servers anew when no VM answers about a stream

A VM that gets no answer from others doesn't rely on its knowledge of a single version any more, so the only VM that was left of six refused each stream that was taken up there, as it did before from the moment on at which it had noticed that the others were gone.

It now reads the list of servers from the store. Reads of the store are linearizable, so a version that serves is in the list, and what the VM knows counts.

Fixtures of lost-fleet and late-process have the new dependency, as a read that fails, which leaves them as they were.

--- a/packages/router/src/late-process.test.ts
+++ b/packages/router/src/late-process.test.ts
@@ -57,6 +57,7 @@
       listPeers: () => [{ vm: peer, address: peer }],
       sendDatagram,
       isViewCurrent: () => true,
+      readServers: () => Promise.resolve(false),
       isFirstStart: false,
       records: undefined,
       log: () => {},
--- a/packages/router/src/lost-fleet.test.ts
+++ b/packages/router/src/lost-fleet.test.ts
@@ -70,6 +70,7 @@
         });
       },
       isViewCurrent: () => true,
+      readServers: () => Promise.resolve(false),
       isFirstStart,
       records: {
         vm: `vm-${from}`,
--- a/packages/router/src/origin-controller.test.ts
+++ b/packages/router/src/origin-controller.test.ts
@@ -26,6 +26,8 @@
   readonly isViewCurrent?: boolean;
   /** Whether the VMs have not heard each other for some time. */
   readonly isUnresponsive?: boolean;
+  /** Whether the VMs reach the store to read the list of servers. */
+  readonly canReadServers?: boolean;
 }
 
 /** Makes VMs that exchange datagrams in memory. */
@@ -36,6 +38,7 @@
     isLost = () => false,
     isViewCurrent = true,
     isUnresponsive = false,
+    canReadServers = false,
   }: FleetOptions = {},
 ) => {
   const gone = new Set<number>();
@@ -58,6 +61,7 @@
         setImmediate(() => vms[to]?.onMessage(received.message, getAddress(from)));
       },
       isViewCurrent: () => isViewCurrent,
+      readServers: () => Promise.resolve(canReadServers),
       isFirstStart,
       records: undefined,
       log: () => {},
@@ -209,6 +213,7 @@
       Array.from({ length: 8 }, (_, n) => ({ vm: `vm-${n}`, address: `10.0.0.${n}:7000` })),
     sendDatagram: (_, address) => asked.push(address),
     isViewCurrent: () => true,
+    readServers: () => Promise.resolve(false),
     isFirstStart: true,
     records: undefined,
     log: () => {},
@@ -226,6 +231,15 @@
   t.is((await found)?.softwareVersion, 'v2');
 });
 
+test('a VM that gets no answer relies on what it knows once it has read the list of servers anew', async (t) => {
+  const fleet = makeFleet(8, { isFirstStart: true, canReadServers: true, isViewCurrent: false });
+  fleet.vms.forEach((vm) => vm.updateServers([engine('v1')]));
+  for (let vm = 0; vm < 8; vm += 1) if (vm !== 1) fleet.gone.add(vm);
+  t.deepEqual(await fleet.find(1, 'r1'), origin);
+  fleet.vms[1]?.updateServers([engine('v1'), engine('v2')]);
+  t.is(await fleet.find(1, 'r1'), undefined);
+});
+
 test('a VM without others relies on what it knows', async (t) => {
   const fleet = makeFleet(1, { isFirstStart: true });
   fleet.vms.forEach((vm) => vm.updateServers([engine('v1')]));
@@ -253,6 +267,7 @@
       if (received?.kind === 'origin') answers.push(received.message);
     },
     isViewCurrent: () => true,
+    readServers: () => Promise.resolve(false),
     isFirstStart: false,
     records: undefined,
     log: () => {},
--- a/packages/router/src/origin-controller.ts
+++ b/packages/router/src/origin-controller.ts
@@ -13,6 +13,7 @@
 import { encodeOriginMessage, type OriginAnswer, type OriginMessage } from './origin-message.js';
 import { makeOriginReader } from './origin-reader.js';
 import { makeOriginRecorder } from './origin-recorder.js';
+import { makeFreshReads } from './fresh-reads.js';
 import type { RouterMetrics } from './router-metrics.js';
 import { makeVersionKeeper } from './version-keeper.js';
 
@@ -68,6 +69,8 @@
   readonly sendDatagram: (bytes: Buffer, address: string) => void;
   /** Whether this VM follows the list of backend servers. */
   readonly isViewCurrent: () => boolean;
+  /** Reads the list of backend servers from the store now; false if that failed. */
+  readonly readServers: () => Promise<boolean>;
   /** Whether no stream can have begun before the start of this VM. */
   readonly isFirstStart: boolean;
   /** Undefined if versions and origins are kept only in the memory of the VMs. */
@@ -159,6 +162,7 @@
   const ownSince = deps.isFirstStart ? Number.NEGATIVE_INFINITY : now();
   const history = makeVersionHistory(ownSince);
   const questions = new Map<number, Question>();
+  const freshReads = makeFreshReads({ read: deps.readServers, now });
   let lastQuestion = 0;
   let nextPruneAt = 0;
   let servers: readonly BackendServer[] = [];
@@ -182,9 +186,11 @@
     answers: readonly OriginAnswer[],
     request: string,
     service: string,
+    isFresh: boolean,
   ): StreamOrigin | undefined => {
     // Without any answer this VM may be cut off, and what it knows may be old.
     const isCurrent =
+      isFresh ||
       answers.length > 0 ||
       (deps.isViewCurrent() && deps.listPeers().every(({ isUnresponsive }) => isUnresponsive));
     const local = isCurrent ? [getLocalAnswer(request, service)] : [];
@@ -210,10 +216,10 @@
       clearInterval(repeatTimer);
       cancelTimeout();
       const received = [...answers.values()];
-      onDone(combineWithLocal(received, request, service), received);
+      onDone(combineWithLocal(received, request, service, false), received);
     };
     const hasOrigin = (): boolean =>
-      combineWithLocal([...answers.values()], request, service) !== undefined;
+      combineWithLocal([...answers.values()], request, service, false) !== undefined;
     const repeatTimer = setInterval(send, repeatMs);
     const cancelTimeout = startReadTimeout(finish, answerTimeoutMs);
     questions.set(question, { answers, asked: peers, hasOrigin, finish });
@@ -266,21 +272,21 @@
   const getOnlySource = (): string =>
     now() - ownSince >= maxStreamLifeMs ? 'only-version' : 'store';
 
-  /** Finds a stream that no VM knows; `answers` are those of other VMs. */
+  /** Finds a stream that no VM knows; `isFresh` says that the list of servers was read since. */
   const findInStore = (
     request: string | undefined,
     service: string,
-    timeoutAt: number,
+    until: number,
     answers: readonly OriginAnswer[],
+    isFresh: boolean,
     onDone: (origin: StreamOrigin | undefined, source: string) => void,
   ): void => {
     if (!stored) {
       onDone(undefined, 'peers');
       return;
     }
-    const until = now() + Math.max(0, timeoutAt - now()) * storeWaitShare;
     stored.keeper.awaitRead(until, () => {
-      const known = combineWithLocal(answers, request ?? '', service);
+      const known = combineWithLocal(answers, request ?? '', service, isFresh);
       if (known) onDone(known, 'store');
       else if (request === undefined) onDone(undefined, 'store');
       else
@@ -291,6 +297,19 @@
     });
   };
 
+  /** Finds a stream about which no VM has answered: all may be gone, or this one is cut off from them. */
+  const findAlone = (
+    request: string | undefined,
+    service: string,
+    until: number,
+    onDone: (origin: StreamOrigin | undefined, source: string) => void,
+  ): void =>
+    freshReads.await(until, (isFresh) => {
+      const known = combineWithLocal([], request ?? '', service, isFresh);
+      if (known) onDone(known, 'store');
+      else findInStore(request, service, until, [], isFresh, onDone);
+    });
+
   return {
     recordBegin: (request, origin, expiresAt) => {
       recordInStore(request, origin, expiresAt);
@@ -311,8 +330,10 @@
         ask(request ?? '', service, (origin, answers) => {
           const isBegun = answers.some(({ kind }) => kind === 'begun');
           const isOnly = !isBegun && getState(service).kind === 'only';
+          const until = now() + Math.max(0, timeoutAt - now()) * storeWaitShare;
           if (origin) finish(origin, isOnly ? getOnlySource() : 'peers');
-          else findInStore(request, service, timeoutAt, answers, finish);
+          else if (answers.length === 0) findAlone(request, service, until, finish);
+          else findInStore(request, service, until, answers, false, finish);
         });
     },
     hasOnlyVersion: (service) => getState(service).kind === 'only',
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -219,6 +219,7 @@
     sendDatagram: (bytes, address) => peers.sendDatagram(bytes, address),
     isViewCurrent: () =>
       view.isComplete() && view.isStoreReachable() && peers.getReachableShare() >= minCurrentShare,
+    readServers: async () => (await view.readServers()).isOk(),
     isFirstStart: settings.isFirstStart,
     records: settings.recordsOrigins
       ? {
--- a/packages/router/src/view-controller.ts
+++ b/packages/router/src/view-controller.ts
@@ -48,6 +48,8 @@
   readonly getChangesSince: (seen: SeenRevisions) => RawView;
   /** Reads the configuration from the store now, whether or not this VM watches it. */
   readonly readConfig: () => Promise<Result<void, string>>;
+  /** Reads the backend servers from the store now, whether or not this VM watches them. */
+  readonly readServers: () => Promise<Result<void, string>>;
   /** Merges a peer's view; entries that are not newer are ignored. */
   readonly merge: (view: RawView) => void;
 }
@@ -287,6 +289,7 @@
       ...listEvacuations(),
     }),
     readConfig: async () => (await readOperatorKeys()).map(() => undefined),
+    readServers: async () => (await listServers()).map(() => undefined),
     merge: (view) => {
       deps.evacuations?.applyRows(view.evacuations ?? [], 'peer');
       if (view.config) applyConfig(view.config, 'peer');
