Soak: end engines like processes, and count the calls that take streams up

An engine that ended closed its streams first and its listener some turns of the event loop later, so that the process before could still answer a question about itself that came after the end of its streams. A process that is gone answers none: now its listener and its other connections close in the turn in which its streams end.

The command prints how many calls that take a stream up were served, so that a router that keeps the order by refusing them shows.

--- a/packages/soak/src/returning-engines.ts
+++ b/packages/soak/src/returning-engines.ts
@@ -148,8 +148,7 @@
       const span = { from: now(), to: Number.POSITIVE_INFINITY };
       engine.faultSpans.push(span);
       const instance = getInstance(engine);
-      await instance.breakStreams(how);
-      instance.close();
+      await instance.end(how);
       await sleep(awayMs);
       if (isClosed) return;
       const { options: last, port } = instance;
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -52,6 +52,9 @@
   readonly seed: number;
   readonly calls: number;
   readonly served: number;
+  /** Calls that take a stream up, and those of them that were answered to the end. */
+  readonly takeUps: number;
+  readonly takeUpsServed: number;
   readonly faults: readonly SoakFault[];
   readonly violations: readonly Violation[];
   /** Log lines of all VMs, for diagnosing a violation. */
@@ -170,11 +173,15 @@
   await callers.stop();
   const record = collectRecord(environment, callers.records, faultsEndedAt, callerLateness.stop());
   const logLines = environment.platform.getLogLines();
+  const served = callers.records.filter((call) => call.status === 200 && call.isComplete);
+  const isTakeUp = ({ takesUp }: CallRecord): boolean => takesUp !== undefined;
   await environment.close();
   return {
     seed,
     calls: callers.records.length,
-    served: callers.records.filter((call) => call.status === 200 && call.isComplete).length,
+    served: served.length,
+    takeUps: callers.records.filter(isTakeUp).length,
+    takeUpsServed: served.filter(isTakeUp).length,
     faults,
     violations: checkPromises(record, streamEvents),
     logLines,
--- a/packages/soak/src/soak-main.ts
+++ b/packages/soak/src/soak-main.ts
@@ -37,7 +37,7 @@
   const result = await runSoak({ seed: n, version: schedule, faultMs: seconds * 1_000, vms });
   const { violations, faults, logLines } = result;
   console.log(
-    `seed ${n}: ${faults.length} faults, ${result.served} of ${result.calls} served, ${violations.length} violations`,
+    `seed ${n}: ${faults.length} faults, ${result.served} of ${result.calls} served (${result.takeUpsServed} of ${result.takeUps} that take streams up), ${violations.length} violations`,
   );
   violations
     .slice(0, 10)
