--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -52,7 +52,7 @@
   readonly seed: number;
   readonly calls: number;
   readonly served: number;
-  /** Calls that take a stream up, and those of them that were answered to the end. */
+  /** Calls that take a stream up and got a response, and those of them that were answered to the end. */
   readonly takeUps: number;
   readonly takeUpsServed: number;
   readonly faults: readonly SoakFault[];
@@ -174,7 +174,8 @@
   const record = collectRecord(environment, callers.records, faultsEndedAt, callerLateness.stop());
   const logLines = environment.platform.getLogLines();
   const served = callers.records.filter((call) => call.status === 200 && call.isComplete);
-  const isTakeUp = ({ takesUp }: CallRecord): boolean => takesUp !== undefined;
+  const isTakeUp = ({ takesUp, status }: CallRecord): boolean =>
+    takesUp !== undefined && status !== undefined;
   await environment.close();
   return {
     seed,
