--- a/packages/soak/src/soak-main.ts
+++ b/packages/soak/src/soak-main.ts
@@ -1,7 +1,7 @@
 import { mkdirSync, writeFileSync } from 'node:fs';
 import { Command, Option } from 'commander';
 import {
-  newestScheduleVersion,
+  defaultScheduleVersion,
   scheduleVersions,
   type ScheduleVersion,
 } from './generate-faults.js';
@@ -18,7 +18,7 @@
   .addOption(
     new Option('--schedule <version>', 'version of the schedule, for a seed recorded earlier')
       .choices(scheduleVersions)
-      .default(newestScheduleVersion),
+      .default(defaultScheduleVersion),
   )
   .option('--out <folder>', 'folder for the faults and logs of failed seeds', 'out/soak')
   .parse();
@@ -37,7 +37,7 @@
   const result = await runSoak({ seed: n, version: schedule, faultMs: seconds * 1_000, vms });
   const { violations, faults, logLines } = result;
   console.log(
-    `seed ${n}: ${faults.length} faults, ${result.served} of ${result.calls} served, ${violations.length} violations`,
+    `seed ${n}: ${faults.length} faults, ${result.served} of ${result.calls} served (${result.takeUpsServed} of ${result.takeUps} that take streams up), ${violations.length} violations`,
   );
   violations
     .slice(0, 10)
