--- a/packages/soak/src/soak.test.ts
+++ b/packages/soak/src/soak.test.ts
@@ -73,6 +73,13 @@
     faultMs: 3_500,
     cause: 'a VM that was late when it stopped lost the requests that it had not read',
   },
+  {
+    seed: 1112,
+    version: 'v9',
+    faultMs: 6_000,
+    cause:
+      'after engines restarted, streams had events of two versions, or looked complete too early',
+  },
 ];
 
 cases.forEach(({ seed, version, faultMs, cause }) => {
