Keep one later instance for each entry of a server

Cause: an engine that states a later start (born) each time it is asked adds one link to a chain of later instances, which is followed by recursion at each rebuild of the ready servers, and never gets shorter.

The second one covers the entry that was replaced; it was not run against the code before.

Change: the entry that is listed leads to the latest instance found, without those between. If one of these is listed later, the question for the instance finds the one after it once more.

--- a/packages/routing/src/server-directory.test.ts
+++ b/packages/routing/src/server-directory.test.ts
@@ -169,3 +169,28 @@
   directory.applyEntry(makeListed('a', 4, { startedAt: 3, softwareVersion: 'v2' }));
   t.deepEqual(listVersions(), ['v2']);
 });
+
+test('a server that states a later start each time it is asked does not exhaust the stack', (t) => {
+  const directory = makeServerDirectory();
+  directory.applyEntry(makeListed('a', 1, { startedAt: 1 }));
+  const startCount = 100_000;
+  let [found] = directory.listReady('desk', 0);
+  for (let n = 0; n < startCount && found; n += 1) {
+    directory.recordLaterInstance(found, found.startedAt + 1);
+    if (n % 5_000 === 0 || n === startCount - 1) [found] = directory.listReady('desk', 0);
+    else found = { ...found, startedAt: found.startedAt + 1 };
+  }
+  t.is(found?.startedAt, startCount + 1);
+  directory.applyEntry(makeListed('a', 2, { startedAt: startCount + 2 }));
+  t.deepEqual(listReadyIds(directory), ['a']);
+});
+
+test('an instance that answers for an entry which was replaced meanwhile is not recorded', (t) => {
+  const directory = makeServerDirectory();
+  const first = makeServer({ id: 'a', startedAt: 1 });
+  directory.applyEntry({ key: 'a', revision: 1, server: first });
+  directory.applyEntry(makeListed('a', 2, { startedAt: 2, softwareVersion: 'v2' }));
+  t.false(directory.recordLaterInstance(first, 2));
+  directory.applyRemoval('a', 3, 0);
+  t.false(directory.recordLaterInstance(first, 2));
+});
--- a/packages/routing/src/server-directory.ts
+++ b/packages/routing/src/server-directory.ts
@@ -78,7 +78,7 @@
   let expiryGraceUntil = 0;
   /** Instances that announced that they are leaving, or were draining before a restore. */
   const leavingInstances = new Set<string>();
-  /** Start times of instances that answer in place of listed ones. */
+  /** Start times of the latest instances that answer in place of listed ones, by the instance that is listed. */
   const laterInstances = new Map<string, number>();
   /** Revision of the first listing of the latest era. */
   let firstListingOfEra = 0;
@@ -90,9 +90,12 @@
     const startedAt = laterInstances.get(getInstanceKey(server));
     if (startedAt === undefined) return server;
     const later = { ...server, startedAt };
-    return findInstance({ ...later, softwareVersion: `unknown (${getInstanceKey(later)})` });
+    return { ...later, softwareVersion: `unknown (${getInstanceKey(later)})` };
   };
 
+  const findListed = (id: string): BackendServer | undefined =>
+    [...entries.values()].find(({ server }) => server?.id === id)?.server;
+
   /** Forgets what is known of an instance whose entry shows another one, or none, now. */
   const forgetInstance = (
     { id, startedAt }: Pick<BackendServer, 'id' | 'startedAt'>,
@@ -103,7 +106,7 @@
     laterInstances.delete(key);
     leavingInstances.delete(key);
     if (later !== undefined && later !== listedStart)
-      forgetInstance({ id, startedAt: later }, listedStart);
+      leavingInstances.delete(getInstanceKey({ id, startedAt: later }));
   };
 
   const rebuild = (now: number): void => {
@@ -221,9 +224,14 @@
       return true;
     },
     recordLaterInstance: (server, startedAt) => {
-      const instance = getInstanceKey(server);
-      if (startedAt <= (laterInstances.get(instance) ?? server.startedAt)) return false;
-      laterInstances.set(instance, startedAt);
+      const listed = findListed(server.id);
+      // The entry may have been replaced or removed since the server was chosen.
+      if (!listed || listed.startedAt > server.startedAt) return false;
+      const known = findInstance(listed);
+      if (startedAt <= known.startedAt) return false;
+      // One link an entry: a server that states a later start each time would make a chain without end.
+      if (known !== listed) leavingInstances.delete(getInstanceKey(known));
+      laterInstances.set(getInstanceKey(listed), startedAt);
       needsRebuild = true;
       return true;
     },
