Take a stream of an unlisted version for none of the only listed one

Callers saw: a stream that began at an instance whose entry still shows the one before, under a version of its own ("unknown (ID START)"), and that was taken up after the VM that began it and the three that were told of it were gone, or after a loss of all VMs, would go on at the listed version: events of two versions in one stream.

Cause: the history of versions knows what is listed only. All VMs but the holders answered that there is one version, and the origin was not written to the store for the same reason.

Change: a VM that begins such a stream, or is told of it, counts its version as one that has just gone. All VMs are told of the first one, then of one each 10 s; the record of versions and the origins in the store follow as they do with two versions. What remains: the record keeps the first time at which the version was gone, so that after a loss of all VMs it counts for 60 s from the first such stream; a VM to which the one datagram is lost learns of it 10 s later.

--- a/packages/router/src/lost-fleet.test.ts
+++ b/packages/router/src/lost-fleet.test.ts
@@ -107,6 +107,8 @@
 interface Scenario {
   readonly seed: number;
   readonly versions: readonly string[];
+  /** Versions of the streams, if not those that are listed. */
+  readonly streamVersions?: readonly string[];
   /** Versions that are listed when the VMs are lost, and when they come back. */
   readonly versionsAtLoss: readonly string[];
   readonly versionsAfterwards: readonly string[];
@@ -127,13 +129,14 @@
 /** Plays a scenario; returns the number of streams whose origin is found, after checking that each is right. */
 const play = async (t: ExecutionContext, fake: FakeStore, scenario: Scenario): Promise<number> => {
   const random = makeRandom(scenario.seed);
+  const { streamVersions = scenario.versions } = scenario;
   const before = startFleet(fake, random, true, 0);
   before.list(scenario.versions);
   await sleep(400);
   const restore = fake.takeCopy();
   const begun = new Map<string, StreamOrigin>();
   for (let n = 0; n < streamCount; n += 1) {
-    const origin = { service: 'llm', softwareVersion: pick(random, scenario.versions) };
+    const origin = { service: 'llm', softwareVersion: pick(random, streamVersions) };
     begun.set(`r${n}`, origin);
     pick(random, before.vms).recordBegin(`r${n}`, origin, now() + 20_000);
     if (n % 20 === 0) await sleep(30);
@@ -233,3 +236,19 @@
   t.is(found, streamCount);
   t.deepEqual([...fake.entries.keys()], ['versions']);
 });
+
+// Guards against a stream of two versions: that of an instance whose entry still shows the one before.
+test.serial(
+  'a stream of a version that is not listed is not taken for one of the only version',
+  async (t) => {
+    const versions = ['v1'];
+    await play(t, makeFakeStore(), {
+      ...quiet,
+      seed: 8,
+      versions,
+      streamVersions: ['unknown (i-v1 7)'],
+      versionsAtLoss: versions,
+      versionsAfterwards: versions,
+    });
+  },
+);
--- a/packages/router/src/origin-controller.test.ts
+++ b/packages/router/src/origin-controller.test.ts
@@ -1,5 +1,6 @@
 import test, { type ExecutionContext } from 'ava';
 import fc from 'fast-check';
+import { chooseHolders } from '@hemlocksill/routing/choose-holders.js';
 import { makeServer } from '@hemlocksill/routing/fixtures.js';
 import type { StreamOrigin } from '@hemlocksill/routing/stream-origins.js';
 import { decodeMessage } from './gossip-message.js';
@@ -240,6 +241,21 @@
   t.is(await fleet.find(1, 'r1'), undefined);
 });
 
+// Guards against a stream of two versions: that of an instance whose entry still shows the one before.
+test('a stream of a version that is not listed is not taken for one of the only version', async (t) => {
+  const fleet = makeFleet(12, { isFirstStart: true });
+  fleet.vms.forEach((vm) => vm.updateServers([engine('v1')]));
+  const unlisted = { service: 'llm', softwareVersion: 'unknown (i-v1 7)' };
+  const others = fleet.vms.slice(1).map((_, n) => `vm-${n + 1}`);
+  const holders = chooseHolders('r1', others, 3);
+  ['r0', 'r1'].forEach((id) => fleet.vms[0]?.recordBegin(id, unlisted, performance.now() + 10_000));
+  await settle();
+  fleet.gone.add(0);
+  holders.forEach((vm) => fleet.gone.add(Number(vm.slice('vm-'.length))));
+  const asked = fleet.vms.findIndex((_, vm) => !fleet.gone.has(vm));
+  t.is(await fleet.find(asked, 'r1'), undefined);
+});
+
 test('a VM without others relies on what it knows', async (t) => {
   const fleet = makeFleet(1, { isFirstStart: true });
   fleet.vms.forEach((vm) => vm.updateServers([engine('v1')]));
--- a/packages/router/src/origin-controller.ts
+++ b/packages/router/src/origin-controller.ts
@@ -36,6 +36,9 @@
  */
 const maxToldLifeMs = 600_000;
 
+/** Interval between two streams of the same unlisted version of which all VMs are told. */
+const unlistedPeriodMs = 10_000;
+
 /** Interval between two removals of streams that can't be taken up any more. */
 const prunePeriodMs = 5_000;
 
@@ -166,6 +169,35 @@
   let lastQuestion = 0;
   let nextPruneAt = 0;
   let servers: readonly BackendServer[] = [];
+  /** Times at which all VMs were told of streams of versions that are not listed, by service and version. */
+  const toldUnlistedAt = new Map<string, number>();
+
+  /** Whether a service has servers in the list, but none of the version. */
+  const isUnlisted = ({ service, softwareVersion }: StreamOrigin): boolean => {
+    const listed = servers.filter((server) => server.service === service);
+    return (
+      listed.length > 0 && listed.every((server) => server.softwareVersion !== softwareVersion)
+    );
+  };
+
+  /**
+   * Remembers the version of a stream that is not listed, which counts as one that has just gone: the entry of its
+   * instance still shows the one before, so that the listed versions are not all.
+   */
+  const recordVersion = ({ service, softwareVersion }: StreamOrigin): void => {
+    if (!isUnlisted({ service, softwareVersion })) return;
+    history.adopt([{ service, softwareVersion, goneAt: now() }], Number.POSITIVE_INFINITY);
+  };
+
+  /** Whether all VMs are to be told of a stream, since they know nothing of its version. */
+  const tryTellAll = (origin: StreamOrigin): boolean => {
+    if (!isUnlisted(origin)) return false;
+    const key = `${origin.service} ${origin.softwareVersion}`;
+    if (now() - (toldUnlistedAt.get(key) ?? Number.NEGATIVE_INFINITY) < unlistedPeriodMs)
+      return false;
+    toldUnlistedAt.set(key, now());
+    return true;
+  };
 
   const choosePeers = (request: string, count: number): PeerAddress[] => {
     const peers = new Map(deps.listPeers().map((peer) => [peer.vm, peer]));
@@ -312,11 +344,13 @@
 
   return {
     recordBegin: (request, origin, expiresAt) => {
+      recordVersion(origin);
       recordInStore(request, origin, expiresAt);
       origins.record(request, origin, expiresAt);
       const lifeMs = Math.max(0, Math.round(expiresAt - now()));
       const bytes = encodeOriginMessage({ kind: 'told', request, origin, lifeMs });
-      choosePeers(request, holderCount).forEach(({ address }) => deps.sendDatagram(bytes, address));
+      const told = tryTellAll(origin) ? deps.listPeers() : choosePeers(request, holderCount);
+      told.forEach(({ address }) => deps.sendDatagram(bytes, address));
     },
     find: (request, service, timeoutAt, onDone) => {
       const known = request === undefined ? undefined : origins.find(request, now());
@@ -347,6 +381,7 @@
     onMessage: (message, sender) => {
       if (message.kind === 'told') {
         const lifeMs = Math.min(message.lifeMs, maxToldLifeMs);
+        recordVersion(message.origin);
         origins.record(message.request, message.origin, now() + lifeMs);
       } else if (message.kind === 'record') {
         const lifeMs = Math.min(message.lifeMs, maxStreamLifeMs);
@@ -365,6 +400,9 @@
       if (nowMs < nextPruneAt) return;
       nextPruneAt = nowMs + prunePeriodMs;
       origins.prune(nowMs);
+      toldUnlistedAt.forEach((at, key) => {
+        if (nowMs - at >= unlistedPeriodMs) toldUnlistedAt.delete(key);
+      });
     },
   };
 };
