Have prompts of resumable streams read only by the prefill engine that is listed

Callers saw: no broken rule, the events were those of the decode engine. But a stream of v1 went on from the prompt that an engine of v2 had read, while the entry of that prefill engine still showed v1; a stream and its prompt are meant to stay at one version.

Cause: as for decode engines, the version of an id was used as that of a process. Prefills were sent without a confirmation.

Evidence: the new test, real processes: four of four prompts were read by the engine that had restarted; none now.

Change: the prefill of a stream that wants the listed instance asks for it on the connection, too.

Not measured: what it costs. It is one question a connection of a prefill engine, and a prefill engine that restarted is not used until its entry shows it while the service has a decode engine, which reads the prompts itself, at half the speed.

--- a/packages/router/src/stream-engines.ts
+++ b/packages/router/src/stream-engines.ts
@@ -292,12 +292,18 @@
         },
         prefillMs * 2 + prefillTimeoutMarginMs,
       );
-      const cancel = deps.backends.prefill(prefill, call, ctx.timeoutAt - deps.now(), (outcome) => {
-        if (!tryFinish()) return;
-        if (outcome.kind === 'done')
-          deps.rates.recordPrefill(promptTokens, deps.now() - sentAt, prefill, tokensAhead);
-        onDone(outcome);
-      });
+      const cancel = deps.backends.prefill(
+        prefill,
+        call,
+        ctx.timeoutAt - deps.now(),
+        (outcome) => {
+          if (!tryFinish()) return;
+          if (outcome.kind === 'done')
+            deps.rates.recordPrefill(promptTokens, deps.now() - sentAt, prefill, tokensAhead);
+          onDone(outcome);
+        },
+        { confirmsInstance },
+      );
       return () => {
         if (tryFinish()) cancel();
       };
