--- a/review/lib-2/platform.mjs
+++ b/review/lib-2/platform.mjs
@@ -51,6 +51,8 @@
 /** Starts the stand-in of the platform's store with a configuration. */
 export const startPlatform = async (routes, services) => {
   const platform = await startStandInPlatform();
+  // A script that takes too long ends what it has started, and could not run.
+  process.once('SIGTERM', () => platform.close().finally(() => process.exit(2)));
   platform.store.put('op/config', {
     Version: 1,
     Routes: routes,
