Count what answers of backend servers cost, and log the costly ones

The lines and metrics of a VM could not tell an answer without an end from a crowd of callers or a large configuration: nothing said what was read, from whom, or how long a read kept the event loop. Each answer is recorded when the VM stops to read it: bytes of its body and around it, pieces, the time of all its reads and of the longest. Four metrics sum them up; event 2326 names the server of an answer that was costly, or long and not whole. No decision depends on them.

--- a/packages/router/src/events.ts
+++ b/packages/router/src/events.ts
@@ -63,6 +63,7 @@
   2323: { level: 'info', text: 'request sent although servers crash on a part of it' },
   2324: { level: 'info', text: 'instance of a backend server checked' },
   2325: { level: 'info', text: 'run of a stream ended' },
+  2326: { level: 'warn', text: 'answer of a backend server was costly, or long and not whole' },
   2322: { level: 'info', text: 'connection of a caller closed between two requests' },
   2501: { level: 'info', text: 'control of engine stages taken' },
   2502: { level: 'warn', text: 'control of engine stages lost' },
--- a/packages/router/src/router-metrics.ts
+++ b/packages/router/src/router-metrics.ts
@@ -36,6 +36,10 @@
   readonly storeReachable: Gauge;
   readonly loopDelayMs: Histogram;
   readonly heapBytes: Gauge;
+  readonly answerBytes: Counter<'part'>;
+  readonly answerPieces: Counter;
+  readonly answerReadMs: Counter;
+  readonly answerLongestReadMs: Histogram;
   readonly partitioned: Gauge;
   readonly serverTunnels: Gauge;
   readonly droppedLogLines: Counter;
@@ -202,6 +206,28 @@
       buckets: loopDelayBucketsMs,
       registers,
     }),
+    answerBytes: new Counter({
+      name: `${prefix}answer_bytes_total`,
+      help: 'Bytes that backend servers sent, of bodies and around them',
+      labelNames: ['part'],
+      registers,
+    }),
+    answerPieces: new Counter({
+      name: `${prefix}answer_pieces_total`,
+      help: 'Pieces in which bodies of backend servers were handled',
+      registers,
+    }),
+    answerReadMs: new Counter({
+      name: `${prefix}answer_read_ms_total`,
+      help: 'Milliseconds that the handling of what backend servers sent took',
+      registers,
+    }),
+    answerLongestReadMs: new Histogram({
+      name: `${prefix}answer_longest_read_ms`,
+      help: 'Milliseconds that the longest read of an answer kept the event loop',
+      buckets: loopDelayBucketsMs,
+      registers,
+    }),
     heapBytes: new Gauge({
       name: `${prefix}heap_bytes`,
       help: 'Bytes of the heap in use, with those that the next collection frees',
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -5,6 +5,7 @@
 import type { Store } from '@hemlocksill/types/ports.js';
 import type {
   BackendClient,
+  OnAnswer,
   OnServerNotice,
   ReadCallMetadata,
   ServerRoutes,
@@ -35,6 +36,7 @@
 import { joinQueues, makeStreamQueue } from '@hemlocksill/routing/stream-queue.js';
 import { startReadTimeout } from '@hemlocksill/timers/read-timeout.js';
 import { acceptWaiting, runAfterReads, waitForReads } from '@hemlocksill/timers/run-after-reads.js';
+import { makeAnswerWatch } from './answer-watch.js';
 import type { LogRouterEvent } from './events.js';
 import {
   connectionCheckPeriodMs,
@@ -135,7 +137,11 @@
 export interface RouterPorts {
   readonly store: Store;
   readonly format: StoreFormat;
-  readonly makeBackends: (onNotice: OnServerNotice, routes: ServerRoutes) => BackendClient;
+  readonly makeBackends: (
+    onNotice: OnServerNotice,
+    routes: ServerRoutes,
+    onAnswer: OnAnswer,
+  ) => BackendClient;
   readonly readMetadata: ReadCallMetadata;
   /** Path of the load balancer's readiness check. */
   readonly readyPath: string;
@@ -453,10 +459,13 @@
     log(2113, { server: server.id, durationMs: notice.durationMs });
   };
 
-  const backends = makeChargedBackends(ports.makeBackends(onNotice, routes), {
-    ...limits,
-    isEvacuated: ({ dataCentre }) => evacuations.isEvacuated(dataCentre),
-  });
+  const backends = makeChargedBackends(
+    ports.makeBackends(onNotice, routes, makeAnswerWatch({ log, metrics })),
+    {
+      ...limits,
+      isEvacuated: ({ dataCentre }) => evacuations.isEvacuated(dataCentre),
+    },
+  );
 
   /** Tries whether servers can be reached directly. */
   function probeServers(count: number): void {
--- a/packages/types/src/routing-ports.ts
+++ b/packages/types/src/routing-ports.ts
@@ -158,6 +158,24 @@
 /** Receives the notices of backend servers. */
 export type OnServerNotice = (server: BackendServer, notice: ServerNotice) => void;
 
+/** What an answer of a backend server was, and what reading it took. */
+export interface AnswerRecord {
+  readonly status: number;
+  /** Number of bytes of the body, and of all else: heads and the framing of chunks. */
+  readonly contentBytes: number;
+  readonly framingBytes: number;
+  /** Number of pieces in which the body was handed on. */
+  readonly pieces: number;
+  /** Time that the handling of its reads took, and the longest of them, in milliseconds. */
+  readonly handlingMs: number;
+  readonly longestReadMs: number;
+  /** Why it isn't whole; undefined if it is, or if it was not needed any more. */
+  readonly fault: string | undefined;
+}
+
+/** Receives the record of each answer when the VM stops to read it. */
+export type OnAnswer = (server: BackendServer, record: AnswerRecord) => void;
+
 /** Client for calls to backend servers. */
 export interface BackendClient {
   readonly send: (
