Copy pieces that keep a much larger read in memory

A piece of a body that is kept as it is keeps all that was read with it: 5 KB of a read of 64 KB hold 64 KB, and the account counted 5 KB. Pieces whose memory is over twice their size are copied into blocks now; only a body's single piece stays as it is. The test of a body with three pieces of 5 KB failed before.

The buffer moves to the package sockets, since answers will be gathered in it, too.

--- a/packages/router/src/request-body.ts
+++ b/packages/router/src/request-body.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import { err, ok, type Result } from 'neverthrow';
-import { makeBodyBuffer } from '@hemlocksill/routing/body-buffer.js';
+import { makeBodyBuffer } from '@hemlocksill/sockets/body-buffer.js';
 import { startReadTimeout } from '@hemlocksill/timers/read-timeout.js';
 import type { CallerRequest } from './caller-connections.js';
 
--- a/packages/routing/src/body-buffer.test.ts
+++ b/packages/sockets/src/body-buffer.test.ts
@@ -37,3 +37,12 @@
   buffer.append(piece);
   t.is(buffer.take(), piece);
 });
+
+// Guards against a body that keeps in memory all that was read around it.
+test('a piece of a much larger read does not keep the read', (t) => {
+  const buffer = makeBodyBuffer();
+  const read = Buffer.alloc(64 * 1_024);
+  [0, 1, 2].forEach((n) => buffer.append(read.subarray(n * 5_000, (n + 1) * 5_000)));
+  t.true(buffer.getHeldBytes() < 32 * 1_024, `${buffer.getHeldBytes()}`);
+  t.not(buffer.take().buffer, read.buffer);
+});
--- a/packages/routing/src/body-buffer.ts
+++ b/packages/sockets/src/body-buffer.ts
@@ -1,6 +1,12 @@
 /** Pieces from this size on are kept as they are; smaller ones are copied into blocks. */
 const minOwnPieceBytes = 4 * 1_024;
 
+/** Multiple of its size that a piece may keep in memory; what was read around it stays as long as the piece. */
+const maxOwnPieceFactor = 2;
+
+const isKeptAsItIs = (piece: Buffer): boolean =>
+  piece.length >= minOwnPieceBytes && piece.buffer.byteLength <= maxOwnPieceFactor * piece.length;
+
 /** Limits of the size of a block, which otherwise doubles what is held. */
 const minBlockBytes = 1_024;
 const maxBlockBytes = 64 * 1_024;
@@ -34,6 +40,8 @@
   /** The block at the end of the pieces that is not full, and the number of its bytes in use. */
   let block: Buffer | undefined;
   let usedBytes = 0;
+  /** Whether there is only one piece, kept though it is not fit for it: most bodies have no other. */
+  let isLone = false;
 
   /** Ends the block, so that the next piece follows it. */
   const closeBlock = (): void => {
@@ -67,7 +75,16 @@
     }
   };
 
+  /** Copies the lone piece, since another one follows. */
+  const copyLone = (): void => {
+    const [lone] = pieces;
+    if (!isLone || !lone) return;
+    clear();
+    copy(lone);
+  };
+
   const clear = (): void => {
+    isLone = false;
     pieces = [];
     block = undefined;
     heldBytes = 0;
@@ -76,11 +93,12 @@
   return {
     clear,
     append: (piece) => {
-      if (pieces.length > 0 && piece.length < minOwnPieceBytes) copy(piece);
-      else {
+      copyLone();
+      isLone = pieces.length === 0 && !isKeptAsItIs(piece);
+      if (isLone || isKeptAsItIs(piece)) {
         closeBlock();
         keep(piece);
-      }
+      } else copy(piece);
       bytes += piece.length;
     },
     getBytes: () => bytes,
