Plain: a server whose answer has no end cools down at once, at all VMs

Callers saw attempts wasted on a server that had just sent an answer without an end: each VM and each attempt chose it again.

Cause: such an answer was recorded like a connection that broke, so that a cooldown began only after the second one in a row, no other VM was told, and after each cooldown all requests went to the server again, until the first of the new answers was known to be faulty.

- `CallFault.isMalformed` says that an answer is not valid HTTP or exceeds a limit (size, bytes outside the body, head).
An answer that its connection cuts off isn't malformed: a server that was killed is not faulty.
- The outcome `faulty-answer` starts a cooldown at once, which doubles while it repeats; the other VMs are told with the failing engines.

Ruled out: a threshold on bytes of an answer that is late. A large answer of a slow server would count as faulty.

--- a/packages/router/src/plain-attempt.ts
+++ b/packages/router/src/plain-attempt.ts
@@ -112,7 +112,7 @@
         else
           finishOnce(() => {
             cancelSend();
-            onFault({ kind: 'unknown', reason: 'answer too large' });
+            onFault({ kind: 'unknown', reason: 'answer too large', isMalformed: true });
           });
       },
       end: () => {
--- a/packages/router/src/run-plain.test.ts
+++ b/packages/router/src/run-plain.test.ts
@@ -168,6 +168,7 @@
         ...health,
         record: (id, outcome) => healthRecords.push(`${id} ${outcome}`),
       },
+      recordFaultyAnswer: ({ id }) => healthRecords.push(`${id} faulty-answer`),
       limits: {
         isLimited: () => false,
         getRoom: () => ({ waitMs: 0, requestsPerS: Number.POSITIVE_INFINITY }),
@@ -246,6 +247,7 @@
     waitForAttempts: async (count: number): Promise<void> => {
       while (attempts.length < count) await sleep(1);
     },
+    getObserver,
     fail: (n: number, fault: CallFault) => getObserver(n).fault(fault),
     respond: (n: number, status = 200) => {
       const observer = getObserver(n);
@@ -406,6 +408,19 @@
   t.deepEqual(late.outcomes, ['fail 504 no answer before the timeout']);
 });
 
+// Guards against a server whose answers have no end that is chosen again by each attempt.
+test('a malformed or too large answer counts as faulty, one that breaks off as broken', async (t) => {
+  const malformed = startRun();
+  malformed.fail(1, { ...broken, isMalformed: true });
+  malformed.fail(2, broken);
+  t.deepEqual(malformed.healthRecords, ['i-1 faulty-answer', 'i-2 broken']);
+  const large = startRun();
+  large.getObserver(1).data(Buffer.alloc(4 * 1_024 * 1_024));
+  t.deepEqual(large.healthRecords, []);
+  large.getObserver(1).data(Buffer.alloc(1));
+  t.deepEqual(large.healthRecords, ['i-1 faulty-answer']);
+});
+
 test('after a crash the other attempt goes on, but no further server gets the request', async (t) => {
   for (const end of [broken, full, notSent]) {
     const run = startRun({ serverCount: 4, route: { maxAttempts: 4 }, isSuspect: true });
--- a/packages/router/src/run-plain.ts
+++ b/packages/router/src/run-plain.ts
@@ -22,7 +22,16 @@
 
 /** Dependencies of the run of a plain request. */
 export type PlainDeps = AttemptDeps &
-  Pick<RunDeps, 'health' | 'listReady' | 'tryTakeRetry' | 'returnRetry' | 'log' | 'metrics'> & {
+  Pick<
+    RunDeps,
+    | 'health'
+    | 'listReady'
+    | 'tryTakeRetry'
+    | 'returnRetry'
+    | 'recordFaultyAnswer'
+    | 'log'
+    | 'metrics'
+  > & {
     readonly placement: PlainPlacement;
     readonly crashWatch: Pick<CrashWatch, 'findBlocked' | 'isSuspect' | 'watchRun'>;
     readonly limits: Pick<
@@ -189,7 +198,8 @@
     logFault(server, fault);
     if (fault.kind === 'unknown') {
       mayHaveRun = true;
-      if (!isSlow) deps.health.record(server.id, 'broken', deps.now());
+      if (fault.isMalformed) deps.recordFaultyAnswer(server);
+      else if (!isSlow) deps.health.record(server.id, 'broken', deps.now());
     } else if (fault.kind === 'not-sent') {
       unsentAttempts += 1;
       deps.health.record(server.id, 'unreachable', deps.now());
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -24,7 +24,7 @@
 import { makeResponseTimes } from '@hemlocksill/routing/response-times.js';
 import { makeServerDirectory } from '@hemlocksill/routing/server-directory.js';
 import { makeServerReach } from '@hemlocksill/routing/server-reach.js';
-import { makeServerHealth } from '@hemlocksill/routing/server-health.js';
+import { makeServerHealth, type CallOutcome } from '@hemlocksill/routing/server-health.js';
 import { makeStreamTiming } from '@hemlocksill/routing/stream-timing.js';
 import {
   makeStreamAdmission,
@@ -511,6 +511,12 @@
     return ready.filter((server) => !changing.has(server.id) && !ownChanging.includes(server.id));
   };
 
+  /** Records a conclusive failure, and tells the other VMs. */
+  const recordFailure = ({ id }: BackendServer, outcome: CallOutcome): void => {
+    health.record(id, outcome, now());
+    if (failingEngines.record(id, now())) peers.notifyChange({ kind: 'failing' });
+  };
+
   const runDeps: RunDeps = {
     backends,
     health,
@@ -539,10 +545,8 @@
     tryTakeRetry: (service) => getRetryBudget(service).tryTakeRetry(peers.countVms(), now()),
     returnRetry: (service) => getRetryBudget(service).returnRetry(),
     findStageChange: stages.findChange,
-    recordFailingPrefill: (server, outcome) => {
-      health.record(server.id, outcome, now());
-      if (failingEngines.record(server.id, now())) peers.notifyChange({ kind: 'failing' });
-    },
+    recordFailingPrefill: recordFailure,
+    recordFaultyAnswer: (server) => recordFailure(server, 'faulty-answer'),
     notifyLoadChange: (server) => {
       peers.notifyChange({ kind: 'load', dataCentre: server.dataCentre });
       if (queue.size() > 0) setImmediate(() => queue.process(now()));
--- a/packages/routing/src/limits.test.ts
+++ b/packages/routing/src/limits.test.ts
@@ -55,6 +55,24 @@
   t.false(health.isCoolingDown('a', 1_700));
 });
 
+// Guards against a server whose answers have no end that gets all requests again after each cooldown.
+test('a faulty answer starts a cooldown that doubles, and a trial that ends with a whole answer', (t) => {
+  const health = makeServerHealth();
+  health.record('a', 'faulty-answer', 0);
+  t.true(health.isCoolingDown('a', 399));
+  t.false(health.isCoolingDown('a', 400));
+  health.record('a', 'faulty-answer', 400);
+  t.true(health.isCoolingDown('a', 1_199));
+  t.true(health.isOnTrial('a'));
+  health.record('a', 'error-answer', 1_200);
+  t.false(health.isOnTrial('a'));
+  health.recordPeerFailure('b', 0);
+  health.record('c', 'broken', 0);
+  t.deepEqual(['b', 'c'].map(health.isOnTrial), [true, false]);
+  health.record('b', 'answered', 1_200);
+  t.false(health.isOnTrial('b'));
+});
+
 test('a server gets a cooldown after two consecutive broken calls, not after one', (t) => {
   const health = makeServerHealth();
   health.record('a', 'broken', 0);
--- a/packages/routing/src/server-health.ts
+++ b/packages/routing/src/server-health.ts
@@ -24,6 +24,8 @@
   failureShare: number;
   /** Until this time the server wants no request from this VM. */
   pausedUntil: number;
+  /** Whether the last failure was conclusive for all VMs, and no answer has come since. */
+  isOnTrial: boolean;
 }
 
 /** The outcome of a call to a backend server. */
@@ -34,6 +36,8 @@
   | 'unreachable'
   /** The call failed after it was sent. */
   | 'broken'
+  /** It sent an answer that is not valid HTTP or exceeds a limit, so that it may have no end. */
+  | 'faulty-answer'
   /** It rejected a prompt, which only an engine does that is changing its stage or overloaded. */
   | 'prompt-rejected'
   /** It read a prompt, but did not keep the result until the decode engine asked for it. */
@@ -54,6 +58,8 @@
   readonly isPaused: (id: string, now: number) => boolean;
   /** Whether a backend server should get no requests because of recent failures. */
   readonly isCoolingDown: (id: string, now: number) => boolean;
+  /** Whether a backend server should get one request at a time, since it has not answered after such a failure. */
+  readonly isOnTrial: (id: string) => boolean;
   /** Moving average of the share of calls to a backend server that failed. */
   readonly getFailureShare: (id: string) => number;
 }
@@ -78,6 +84,7 @@
       cooldownMs: initialCooldownMs,
       failureShare: 0,
       pausedUntil: 0,
+      isOnTrial: false,
     };
     healthById.set(id, health);
     return health;
@@ -92,6 +99,7 @@
       const health = getOrCreate(id);
       const failure = outcome === 'answered' ? 0 : 1;
       health.failureShare += (failure - health.failureShare) * outcomeWeight;
+      if (outcome === 'answered' || outcome === 'error-answer') health.isOnTrial = false;
       if (outcome === 'answered') {
         health.consecutiveFailures = 0;
         health.cooldownMs = initialCooldownMs;
@@ -103,14 +111,19 @@
         return;
       }
       health.consecutiveFailures += 1;
+      if (outcome === 'faulty-answer') health.isOnTrial = true;
       const isConclusive =
-        outcome === 'unreachable' || outcome === 'result-lost' || outcome === 'prompt-rejected';
+        outcome === 'unreachable' ||
+        outcome === 'faulty-answer' ||
+        outcome === 'result-lost' ||
+        outcome === 'prompt-rejected';
       if (isConclusive || health.consecutiveFailures >= failuresBeforeCooldown)
         startCooldown(health, now);
     },
     recordPeerFailure: (id, now) => {
       const health = getOrCreate(id);
       health.cooldownUntil = Math.max(health.cooldownUntil, now + peerFailureCooldownMs);
+      health.isOnTrial = true;
     },
     recordPause: (id, durationMs, now) => {
       const health = getOrCreate(id);
@@ -122,9 +135,11 @@
       health.cooldownUntil = 0;
       health.cooldownMs = initialCooldownMs;
       health.consecutiveFailures = 0;
+      health.isOnTrial = false;
     },
     isPaused: (id, now) => (healthById.get(id)?.pausedUntil ?? 0) > now,
     isCoolingDown: (id, now) => (healthById.get(id)?.cooldownUntil ?? 0) > now,
+    isOnTrial: (id) => healthById.get(id)?.isOnTrial ?? false,
     getFailureShare: (id) => healthById.get(id)?.failureShare ?? 0,
   };
 };
--- a/packages/types/src/routing-ports.ts
+++ b/packages/types/src/routing-ports.ts
@@ -14,7 +14,12 @@
   /** The backend server reported that it did not run the request. */
   | { readonly kind: 'rejected'; readonly reason: 'full' | 'other-instance' }
   /** The request may have run. */
-  | { readonly kind: 'unknown'; readonly reason: string };
+  | {
+      readonly kind: 'unknown';
+      readonly reason: string;
+      /** Whether the answer was not valid HTTP or exceeded a limit, so that it may have had no end. */
+      readonly isMalformed?: true;
+    };
 
 /** Status and headers of a backend server's response, without hop-by-hop headers. */
 export interface ResponseHead {
