Plain: a gathered answer is joined, and counts by what it takes in memory

VMs ended at the heap's limit while application servers sent chunks of one to three bytes.

Cause: an answer was gathered as a list of its chunks and counted by their content.

The answer is gathered into a `BodyBuffer`, which copies small pieces into blocks, and the account is told what the buffer holds.

--- a/packages/router/src/caller-flows.ts
+++ b/packages/router/src/caller-flows.ts
@@ -16,8 +16,8 @@
 
 /** The flow of a response that is gathered whole before it is sent. */
 export interface GatheredFlow extends ResponseFlow {
-  /** Records bytes that were received of the response. */
-  readonly recordRead: (bytes: number) => void;
+  /** Records how many bytes are held for what was received of the response. */
+  readonly recordHeld: (heldBytes: number) => void;
   /** Called when the response is sent or given up. */
   readonly close: () => void;
 }
@@ -82,7 +82,7 @@
         gatheredChecks.add(check);
         scheduleCheck();
       },
-      recordRead: bytes.add,
+      recordHeld: bytes.update,
       close: () => {
         bytes.close();
         gatheredChecks.delete(check);
--- a/packages/router/src/plain-attempt.ts
+++ b/packages/router/src/plain-attempt.ts
@@ -1,3 +1,4 @@
+import { makeBodyBuffer } from '@hemlocksill/routing/body-buffer.js';
 import type { BackendServer } from '@hemlocksill/types/routing.js';
 import type {
   BackendClient,
@@ -65,8 +66,7 @@
   const runWatch = crashWatch.watchRun(crashParts, server);
   const flow = openGathered();
   const sentAt = now();
-  let bufferedChunks: Buffer[] = [];
-  let bufferedBytes = 0;
+  const body = makeBodyBuffer();
   let head: ResponseHead | undefined;
   let isFinished = false;
   let cancelSend: CancelCall = () => {};
@@ -77,7 +77,7 @@
     allocation.release();
     runWatch.stop();
     action();
-    bufferedChunks = [];
+    body.clear();
     flow.close();
   };
 
@@ -91,7 +91,7 @@
     finishOnce(() =>
       onDone({
         kind: 'response',
-        response: { head: wholeHead, body: Buffer.concat(bufferedChunks) },
+        response: { head: wholeHead, body: body.take() },
       }),
     );
 
@@ -106,14 +106,16 @@
         if (!isServerError(head)) runWatch.recordEvent();
       },
       data: (chunk) => {
-        bufferedBytes += chunk.length;
-        flow.recordRead(chunk.length);
-        if (bufferedBytes <= maxBufferedBytes) bufferedChunks.push(chunk);
-        else
-          finishOnce(() => {
-            cancelSend();
-            onFault({ kind: 'unknown', reason: 'answer too large', isMalformed: true });
-          });
+        if (isFinished) return;
+        if (body.getBytes() + chunk.length <= maxBufferedBytes) {
+          body.append(chunk);
+          flow.recordHeld(body.getHeldBytes());
+          return;
+        }
+        finishOnce(() => {
+          cancelSend();
+          onFault({ kind: 'unknown', reason: 'answer too large', isMalformed: true });
+        });
       },
       end: () => {
         const endedHead = head;
--- a/packages/router/src/run-plain.test.ts
+++ b/packages/router/src/run-plain.test.ts
@@ -142,7 +142,7 @@
       openGathered: () => ({
         isFull: () => isHeldBack,
         onRoom: () => {},
-        recordRead: () => {},
+        recordHeld: () => {},
         close: () => {},
       }),
       crashWatch: {
--- a/packages/routing/src/caller-memory.test.ts
+++ b/packages/routing/src/caller-memory.test.ts
@@ -73,16 +73,16 @@
     memory.openGathered(),
     memory.openGathered(),
   ];
-  first.add(180);
-  second.add(110);
+  first.update(180);
+  second.update(110);
   t.false(second.isFull());
-  small.add(20);
+  small.update(20);
   t.true(second.isFull());
   t.false(first.isFull());
   t.false(small.isFull());
   first.close();
   t.false(second.isFull());
-  second.add(50);
+  second.update(160);
   memory.open().update(301, 301, 0);
   t.true(second.isFull());
   t.false(small.isFull());
--- a/packages/routing/src/caller-memory.ts
+++ b/packages/routing/src/caller-memory.ts
@@ -66,7 +66,8 @@
 
 /** The bytes of a response that is gathered whole before it is sent. */
 export interface GatheredBytes {
-  readonly add: (bytes: number) => void;
+  /** Records how many bytes are held for it. */
+  readonly update: (heldBytes: number) => void;
   /** Whether no more of the response must be read for now. */
   readonly isFull: () => boolean;
   readonly close: () => void;
@@ -112,9 +113,9 @@
       let bytes = 0;
       gathered.add(key);
       return {
-        add: (added) => {
-          bytes += added;
-          allGathered += added;
+        update: (heldBytes) => {
+          allGathered += heldBytes - bytes;
+          bytes = heldBytes;
         },
         isFull: () => {
           // What is small goes on, since it belongs to ordinary callers.
