Plain: an answer whose head tells too large a length isn't read

Cause: a gathered answer was bounded by what had arrived of it, so that 4 MiB were read and held of an answer whose head told at once that it can't be passed on.

A Content-Length over the bound is a fault when the head arrives, and the connection is closed. An answer of up to 4 MiB is untouched, and so is one without a body, such as to HEAD. The server is faulty only if it tells more than 1 GiB, which no server sends: one that is merely large has an end, and a caller who asks for it must not put the server into a cooldown at all VMs.

The new test failed before.

--- a/packages/router/src/plain-attempt.test.ts
+++ b/packages/router/src/plain-attempt.test.ts
@@ -98,3 +98,28 @@
   observer.end();
   t.is(getBody(), 'firstabcdefgh');
 });
+
+// Guards against a huge answer that is read up to the bound although its head tells that it is too large.
+test('an answer whose head tells too large a length is a fault at once, and malformed only if it has no end', (t) => {
+  const limitBytes = 4 * 1_024 * 1_024;
+  const reason = 'answer too large';
+  const start = (length: string, hasBody = true): ReturnType<typeof startAttempt> => {
+    const attempt = startAttempt();
+    attempt.observer.start({ ...head, hasBody, headers: [['content-length', length]] });
+    return attempt;
+  };
+  const large = start(String(limitBytes + 1));
+  t.deepEqual(large.getFault(), { kind: 'unknown', reason });
+  t.is(large.countCancels(), 1);
+  large.observer.data(Buffer.alloc(1));
+  t.deepEqual(large.held, []);
+  t.deepEqual(start('900000000000').getFault(), { kind: 'unknown', reason, isMalformed: true });
+  // It has only the length of a body.
+  const bodyless = start('900000000000', false);
+  bodyless.observer.end();
+  t.is(bodyless.getBody(), '');
+  const sound = start(String(limitBytes));
+  sound.observer.data(Buffer.alloc(limitBytes));
+  sound.observer.end();
+  t.is(sound.getBody()?.length, limitBytes);
+});
--- a/packages/router/src/plain-attempt.ts
+++ b/packages/router/src/plain-attempt.ts
@@ -15,6 +15,13 @@
 /** Maximum size of a buffered response; a larger response counts as a fault. */
 const maxBufferedBytes = 4 * 1_024 * 1_024;
 
+/** Content-Length above which a response counts as one without an end. */
+const maxToldBytes = 1_024 ** 3;
+
+/** Length of the body that the head of a response tells. */
+const readToldBytes = ({ headers, hasBody }: ResponseHead): number =>
+  hasBody ? Number(headers.find(([name]) => name === 'content-length')?.[1] ?? 0) : 0;
+
 /** The complete response of a backend server. */
 export interface PlainResponse {
   readonly head: ResponseHead;
@@ -84,6 +91,13 @@
   const onFault = (fault: CallFault, isCrashing = false): void =>
     onDone({ kind: 'fault', fault, isCrashing });
 
+  const onTooLarge = (isMalformed: boolean): void =>
+    finishOnce(() => {
+      cancelSend();
+      const reason = 'answer too large';
+      onFault({ kind: 'unknown', reason, ...(isMalformed ? { isMalformed } : {}) });
+    });
+
   const onBreak = (fault: CallFault): void =>
     finishOnce(() => onFault(fault, fault.kind === 'unknown' && runWatch.recordBreak()));
 
@@ -101,6 +115,11 @@
     { remainingMs: timeoutAt - now(), flow },
     {
       start: (receivedHead) => {
+        const toldBytes = readToldBytes(receivedHead);
+        if (toldBytes > maxBufferedBytes) {
+          onTooLarge(toldBytes > maxToldBytes);
+          return;
+        }
         head = receivedHead;
         // A server may answer with an error without having run the request.
         if (!isServerError(head)) runWatch.recordEvent();
@@ -112,10 +131,7 @@
           flow.recordHeld(body.getHeldBytes());
           return;
         }
-        finishOnce(() => {
-          cancelSend();
-          onFault({ kind: 'unknown', reason: 'answer too large', isMalformed: true });
-        });
+        onTooLarge(true);
       },
       end: () => {
         const endedHead = head;
