Plain: over the bound the largest answer goes on, and gives way after a second

Cause: while gathered answers held more than their bound, only the oldest went on, for as long as it took. An answer that never ends, but comes slowly, kept sound ones that need more than an equal share waiting until their deadlines. When the process was short of memory only callers were held; what servers sent went on growing. Many small answers that began one after another, each within the equal share of its time, had no bound together.

- `gathered-memory` (split from `caller-memory`): small answers go on as before, and with them the largest instead of the oldest.
If it has not ended a second after others had to wait, it gives way: the fault says that it may have run, so that what may be repeated is, and others get 502.
Nothing gives way while there is room.
- All but the largest hold at most twice the bound; beyond it the next largest gives way at once.
- The relief of a process that is short of memory also holds all but small answers, and if collecting garbage is not enough the largest give way, down to a quarter of the bound: less would not relieve it.
- Gauge `hemlocksill_gathered_bytes`.

Ruled out: to pass the turn on without giving way. Each would grow to what can be passed on, and all of them together past the bound.

On the previous code a trial with an old answer of 151 and one of 250 of 300 bytes had the second one full for good; the tests of the relief and of the attempt failed. Without the second bound its test sees 855 bytes for a bound of 300. The test of the account moved with it: it expected the oldest to go on, and now expects the largest where both differ.

--- a/packages/router/src/caller-connections.test.ts
+++ b/packages/router/src/caller-connections.test.ts
@@ -62,6 +62,9 @@
     metrics: makeRouterMetrics(),
     isShortOfMemory: () => false,
     collectGarbage: () => {},
+    holdAnswers: () => {},
+    releaseAnswers: () => {},
+    halveAnswers: () => {},
     runAfterReads: (callback) => callback(),
     now: () => clock.now,
     ...overrides,
@@ -226,8 +229,12 @@
 test('callers are not read while the process is short of memory, and give way if that is not enough', async (t) => {
   let isShort = true;
   let collections = 0;
+  const steps: string[] = [];
   const { connections, open, send } = makeConnections({
     isShortOfMemory: () => isShort,
+    holdAnswers: () => steps.push('hold'),
+    releaseAnswers: () => steps.push('release'),
+    halveAnswers: () => steps.push('halve'),
     collectGarbage: () => {
       collections += 1;
       isShort = collections < 2;
@@ -244,6 +251,7 @@
     setTimeout(resolve, 200);
   });
   t.is(collections, 2);
+  t.deepEqual(steps, ['hold', 'halve', 'release']);
   t.true(ahead.isReset);
   t.false(idle.destroyed);
   t.false(idle.isStopped);
@@ -255,6 +263,7 @@
   let isShort = true;
   const { connections, open, send } = makeConnections({
     isShortOfMemory: () => isShort,
+    halveAnswers: () => t.fail(),
     collectGarbage: () => {
       isShort = false;
     },
--- a/packages/router/src/caller-connections.ts
+++ b/packages/router/src/caller-connections.ts
@@ -101,6 +101,11 @@
   /** Whether the process is short of memory. */
   readonly isShortOfMemory: () => boolean;
   readonly collectGarbage: () => void;
+  /** Reads no more of the answers of servers than small ones until `releaseAnswers`. */
+  readonly holdAnswers: () => void;
+  readonly releaseAnswers: () => void;
+  /** Makes answers give way until they hold half of what they do. */
+  readonly halveAnswers: () => void;
   readonly runAfterReads: RunAfterReads;
   readonly now: () => number;
 }
@@ -234,9 +239,18 @@
   const relief = makeMemoryRelief({
     isShort: deps.isShortOfMemory,
     collectGarbage: deps.collectGarbage,
-    holdReads: readTurns.hold,
-    releaseReads: readTurns.release,
-    halveRequests,
+    holdReads: () => {
+      readTurns.hold();
+      deps.holdAnswers();
+    },
+    releaseReads: () => {
+      readTurns.release();
+      deps.releaseAnswers();
+    },
+    halveHeld: () => {
+      halveRequests();
+      deps.halveAnswers();
+    },
     metrics,
     now,
   });
--- a/packages/router/src/caller-flows.ts
+++ b/packages/router/src/caller-flows.ts
@@ -24,7 +24,13 @@
 
 /** The flows of all responses. */
 export interface CallerFlows {
-  readonly openGathered: () => GatheredFlow;
+  /** `giveWay` breaks the response off. */
+  readonly openGathered: (giveWay: () => void) => GatheredFlow;
+  /** Reads only small responses of those that are gathered until `releaseGathered`. */
+  readonly holdGathered: () => void;
+  readonly releaseGathered: () => void;
+  /** Makes responses that are gathered give way until they hold half of what they do. */
+  readonly halveGathered: () => void;
   /** `fields` name the request in the log. */
   readonly open: (res: ServerResponse, fields: Readonly<Record<string, string>>) => CallerFlow;
 }
@@ -32,7 +38,7 @@
 /** Dependencies of the flows. */
 export interface CallerFlowDeps {
   readonly log: LogRouterEvent;
-  readonly metrics: Pick<RouterMetrics, 'unreadBytes' | 'stalledCallers'>;
+  readonly metrics: Pick<RouterMetrics, 'unreadBytes' | 'gatheredBytes' | 'stalledCallers'>;
   readonly now: () => number;
 }
 
@@ -45,6 +51,7 @@
  */
 export const makeCallerFlows = (limits: CallerMemoryLimits, deps: CallerFlowDeps): CallerFlows => {
   const memory = makeCallerMemory(limits);
+  const { gathered } = memory;
   /** Checks of the responses with unread bytes. */
   const checks = new Set<() => void>();
   /** Checks of the gathered responses that are not read for now. */
@@ -60,6 +67,7 @@
       isScheduled = false;
       checks.forEach((check) => check());
       checkGathered();
+      if (gatheredChecks.size > 0) gathered.check(deps.now());
       deps.metrics.unreadBytes.set(memory.getUnreadBytes());
       scheduleCheck();
     };
@@ -67,8 +75,8 @@
     setTimeout(runAfterReads, checkPeriodMs, runChecks).unref();
   };
 
-  const openGathered = (): GatheredFlow => {
-    const bytes = memory.openGathered();
+  const openGathered = (giveWay: () => void): GatheredFlow => {
+    const bytes = gathered.open(giveWay);
     let resume = (): void => {};
     const check = (): void => {
       if (bytes.isFull()) return;
@@ -82,9 +90,13 @@
         gatheredChecks.add(check);
         scheduleCheck();
       },
-      recordHeld: bytes.update,
+      recordHeld: (heldBytes) => {
+        bytes.update(heldBytes);
+        deps.metrics.gatheredBytes.set(gathered.getBytes());
+      },
       close: () => {
         bytes.close();
+        deps.metrics.gatheredBytes.set(gathered.getBytes());
         gatheredChecks.delete(check);
         checkGathered();
       },
@@ -93,6 +105,12 @@
 
   return {
     openGathered,
+    holdGathered: gathered.hold,
+    releaseGathered: () => {
+      gathered.release();
+      checkGathered();
+    },
+    halveGathered: gathered.halve,
     open: (res, fields) => {
       const account = memory.open();
       let written = 0;
--- a/packages/router/src/memory-relief.ts
+++ b/packages/router/src/memory-relief.ts
@@ -3,15 +3,15 @@
 /** Interval at which a process that is short of memory looks whether it still is. */
 const stepMs = 50;
 
-/** Time for which callers are not read at most; what is left then is not theirs to free. */
+/** Time for which callers and servers are not read at most; what is left then is not theirs to free. */
 const maxHoldMs = 1_000;
 
-/** Time after that in which callers are read though the process is short of memory. */
+/** Time after that in which they are read though the process is short of memory. */
 const pauseMs = 5_000;
 
 /** Relief of a process that is short of memory. */
 export interface MemoryRelief {
-  /** Looks whether the process is short of memory, and stops to read callers if it is. */
+  /** Looks whether the process is short of memory, and stops to read callers and servers if it is. */
   readonly check: () => void;
 }
 
@@ -21,15 +21,15 @@
   readonly collectGarbage: () => void;
   readonly holdReads: () => void;
   readonly releaseReads: () => void;
-  /** Makes callers give way until their requests hold half of what they do. */
-  readonly halveRequests: () => void;
+  /** Makes callers and answers of servers give way until they hold half of what they do. */
+  readonly halveHeld: () => void;
   readonly metrics: Pick<RouterMetrics, 'callerLimits'>;
   readonly now: () => number;
 }
 
 /**
  * Makes the relief of a process that is short of memory. Accounts count what they know; the heap's limit, at which the
- * process ends, counts everything. Callers are not read while the heap is nearly full, garbage is collected, and if
+ * process ends, counts everything. Callers and servers are not read while the heap is nearly full, garbage is collected, and if
  * that is not enough, those give way that hold most.
  *
  * @example
@@ -53,7 +53,7 @@
         nextHoldAt = deps.now() + pauseMs;
         release();
       } else {
-        deps.halveRequests();
+        deps.halveHeld();
         scheduleStep(endsAt);
       }
     }, stepMs);
--- a/packages/router/src/plain-attempt.ts
+++ b/packages/router/src/plain-attempt.ts
@@ -43,7 +43,7 @@
   readonly backends: Pick<BackendClient, 'send'>;
   readonly crashWatch: Pick<CrashWatch, 'watchRun'>;
   /** Opens the flow of a response, which holds back servers while callers hold too much. */
-  readonly openGathered: () => GatheredFlow;
+  readonly openGathered: (giveWay: () => void) => GatheredFlow;
 };
 
 /** An attempt in progress. */
@@ -71,13 +71,16 @@
 ): PlainAttempt => {
   const allocation = plainLedger.addDecode(server.id, 0);
   const runWatch = crashWatch.watchRun(crashParts, server);
-  const flow = openGathered();
   const sentAt = now();
   const body = makeBodyBuffer();
   let head: ResponseHead | undefined;
   let isFinished = false;
   let cancelSend: CancelCall = () => {};
 
+  const flow = openGathered(() =>
+    breakOff({ kind: 'unknown', reason: 'the answers hold too much memory' }),
+  );
+
   const finishOnce = (action: () => void): void => {
     if (isFinished) return;
     isFinished = true;
@@ -91,11 +94,18 @@
   const onFault = (fault: CallFault, isCrashing = false): void =>
     onDone({ kind: 'fault', fault, isCrashing });
 
-  const onTooLarge = (isMalformed: boolean): void =>
+  /** Ends an attempt whose server has not failed. */
+  const breakOff = (fault: CallFault): void =>
     finishOnce(() => {
       cancelSend();
-      const reason = 'answer too large';
-      onFault({ kind: 'unknown', reason, ...(isMalformed ? { isMalformed } : {}) });
+      onFault(fault);
+    });
+
+  const onTooLarge = (isMalformed: boolean): void =>
+    breakOff({
+      kind: 'unknown',
+      reason: 'answer too large',
+      ...(isMalformed ? { isMalformed } : {}),
     });
 
   const onBreak = (fault: CallFault): void =>
--- a/packages/router/src/router-metrics.ts
+++ b/packages/router/src/router-metrics.ts
@@ -25,6 +25,7 @@
   readonly refusedStreams: Counter<'priority' | 'before'>;
   readonly openRequests: Gauge;
   readonly unreadBytes: Gauge;
+  readonly gatheredBytes: Gauge;
   readonly stalledCallers: Counter;
   readonly callerConnections: Gauge;
   readonly callerLimits: Counter<'limit'>;
@@ -149,6 +150,11 @@
       help: 'Bytes of responses that callers have not read',
       registers,
     }),
+    gatheredBytes: new Gauge({
+      name: `${prefix}gathered_bytes`,
+      help: 'Bytes that answers of application servers hold until they are whole',
+      registers,
+    }),
     stalledCallers: new Counter({
       name: `${prefix}stalled_callers_total`,
       help: 'Callers disconnected because they did not read their response',
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -583,7 +583,7 @@
   const plainDeps: PlainDeps = {
     ...runDeps,
     placement: plainPlacement,
-    openGathered: () => flows.openGathered(),
+    openGathered: (giveWay) => flows.openGathered(giveWay),
   };
 
   const order = makeRequestOrder({ log, now });
@@ -614,6 +614,9 @@
     metrics,
     isShortOfMemory: () => heap.isShort(),
     collectGarbage,
+    holdAnswers: flows.holdGathered,
+    releaseAnswers: flows.releaseGathered,
+    halveAnswers: flows.halveGathered,
     runAfterReads,
     now,
   });
--- a/packages/routing/src/caller-memory.ts
+++ b/packages/routing/src/caller-memory.ts
@@ -1,3 +1,5 @@
+import { makeGatheredMemory, type GatheredMemory } from './gathered-memory.js';
+
 /** Bounds on bytes of responses that callers have not read; 0 means no bound. */
 export interface CallerMemoryLimits {
   readonly callerBytes: number;
@@ -64,19 +66,11 @@
   readonly close: () => void;
 }
 
-/** The bytes of a response that is gathered whole before it is sent. */
-export interface GatheredBytes {
-  /** Records how many bytes are held for it. */
-  readonly update: (heldBytes: number) => void;
-  /** Whether no more of the response must be read for now. */
-  readonly isFull: () => boolean;
-  readonly close: () => void;
-}
-
 /** The bytes of all responses. */
 export interface CallerMemory {
   readonly open: () => CallerAccount;
-  readonly openGathered: () => GatheredBytes;
+  /** Those that are gathered whole before they are sent. */
+  readonly gathered: GatheredMemory;
   readonly getUnreadBytes: () => number;
 }
 
@@ -91,9 +85,10 @@
   let allUnread = 0;
   /** Number of callers with unread bytes. */
   let holders = 0;
-  let allGathered = 0;
-  /** Responses that are gathered, in the order of their beginning. */
-  const gathered = new Set<symbol>();
+  const gathered = makeGatheredMemory({
+    limitBytes: limits.allCallersBytes,
+    getUnreadBytes: () => allUnread,
+  });
 
   const isOver = (bytes: number): boolean =>
     limits.allCallersBytes > 0 && bytes > limits.allCallersBytes;
@@ -108,30 +103,7 @@
 
   return {
     getUnreadBytes: () => allUnread,
-    openGathered: () => {
-      const key = Symbol('gathered');
-      let bytes = 0;
-      gathered.add(key);
-      return {
-        update: (heldBytes) => {
-          allGathered += heldBytes - bytes;
-          bytes = heldBytes;
-        },
-        isFull: () => {
-          // What is small goes on, since it belongs to ordinary callers.
-          if (bytes < limits.allCallersBytes / gathered.size) return false;
-          if (isOver(allUnread)) return true;
-          // The oldest goes on, since all that are gathered could else wait for each other.
-          const [oldest] = gathered;
-          return key !== oldest && isOver(allUnread + allGathered);
-        },
-        close: () => {
-          allGathered -= bytes;
-          bytes = 0;
-          gathered.delete(key);
-        },
-      };
-    },
+    gathered,
     open: () => {
       let unreadBytes = 0;
       let readBytes = 0;
