Plain: answers that wait for memory are read on once another one has ended

Callers of twelve sound answers of 3 MiB at the same time got 504 for most of them, while the server had sent everything.

Cause: when a gathered answer ended, those that waited for memory were resumed at once, inside the HTTP client's handling of the answer that had ended. The client asserts that it handles no other answer then, so that the first resume failed, its answer was never read on, and the others weren't looked at. The failed one was often the largest, for which all others wait: everything stood still until the deadlines.

They are resumed in the next turn, all at once. Ruled out by a trace of bytes and resumes: the bound itself, unread bytes, and the check every 100 ms, which resumes outside of the client.

--- a/packages/router/src/caller-flows.test.ts
+++ b/packages/router/src/caller-flows.test.ts
@@ -42,3 +42,19 @@
   await resumed;
   t.false(large.isFull());
 });
+
+// Guards against a response that is never read on, since the HTTP client can't resume it while it handles another.
+test('a response that waits is read on after the turn in which another one has ended', async (t) => {
+  const flows = makeFlows(300);
+  const [ending, waiting] = [flows.openGathered(() => {}), flows.openGathered(() => {})];
+  ending.recordHeld(160);
+  waiting.recordHeld(150);
+  let isClosing = false;
+  const wasClosing = new Promise<boolean>((resolve) => {
+    waiting.onRoom(() => resolve(isClosing));
+  });
+  isClosing = true;
+  ending.close();
+  isClosing = false;
+  t.false(await wasClosing);
+});
--- a/packages/router/src/caller-flows.ts
+++ b/packages/router/src/caller-flows.ts
@@ -60,6 +60,17 @@
 
   const checkGathered = (): void => gatheredChecks.forEach((check) => check());
 
+  let isCheckDue = false;
+  /** The HTTP client resumes no response while it handles another one, which may be what has ended. */
+  const checkGatheredSoon = (): void => {
+    if (isCheckDue) return;
+    isCheckDue = true;
+    setImmediate(() => {
+      isCheckDue = false;
+      checkGathered();
+    });
+  };
+
   const scheduleCheck = (): void => {
     if (isScheduled || checks.size + gatheredChecks.size === 0) return;
     isScheduled = true;
@@ -98,7 +109,7 @@
         bytes.close();
         deps.metrics.gatheredBytes.set(gathered.getBytes());
         gatheredChecks.delete(check);
-        checkGathered();
+        if (gatheredChecks.size > 0) checkGatheredSoon();
       },
     };
   };
@@ -108,7 +119,7 @@
     holdGathered: gathered.hold,
     releaseGathered: () => {
       gathered.release();
-      checkGathered();
+      checkGatheredSoon();
     },
     halveGathered: gathered.halve,
     open: (res, fields) => {
