Count only answers over a limit as faulty, and let heavy connections rest when memory is short

An answer that isn't valid HTTP ends at once and costs little, and a sound server may send more than can be gathered: neither tells an answer without an end. A single one would have kept a server out of use at all VMs.

While the process is short of memory, connections on which much time was spent rest, besides the answers that hold most.

--- a/packages/router/src/plain-attempt.ts
+++ b/packages/router/src/plain-attempt.ts
@@ -1,4 +1,4 @@
-import { makeBodyBuffer } from '@hemlocksill/routing/body-buffer.js';
+import { makeBodyBuffer } from '@hemlocksill/sockets/body-buffer.js';
 import type { BackendServer } from '@hemlocksill/types/routing.js';
 import type {
   BackendClient,
@@ -101,11 +101,11 @@
       onFault(fault);
     });
 
-  const onTooLarge = (isMalformed: boolean): void =>
+  const onTooLarge = (isOversized = false): void =>
     breakOff({
       kind: 'unknown',
       reason: 'answer too large',
-      ...(isMalformed ? { isMalformed } : {}),
+      ...(isOversized ? { isOversized } : {}),
     });
 
   const onBreak = (fault: CallFault): void =>
@@ -141,7 +141,7 @@
           flow.recordHeld(body.getHeldBytes());
           return;
         }
-        onTooLarge(true);
+        onTooLarge();
       },
       end: () => {
         const endedHead = head;
--- a/packages/router/src/run-deps.ts
+++ b/packages/router/src/run-deps.ts
@@ -59,7 +59,7 @@
     server: BackendServer,
     outcome: 'result-lost' | 'prompt-rejected',
   ) => void;
-  /** Records that the answer of a server may have had no end (`CallFault.isMalformed`), and tells the other VMs. */
+  /** Records that the answer of a server may have had no end (`CallFault.isOversized`), and tells the other VMs. */
   readonly recordFaultyAnswer: (server: BackendServer) => void;
   /** Notifies the other VMs that work was placed at an engine or has ended there. */
   readonly notifyLoadChange: (server: BackendServer) => void;
--- a/packages/router/src/run-plain.ts
+++ b/packages/router/src/run-plain.ts
@@ -198,7 +198,7 @@
     logFault(server, fault);
     if (fault.kind === 'unknown') {
       mayHaveRun = true;
-      if (fault.isMalformed) deps.recordFaultyAnswer(server);
+      if (fault.isOversized) deps.recordFaultyAnswer(server);
       else if (!isSlow) deps.health.record(server.id, 'broken', deps.now());
     } else if (fault.kind === 'not-sent') {
       unsentAttempts += 1;
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -34,6 +34,7 @@
 } from '@hemlocksill/routing/stream-admission.js';
 import { countBoundTokens } from '@hemlocksill/routing/bound-streams.js';
 import { joinQueues, makeStreamQueue } from '@hemlocksill/routing/stream-queue.js';
+import { answerReads } from '@hemlocksill/sockets/read-answers.js';
 import { startReadTimeout } from '@hemlocksill/timers/read-timeout.js';
 import { acceptWaiting, runAfterReads, waitForReads } from '@hemlocksill/timers/run-after-reads.js';
 import { makeAnswerWatch } from './answer-watch.js';
@@ -623,8 +624,14 @@
     metrics,
     isShortOfMemory: () => heap.isShort(),
     collectGarbage,
-    holdAnswers: flows.holdGathered,
-    releaseAnswers: flows.releaseGathered,
+    holdAnswers: () => {
+      answerReads.hold();
+      flows.holdGathered();
+    },
+    releaseAnswers: () => {
+      answerReads.release();
+      flows.releaseGathered();
+    },
     halveAnswers: flows.halveGathered,
     runAfterReads,
     now,
--- a/packages/routing/src/place-plain.ts
+++ b/packages/routing/src/place-plain.ts
@@ -34,18 +34,14 @@
   readonly random: () => number;
 }
 
-/** Whether a server that may still be faulty has a request of this VM, so that it gets no other one. */
-const isTried = ({ id }: BackendServer, { health, ledger, now }: PlacementView): boolean =>
-  health.isOnTrial(id) && ledger.getTotal(id, now).requests > 0;
-
-/** Servers that may get a request. If all of them are cooling down or on trial, they are used rather than none. */
+/** Servers that may get a request. If all of them are cooling down, they are used rather than none. */
 export const listPlainCandidates = (
   servers: readonly BackendServer[],
   view: PlacementView,
   excluded: ReadonlySet<string>,
 ): readonly BackendServer[] => {
   const allowed = servers.filter((server) => !excluded.has(server.id) && isAllowed(server, view));
-  const available = allowed.filter((server) => isAvailable(server, view) && !isTried(server, view));
+  const available = allowed.filter((server) => isAvailable(server, view));
   return available.length > 0 ? available : allowed;
 };
 
--- a/packages/routing/src/server-health.ts
+++ b/packages/routing/src/server-health.ts
@@ -24,8 +24,6 @@
   failureShare: number;
   /** Until this time the server wants no request from this VM. */
   pausedUntil: number;
-  /** Whether the last failure was conclusive for all VMs, and no answer has come since. */
-  isOnTrial: boolean;
 }
 
 /** The outcome of a call to a backend server. */
@@ -36,7 +34,7 @@
   | 'unreachable'
   /** The call failed after it was sent. */
   | 'broken'
-  /** It sent an answer that is not valid HTTP or exceeds a limit, so that it may have no end. */
+  /** It sent more than any answer has that is sound, so that its answers may have no end. */
   | 'faulty-answer'
   /** It rejected a prompt, which only an engine does that is changing its stage or overloaded. */
   | 'prompt-rejected'
@@ -58,8 +56,6 @@
   readonly isPaused: (id: string, now: number) => boolean;
   /** Whether a backend server should get no requests because of recent failures. */
   readonly isCoolingDown: (id: string, now: number) => boolean;
-  /** Whether a backend server should get one request at a time, since it has not answered after such a failure. */
-  readonly isOnTrial: (id: string) => boolean;
   /** Moving average of the share of calls to a backend server that failed. */
   readonly getFailureShare: (id: string) => number;
 }
@@ -84,7 +80,6 @@
       cooldownMs: initialCooldownMs,
       failureShare: 0,
       pausedUntil: 0,
-      isOnTrial: false,
     };
     healthById.set(id, health);
     return health;
@@ -99,7 +94,6 @@
       const health = getOrCreate(id);
       const failure = outcome === 'answered' ? 0 : 1;
       health.failureShare += (failure - health.failureShare) * outcomeWeight;
-      if (outcome === 'answered' || outcome === 'error-answer') health.isOnTrial = false;
       if (outcome === 'answered') {
         health.consecutiveFailures = 0;
         health.cooldownMs = initialCooldownMs;
@@ -111,7 +105,6 @@
         return;
       }
       health.consecutiveFailures += 1;
-      if (outcome === 'faulty-answer') health.isOnTrial = true;
       const isConclusive =
         outcome === 'unreachable' ||
         outcome === 'faulty-answer' ||
@@ -123,7 +116,6 @@
     recordPeerFailure: (id, now) => {
       const health = getOrCreate(id);
       health.cooldownUntil = Math.max(health.cooldownUntil, now + peerFailureCooldownMs);
-      health.isOnTrial = true;
     },
     recordPause: (id, durationMs, now) => {
       const health = getOrCreate(id);
@@ -135,11 +127,9 @@
       health.cooldownUntil = 0;
       health.cooldownMs = initialCooldownMs;
       health.consecutiveFailures = 0;
-      health.isOnTrial = false;
     },
     isPaused: (id, now) => (healthById.get(id)?.pausedUntil ?? 0) > now,
     isCoolingDown: (id, now) => (healthById.get(id)?.cooldownUntil ?? 0) > now,
-    isOnTrial: (id) => healthById.get(id)?.isOnTrial ?? false,
     getFailureShare: (id) => healthById.get(id)?.failureShare ?? 0,
   };
 };
--- a/packages/sockets/src/read-slices.ts
+++ b/packages/sockets/src/read-slices.ts
@@ -43,7 +43,7 @@
   readonly add: (socket: Socket, onSlice?: (record: SliceRecord) => void) => SlicedReads;
   /** Number of bytes of all connections that wait to be handled. */
   readonly getWaitingBytes: () => number;
-  /** Handles nothing more until `release`. */
+  /** Lets the connections that took much time rest until `release`. */
   readonly hold: () => void;
   readonly release: () => void;
 }
@@ -92,8 +92,10 @@
   const getSpentMs = ({ spentMs, spentAt }: Reader): number =>
     spentMs * 2 ** ((spentAt - now()) / spentHalfLifeMs);
 
-  /** Whether a connection has to rest. */
-  const isResting = (reader: Reader): boolean => heavyFrom > now() && getSpentMs(reader) > heavyMs;
+  /** Whether connections on which much time was spent have to rest. */
+  const areHeavyResting = (): boolean => isHeld || heavyFrom > now();
+
+  const isResting = (reader: Reader): boolean => areHeavyResting() && getSpentMs(reader) > heavyMs;
 
   const startTurn = (): void => {
     isTurnScheduled = false;
@@ -160,10 +162,10 @@
   const chooseNext = (): Reader | undefined => {
     let next: Reader | undefined;
     let leastMs = Number.POSITIVE_INFINITY;
-    const isRested = heavyFrom <= now();
+    const areResting = areHeavyResting();
     waiting.forEach((reader) => {
       const spentMs = getSpentMs(reader);
-      if (spentMs >= leastMs || (!isRested && spentMs > heavyMs)) return;
+      if (spentMs >= leastMs || (areResting && spentMs > heavyMs)) return;
       next = reader;
       leastMs = spentMs;
     });
@@ -172,7 +174,7 @@
 
   /** Handles the next slice of this turn. */
   const runNext = (): void => {
-    if (isHeld || waiting.size === 0) return;
+    if (waiting.size === 0) return;
     if (turnMs >= maxTurnMs) {
       scheduleTurn();
       return;
@@ -183,6 +185,8 @@
       deliverNext(next);
       return;
     }
+    // The release of those that are held schedules a turn.
+    if (isHeld) return;
     restTimer ??= setTimeout(
       () => {
         restTimer = undefined;
@@ -224,7 +228,7 @@
       };
       Object.assign(socket, {
         push: (piece: Buffer | null): boolean => {
-          if (reader.pieces.length > 0 || isHeld || isResting(reader)) return wait(reader, piece);
+          if (reader.pieces.length > 0 || isResting(reader)) return wait(reader, piece);
           if (piece === null) return push(null);
           if (piece.length <= reader.sliceBytes) return deliver(reader, piece);
           // Whoever waits for the answer learns at once that it goes on.
--- a/packages/types/src/routing-ports.ts
+++ b/packages/types/src/routing-ports.ts
@@ -18,7 +18,7 @@
       readonly kind: 'unknown';
       readonly reason: string;
       /** Whether the answer was not valid HTTP or exceeded a limit, so that it may have had no end. */
-      readonly isMalformed?: true;
+      readonly isOversized?: true;
     };
 
 /** Status and headers of a backend server's response, without hop-by-hop headers. */
