Streams: pieces for a caller that doesn't read are written together

Callers saw VMs that ended or stood still. `responder.write` made one write of a response for each piece: with its size, its end and their entries in the queue of the socket. For a caller that doesn't read, small events were held in many times the bytes that the account of unread bytes counts, and an error answer in chunks of one byte made 262,144 writes.

A piece is written at once if none is on its way; small ones that come meanwhile, in the same turn or while the caller doesn't read, wait and are then written together. A single event goes out as before, with the head. What waits counts as unread. Ends and faults write it first; a fault also hands over what the socket corks until the next tick.

Ruled out: joining until the next tick only, since a caller that doesn't read gets its events in as many turns; a charge for each write in the account, which would break off sound callers earlier instead of holding less.

--- a/packages/router/src/call-context.ts
+++ b/packages/router/src/call-context.ts
@@ -220,6 +220,9 @@
 
   /** Closes the connection of a response that was begun, so that it does not look complete. */
   const breakOff = (): void => {
+    flow.flush();
+    // What was written in this turn is corked until the next tick, when it would be lost.
+    res.socket?.uncork();
     if (isFramed) res.destroy();
     else res.socket?.resetAndDestroy();
   };
@@ -230,12 +233,12 @@
     sendHead: writeHead,
     write: (bytes) => {
       writes += 1;
-      res.write(bytes);
-      flow.recordWrite(bytes.length);
+      flow.write(bytes);
     },
     flow,
     end: () => {
       recordEnd('answered', { status: res.statusCode, writes });
+      flow.flush();
       res.end();
     },
     sendComplete: (head, body, server) => {
--- a/packages/router/src/caller-flows.ts
+++ b/packages/router/src/caller-flows.ts
@@ -3,6 +3,7 @@
 import { makeCallerMemory, type CallerMemoryLimits } from '@hemlocksill/routing/caller-memory.js';
 import { runAfterReads } from '@hemlocksill/timers/run-after-reads.js';
 import type { LogRouterEvent } from './events.js';
+import { makeJoinedWrites } from './joined-writes.js';
 import type { RouterMetrics } from './router-metrics.js';
 
 /** Interval at which callers with unread bytes are checked. */
@@ -10,7 +11,11 @@
 
 /** The flow of one response to its caller. */
 export interface CallerFlow extends ResponseFlow {
-  /** Records bytes that were written to the response. */
+  /** Writes a piece of the response, or joins it to those that wait for an earlier write. */
+  readonly write: (piece: Buffer) => void;
+  /** Writes the pieces that wait. */
+  readonly flush: () => void;
+  /** Records bytes that were written to the response by others. */
   readonly recordWrite: (bytes: number) => void;
 }
 
@@ -107,7 +112,7 @@
 
       const update = (): number => {
         // The bytes of the framing are unread, too, but were not counted as written.
-        const unread = Math.min(written, res.writableLength);
+        const unread = Math.min(written, res.writableLength + writes.getWaitingBytes());
         account.update(written, unread, deps.now());
         if (unread > 0) checks.add(check);
         else checks.delete(check);
@@ -128,6 +133,17 @@
         else if (!account.isFull()) runRoomCallbacks();
       };
 
+      const recordWrite = (bytes: number): void => {
+        if (isClosed) return;
+        written += bytes;
+        update();
+        scheduleCheck();
+      };
+
+      const writes = makeJoinedWrites(res, () => {
+        if (!isClosed) check();
+      });
+
       res.on('drain', check);
       res.once('close', () => {
         isClosed = true;
@@ -143,12 +159,12 @@
           if (isClosed) callback();
           else roomCallbacks.push(callback);
         },
-        recordWrite: (bytes) => {
-          if (isClosed) return;
-          written += bytes;
-          update();
-          scheduleCheck();
+        write: (piece) => {
+          writes.write(piece);
+          recordWrite(piece.length);
         },
+        flush: writes.flush,
+        recordWrite,
       };
     },
   };
