Streams: an event that arrives in pieces is held in memory of its own size

A small event that arrived in pieces was passed on as a part of a buffer of at least 1 KiB, and one at the begin of a large read as a part of that read: a caller that didn't read held fifty times what the account of unread bytes counts.

Events that are a small part of what they would hold are copied, and their buffer is used again, which saves the buffer of 1 KiB for each such event. Larger ones are passed on without a copy, as before.

The test fails on the code before: an event of 20 bytes holds a buffer of 1 KiB.

--- a/packages/router/src/sse-events.test.ts
+++ b/packages/router/src/sse-events.test.ts
@@ -63,3 +63,15 @@
   splitter.push(Buffer.from('data: b\n\n'));
   t.is(events?.toString(), 'id: 1\ndata: a\n\n');
 });
+
+// A caller that does not read would hold fifty times its events.
+test('events in small pieces hold not much more than their size', (t) => {
+  const splitter = makeEventSplitter();
+  const event = 'id: 1\ndata: token\n\n';
+  const passed = [...event.repeat(200)].flatMap((byte) => splitter.push(Buffer.from(byte)) ?? []);
+  const slab = Buffer.alloc(64 * 1_024);
+  const small = slab.subarray(0, slab.write(event));
+  passed.push(splitter.push(small) ?? small);
+  passed.forEach((events) => t.true(events.buffer.byteLength < 512));
+  t.is(Buffer.concat(passed).toString(), event.repeat(201));
+});
--- a/packages/router/src/sse-events.ts
+++ b/packages/router/src/sse-events.ts
@@ -13,6 +13,9 @@
 
 const initialBufferBytes = 1_024;
 
+/** Bytes that events may hold beyond twice their size, as a part of something larger. */
+const maxSharedBytes = 256;
+
 const newline = 0x0a;
 
 /** Returns the position after the last empty line that ends after `from`, or 0. */
@@ -25,6 +28,15 @@
   return 0;
 };
 
+/** Copies events that are a small part of what they would hold until their caller has read them. */
+const releaseRest = (events: Buffer): Buffer => {
+  if (events.buffer.byteLength <= 2 * events.length + maxSharedBytes) return events;
+  // A slice of the shared pool would keep all of it in memory.
+  const copy = Buffer.allocUnsafeSlow(events.length);
+  events.copy(copy);
+  return copy;
+};
+
 /**
  * Makes a splitter; an incomplete event is never forwarded.
  *
@@ -60,11 +72,13 @@
         if (scanFrom === 0) append(chunk);
         return undefined;
       }
-      const events = data.subarray(0, end);
-      // The events are passed on without a copy, so their buffer is not used again.
-      buffer = Buffer.alloc(0);
+      const passed = data.subarray(0, end);
+      const events = releaseRest(passed);
+      const rest = data.subarray(end);
+      // A buffer whose events are passed on without a copy is not used again.
+      if (events === passed) buffer = Buffer.alloc(0);
       bufferedBytes = 0;
-      append(data.subarray(end));
+      append(rest);
       return events;
     },
     hasIncompleteEvent: () => bufferedBytes > 0,
