Streams: events and comments without an end are broken off

An engine that sent whole events without an end was forwarded until the deadline, 14 s, and its caller paid for it. Comments and empty lines, which make whole events that say nothing, were forwarded in the same way.

A stream has at most as many events with tokens as tokens, since an event holds one or several. One with more than twice its maximum of output tokens and 1,024 events, counted over all its runs, is broken off so that its caller sees that it isn't whole; it doesn't go on elsewhere, after events that can't be trusted, and the fault counts against its engine. Without token counts only the deadline ends it. 256 KiB of comments and empty lines without an event between them are a fault like an event that is too large: the stream goes on at another engine.

Ruled out: a bound in bytes per second, which a fast engine would meet; counting comments as events, since an engine may send a heartbeat with each token, or while it reads a long prompt.

--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -11,6 +11,7 @@
   makeEventOrder,
   type OrderFault,
 } from '@hemlocksill/routing/event-order.js';
+import { makeStreamBounds } from '@hemlocksill/routing/stream-bounds.js';
 import type { CallContext, Responder } from './call-context.js';
 import { blockedRetryAfterMs, describePart, getBlockedReason } from './crash-watch.js';
 import { makeHandOver, silenceReason, type NextRun, type PreviousRun } from './hand-over.js';
@@ -101,6 +102,7 @@
   let resumeBy = 0;
   let lastEventId: string | undefined;
   const eventOrder = makeEventOrder(call.metadata.lastEventId);
+  const bounds = makeStreamBounds(call.metadata.maxOutputTokens);
   let cancelAttempt: CancelCall = () => {};
 
   const getRemainingMs = (): number => ctx.timeoutAt - deps.now();
@@ -377,6 +379,7 @@
     const runWatch = deps.crashWatch.watchRun(ctx.crashParts, server);
     const splitter = makeEventSplitter();
     const runOrder = eventOrder.startRun();
+    const addEvents = bounds.startRun();
     const sentAt = deps.now();
     let head: ResponseHead | undefined;
     let isFirstChunk = true;
@@ -515,10 +518,20 @@
             return;
           }
           if (!events) return;
-          const { bytes, fault } = runOrder.accept(events);
+          const accepted = runOrder.accept(events);
+          const { bytes, fault } = accepted;
+          const excess = addEvents(accepted);
+          if (excess === 'no-event') {
+            breakOff('the stream has bytes, but no event');
+            return;
+          }
           if (bytes > 0) {
             // The engine that the stream leaves may be sound, so only events that go on with it count.
             takeOver(silenceReason);
+            if (excess === 'too-many-events') {
+              endExcess();
+              return;
+            }
             runWatch.recordEvent();
             allocation.grow(engine?.tokensPerEvent ?? 1);
             forwardEvents(events.subarray(0, bytes));
@@ -626,6 +639,15 @@
       mayHaveRun = true;
       handleBreak(fault);
     };
+    /** Ends a stream with more events than it can have: it doesn't go on after events that can't be trusted. */
+    const endExcess = (): void => {
+      if (!tryFinish('broken')) return;
+      cancelSend();
+      mayHaveRun = true;
+      const fault: CallFault = { kind: 'unknown', reason: 'the stream has too many events' };
+      recordFault(server, 'decode', fault);
+      failOrRefuse(fault.reason, noEngineRetryAfterMs);
+    };
     /** Leaves an engine whose events are out of order; it has not crashed, but is not gone back to. */
     const leaveFaulty = (orderFault: OrderFault): void => {
       const fault: CallFault = { kind: 'unknown', reason: describeOrderFault(orderFault) };
--- a/packages/routing/src/event-order.test.ts
+++ b/packages/routing/src/event-order.test.ts
@@ -56,7 +56,9 @@
     `2, a, , -1, 1.5, ${'9'.repeat(16)}, 3`,
   );
   const text = ': ping\n\ndata: a\n\ndata: id: 1\n\nevent: id:1\n\n\n\n';
-  t.deepEqual(run.accept(Buffer.from(text)), { bytes: text.length, fault: undefined });
+  // The three with a field count, not the comment, nor the empty line behind them.
+  const counts = { events: 3, silentBytes: 2 };
+  t.deepEqual(run.accept(Buffer.from(text)), { bytes: text.length, fault: undefined, ...counts });
   t.is(run.getLastId(), '3');
 });
 
--- a/packages/routing/src/event-order.ts
+++ b/packages/routing/src/event-order.ts
@@ -21,6 +21,10 @@
   readonly bytes: number;
   /** The first event that does not. */
   readonly fault: OrderFault | undefined;
+  /** Number of those that do and have a field; comments and empty lines have none. */
+  readonly events: number;
+  /** Number of bytes behind the last one of them. */
+  readonly silentBytes: number;
 }
 
 /** Orders the events of one run of a stream, behind those of the runs before it. */
@@ -44,6 +48,7 @@
 
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
+const colon = 0x3a;
 const space = 0x20;
 const zero = 0x30;
 const nine = 0x39;
@@ -83,7 +88,7 @@
  * @param resumedAfter - id of the event after which a caller takes the stream up
  * @example
  * makeEventOrder().startRun().accept(Buffer.from('id: 2\n\nid: 1\n\n'));
- * // { bytes: 7, fault: { kind: 'back', id: 1, after: 2 } }
+ * // { bytes: 7, fault: { kind: 'back', id: 1, after: 2 }, events: 1, silentBytes: 0 }
  */
 export const makeEventOrder = (resumedAfter?: string): EventOrder => {
   let last =
@@ -121,6 +126,9 @@
           /** Where the last id is that was passed on. */
           let lastStart = -1;
           let lastEnd = -1;
+          let hasField = false;
+          let count = 0;
+          let silentFrom = 0;
           const readId = (start: number, end: number): string =>
             events.toString('latin1', start, end).trim();
           /** Ends the event that is being read; returns how it breaks the order, if it does. */
@@ -145,14 +153,22 @@
             if (lineEnd === lineStart) {
               fault = endEvent();
               if (!fault) bytes = next;
-            } else if (hasIdField(events, lineStart)) {
-              idStart = lineStart + idField.length;
-              idEnd = lineEnd;
+              if (hasField && !fault) {
+                count += 1;
+                silentFrom = next;
+              }
+              hasField = false;
+            } else {
+              hasField ||= events[lineStart] !== colon;
+              if (hasIdField(events, lineStart)) {
+                idStart = lineStart + idField.length;
+                idEnd = lineEnd;
+              }
             }
             lineStart = next;
           }
           if (lastStart >= 0) lastId = readId(lastStart, lastEnd);
-          return { bytes, fault };
+          return { bytes, fault, events: count, silentBytes: bytes - silentFrom };
         },
         getFirstId: () => firstId,
         getLastId: () => lastId,
