Streams: an engine whose answer has no end is left, by all VMs, until a stream of it is whole

Callers saw broken streams while four sound engines were there: an engine that answered without an end was chosen again by each VM and attempt (134 attempts in 3 s; 17 of 69 streams whole).

Cause: an engine counts as sound at the first bytes of a stream, and its fault as one broken connection. An engine that begins well never failed twice in a row, so that its cooldown never began, no other VM was told, and two such engines made a request count as one that crashes engines, which ended it.

- A malformed answer to a stream, a prefill or a reservation, an event or an error answer that is too large, and too many events are a `faulty-answer`: a cooldown at once, doubling, told to the other VMs.
- It isn't a crash: it neither blocks the request nor ends it.
The stream goes on at another engine, and at the same one only if no other can take it.
- After a faulty answer that this VM has seen, only a whole stream ends the trial of the engine.
On trial, it gets one stream at a time from each VM while another engine is available, even if that has no memory now.
An engine of which only another VM has told, which may just have been unreachable, is sound again at its first event, as before.
- While all decode engines are left out for longer than a stream can wait, it is refused at once with that reason; it waited for its objective and was told 'no memory in time'.

The trial counts the requests of this VM, as its description says; that of plain requests counted those of all VMs, so that in a large fleet one VM after the other would have tried.

The two process tests fail on the code before: 8 streams of 60 at the faulty engine, and the reason of the refusal.

--- a/packages/router/src/prepare-engine.test.ts
+++ b/packages/router/src/prepare-engine.test.ts
@@ -39,6 +39,7 @@
       onRead = onDone;
       return () => steps.push('cancel read');
     },
+    getFaultyUntil: () => 0,
     isStillReady: ({ id }) => !leaving.has(id),
     recordFault: (server) => steps.push(`fault of ${server.id}`),
   };
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -54,6 +54,9 @@
 /** Fault of an engine that answers a stream which must go on with an error. */
 const resumedStreamFault: CallFault = { kind: 'unknown', reason: 'the resumed stream failed' };
 
+/** Whether a server may have crashed; one whose response was malformed went on. */
+const isCrash = (fault: CallFault): boolean => fault.kind === 'unknown' && !fault.isMalformed;
+
 /** How a run of a stream ended, for its log line. */
 type RunEnd =
   /** With the end that its framing names. */
@@ -222,6 +225,11 @@
       return;
     }
     const now = deps.now();
+    const faultyUntil = engines.getFaultyUntil();
+    if (faultyUntil > getLatestPlacement()) {
+      failOrRefuse('all engines send faulty answers', faultyUntil - now);
+      return;
+    }
     const predictedWaitMs = predictWaitMs();
     if (now + predictedWaitMs > getLatestPlacement())
       refuseForMemory(predictedWaitMs, 'no memory in time');
@@ -508,7 +516,9 @@
           if (isFirstChunk) {
             isFirstChunk = false;
             deps.timing.recordFirstEventDelay(deps.now() - sentAt);
-            deps.health.record(server.id, 'answered', deps.now());
+            // A faulty engine may begin well, so that only a whole stream of it counts.
+            if (!deps.health.isFaulty(server.id))
+              deps.health.record(server.id, 'answered', deps.now());
             // Only now is it certain that the prefill engine kept its result.
             if (prefilled) deps.health.record(prefilled.server.id, 'answered', deps.now());
           }
@@ -576,17 +586,17 @@
             sentTo.delete(server.id);
             if (hasUnusedRetry) deps.returnRetry(service.name);
           }
-          const { kind, reason } = fault;
-          if (kind === 'unknown' ? tryLeaveBroken(reason) : handOver.tryComplete(reason)) return;
-          if (!tryFinish('broken')) return;
+          if (tryLeaveFor(fault) || !tryFinish('broken')) return;
           if (fault.kind === 'unknown') mayHaveRun = true;
           if (fault.kind === 'rejected') deps.engineLedger.recordFull(server.id, deps.now());
           if (runToLeave) {
-            if (fault.kind === 'unknown') runWatch.recordBreak();
+            if (isCrash(fault)) runWatch.recordBreak();
             handleUnusedPrefill(server, fault, unusedPrefill);
             runToLeave.keep(fault);
-          } else if (isForwardingError) responder.fail(502, fault.reason);
-          else handleBreak(fault);
+          } else if (isForwardingError) {
+            if (fault.kind === 'unknown' && fault.isMalformed) recordFault(server, 'decode', fault);
+            responder.fail(502, fault.reason);
+          } else handleBreak(fault);
         },
       },
     );
@@ -597,12 +607,23 @@
       if (runWatch.recordBreak()) leftServers.pop();
       return true;
     };
+    /** Lets the next run take the stream over after any fault; false if there is none. */
+    const tryLeaveFor = (fault: CallFault): boolean => {
+      if (isCrash(fault)) return tryLeaveBroken(fault.reason);
+      if (!handOver.tryComplete(fault.reason)) return false;
+      if (fault.kind === 'unknown') {
+        // Its response was malformed: it may still run, but is not gone back to.
+        leftServers.pop();
+        deps.recordFaultyAnswer(server);
+      }
+      return true;
+    };
     /**
      * Continues a stream that broke, unless another engine would probably crash on it, too; `goOn` says where,
      * by default at the same engine.
      */
     const handleBreak = (fault: CallFault, goOn = continueOrResume): void => {
-      const isCrashing = fault.kind === 'unknown' && runWatch.recordBreak();
+      const isCrashing = isCrash(fault) && runWatch.recordBreak();
       if (!isCrashing) {
         goOn(server, fault, unusedPrefill);
         return;
@@ -611,6 +632,8 @@
       failOrRefuse(fault.reason, noEngineRetryAfterMs);
     };
     const endResponse = (): void => {
+      if (!isErrorHead() && deps.health.isFaulty(server.id))
+        deps.health.record(server.id, 'answered', deps.now());
       if (!responder.hasSentHead() && head) responder.sendHead(head);
       responder.end();
     };
@@ -631,10 +654,10 @@
         if (isForwardingError) responder.fail(502, endedServerReason);
         else handleBreak({ kind: 'unknown', reason: endedServerReason }, resumeOrFail);
       });
-    /** Treats a response that is not valid as a broken connection. */
+    /** Leaves an engine whose response is not valid. */
     const breakOff = (reason: string): void => {
-      const fault: CallFault = { kind: 'unknown', reason };
-      if (keepPrevious(fault) || tryLeaveBroken(reason) || !tryFinish('broken')) return;
+      const fault: CallFault = { kind: 'unknown', reason, isMalformed: true };
+      if (keepPrevious(fault) || tryLeaveFor(fault) || !tryFinish('broken')) return;
       cancelSend();
       mayHaveRun = true;
       handleBreak(fault);
@@ -644,9 +667,9 @@
       if (!tryFinish('broken')) return;
       cancelSend();
       mayHaveRun = true;
-      const fault: CallFault = { kind: 'unknown', reason: 'the stream has too many events' };
-      recordFault(server, 'decode', fault);
-      failOrRefuse(fault.reason, noEngineRetryAfterMs);
+      const reason = 'the stream has too many events';
+      recordFault(server, 'decode', { kind: 'unknown', reason, isMalformed: true });
+      failOrRefuse(reason, noEngineRetryAfterMs);
     };
     /** Leaves an engine whose events are out of order; it has not crashed, but is not gone back to. */
     const leaveFaulty = (orderFault: OrderFault): void => {
@@ -691,7 +714,9 @@
       if (errorBytes <= maxErrorBytes) responder.write(chunk);
       else if (tryFinish('error-answer')) {
         cancelSend();
-        responder.fail(502, 'the error response is too large');
+        const reason = 'the error response is too large';
+        recordFault(server, 'decode', { kind: 'unknown', reason, isMalformed: true });
+        responder.fail(502, reason);
       }
     };
     const cancel = (): void => {
@@ -707,9 +732,14 @@
     return { cancel, takeOver };
   };
 
+  /** Whether another engine than this one can take the stream now. */
+  const canMoveFrom = (server: BackendServer): boolean =>
+    sentTo.size < route.maxAttempts &&
+    engines.choosePlacement(new Set([...excluded, server.id])) !== undefined;
+
   /**
-   * Continues a stream whose connection broke at the same engine, which still keeps its memory
-   * unless it has crashed; resumes it elsewhere if that is not possible.
+   * Continues a stream whose connection broke at the same engine, which still keeps its memory unless it has
+   * crashed; resumes it elsewhere if that is not possible. After a malformed response the other engines go first.
    */
   const continueOrResume = (
     server: BackendServer,
@@ -724,6 +754,7 @@
       getRemainingMs() > 0 &&
       isStillReady(server) &&
       deps.limits.hasRoom(server) &&
+      (!fault.isMalformed || !canMoveFrom(server)) &&
       deps.tryTakeRetry(service.name);
     if (!canContinue) {
       resumeOrFail(server, fault, unusedPrefill);
@@ -799,6 +830,7 @@
     const leftServer = findLeftServer();
     const canPlace =
       sentTo.size < route.maxAttempts &&
+      engines.getFaultyUntil() <= deps.now() + route.targetLatencyMs &&
       (!leftServer || engines.choosePlacement(excluded) !== undefined);
     if (
       !isRetrySafe ||
--- a/packages/router/src/stream-engines.ts
+++ b/packages/router/src/stream-engines.ts
@@ -83,6 +83,11 @@
     placement: SplitPlacement,
     onDone: (outcome: PrefillOutcome) => void,
   ) => CancelCall;
+  /**
+   * Time until which all decode engines that fit are left out since their answers were faulty, in the clock of
+   * `RunDeps.now`; 0 if one is not.
+   */
+  readonly getFaultyUntil: () => number;
   /** Whether a server chosen earlier is still ready, the same instance and not paused. */
   readonly isStillReady: (server: BackendServer) => boolean;
   /** Logs a fault and records it in the health of the server. */
@@ -137,7 +142,10 @@
     if (foundStartedAt !== undefined && foundStartedAt > server.startedAt)
       deps.recordLaterInstance(server, foundStartedAt);
     else if (fault.kind === 'not-sent') deps.health.record(server.id, 'unreachable', deps.now());
-    if (fault.kind === 'unknown') deps.health.record(server.id, 'broken', deps.now());
+    if (fault.kind === 'unknown') {
+      if (fault.isMalformed) deps.recordFaultyAnswer(server);
+      else deps.health.record(server.id, 'broken', deps.now());
+    }
     if (fault.kind === 'rejected' && fault.reason === 'other-instance')
       deps.health.record(server.id, 'replaced', deps.now());
   };
@@ -190,8 +198,14 @@
       Math.ceil(ttlMs),
       (outcome) => {
         if (outcome.kind === 'full') deps.engineLedger.recordFull(placement.decode.id, deps.now());
-        if (outcome.kind === 'fault')
-          recordFault(placement.decode, 'reserve', { ...outcome, kind: 'not-sent' });
+        if (outcome.kind === 'fault') {
+          const { isMalformed, reason } = outcome;
+          // What was malformed is an answer of the engine, so that it can be reached.
+          const fault: CallFault = isMalformed
+            ? { kind: 'unknown', reason, isMalformed }
+            : { ...outcome, kind: 'not-sent' };
+          recordFault(placement.decode, 'reserve', fault);
+        }
         onDone(outcome);
       },
       { confirmsInstance },
@@ -308,6 +322,12 @@
         if (tryFinish()) cancel();
       };
     },
+    getFaultyUntil: () => {
+      const decode = listFitting().filter(({ stage }) => stage !== 'prefill');
+      if (decode.length === 0) return 0;
+      const until = Math.min(...decode.map(({ id: server }) => deps.health.getFaultyUntil(server)));
+      return until > deps.now() ? until : 0;
+    },
     isStillReady: (server) =>
       !deps.health.isPaused(server.id, deps.now()) &&
       deps
--- a/packages/routing/src/engine-ledger.ts
+++ b/packages/routing/src/engine-ledger.ts
@@ -44,6 +44,8 @@
   readonly removePeer: (incarnation: string) => void;
   /** Returns the load of all VMs at an engine; that of peers is extrapolated to `now`. */
   readonly getTotal: (server: string, now: number) => EngineLoad;
+  /** Returns the number of requests of this VM alone at an engine. */
+  readonly getLocalRequests: (server: string) => number;
   /** Returns the load of this VM alone. */
   readonly getLocalRows: () => LoadRows;
 }
@@ -142,6 +144,7 @@
       });
       return { tokens, requests, prefillTokens };
     },
+    getLocalRequests: (server) => localRows.get(server)?.[1] ?? 0,
     getLocalRows: () => Object.fromEntries([...localRows].map(([id, row]) => [id, [...row]])),
   };
 };
--- a/packages/routing/src/limits.test.ts
+++ b/packages/routing/src/limits.test.ts
@@ -69,8 +69,12 @@
   health.recordPeerFailure('b', 0);
   health.record('c', 'broken', 0);
   t.deepEqual(['b', 'c'].map(health.isOnTrial), [true, false]);
+  t.deepEqual(['a', 'b'].map(health.isFaulty), [false, false]);
   health.record('b', 'answered', 1_200);
   t.false(health.isOnTrial('b'));
+  health.record('b', 'faulty-answer', 1_200);
+  t.true(health.isFaulty('b'));
+  t.is(health.getFaultyUntil('b'), 1_600);
 });
 
 test('a server gets a cooldown after two consecutive broken calls, not after one', (t) => {
--- a/packages/routing/src/place-plain.ts
+++ b/packages/routing/src/place-plain.ts
@@ -3,6 +3,7 @@
   failureWeight,
   isAllowed,
   isAvailable,
+  isTried,
   otherDataCentrePenalty,
   type PlacementView,
 } from './place-work.js';
@@ -34,10 +35,6 @@
   readonly random: () => number;
 }
 
-/** Whether a server that may still be faulty has a request of this VM, so that it gets no other one. */
-const isTried = ({ id }: BackendServer, { health, ledger, now }: PlacementView): boolean =>
-  health.isOnTrial(id) && ledger.getTotal(id, now).requests > 0;
-
 /** Servers that may get a request. If all of them are cooling down or on trial, they are used rather than none. */
 export const listPlainCandidates = (
   servers: readonly BackendServer[],
--- a/packages/routing/src/place-work.ts
+++ b/packages/routing/src/place-work.ts
@@ -87,6 +87,10 @@
 export const isAvailable = (server: BackendServer, view: PlacementView): boolean =>
   !view.health.isCoolingDown(server.id, view.now) && isAllowed(server, view);
 
+/** Whether a backend server that may still be faulty has a request of this VM, so that it gets no other one. */
+export const isTried = ({ id }: BackendServer, { health, ledger }: PlacementView): boolean =>
+  health.isOnTrial(id) && ledger.getLocalRequests(id) > 0;
+
 /** A decode engine with memory for a stream. */
 interface DecodeCandidate {
   readonly server: BackendServer;
@@ -123,6 +127,20 @@
   });
 };
 
+/** Whether a decode engine is available that is not on trial, whether or not it has memory now. */
+const hasUntriedDecode = (
+  servers: readonly BackendServer[],
+  view: PlacementView,
+  excluded: ReadonlySet<string>,
+): boolean =>
+  servers.some(
+    (server) =>
+      server.stage !== 'prefill' &&
+      !excluded.has(server.id) &&
+      !view.health.isOnTrial(server.id) &&
+      isAvailable(server, view),
+  );
+
 const findBest = (
   candidates: readonly DecodeCandidate[],
   getScore: (candidate: DecodeCandidate) => number,
@@ -186,7 +204,11 @@
   view: PlacementView,
   excluded: ReadonlySet<string>,
 ): BackendServer | undefined => {
-  const candidates = listDecodeCandidates(servers, requirement, limits, view, excluded);
+  const allCandidates = listDecodeCandidates(servers, requirement, limits, view, excluded);
+  // A stream waits for memory of an engine that answers rather than join others at one that may be faulty.
+  const candidates = hasUntriedDecode(servers, view, excluded)
+    ? allCandidates.filter(({ server }) => !isTried(server, view))
+    : allCandidates;
   const { rateDraw } = view;
   const isUneven =
     rateDraw !== undefined &&
--- a/packages/routing/src/placement.test.ts
+++ b/packages/routing/src/placement.test.ts
@@ -72,6 +72,26 @@
   );
 });
 
+// Guards against an engine whose answers have no end that gets all streams that find no memory elsewhere.
+test('an engine on trial gets one stream at a time, unless all engines are on trial', (t) => {
+  const view = { ...makeView(), now: 1_000 };
+  const engines = [makeEngine('a', 'decode'), makeEngine('b', 'decode')];
+  const choose = () =>
+    chooseDecode(engines, makeRequirement(3_000), engineLimits, view, noExclusions)?.id;
+  view.health.record('a', 'faulty-answer', 0);
+  view.ledger.addDecode('b', 1_000);
+  view.ledger.recordPeerLoad('p', { a: [0, 1, 0] }, 1_000);
+  const full = view.ledger.addDecode('b', engineLimits.memoryTokens);
+  t.is(choose(), 'a');
+  view.ledger.addDecode('a', 0);
+  t.is(choose(), undefined);
+  view.health.recordPeerFailure('b', 0);
+  t.is(choose(), 'a');
+  full.release();
+  view.health.record('b', 'answered', 0);
+  t.is(choose(), 'b');
+});
+
 test('the load of a peer counts, is extrapolated, and expires when the peer is unresponsive', (t) => {
   const { ledger } = makeView();
   ledger.recordPeerLoad('p', { a: [1_000, 1, 500] }, 0);
--- a/packages/routing/src/server-health.ts
+++ b/packages/routing/src/server-health.ts
@@ -26,6 +26,8 @@
   pausedUntil: number;
   /** Whether the last failure was conclusive for all VMs, and no answer has come since. */
   isOnTrial: boolean;
+  /** Whether this VM found an answer faulty, and none has been whole since. */
+  isFaulty: boolean;
 }
 
 /** The outcome of a call to a backend server. */
@@ -60,6 +62,10 @@
   readonly isCoolingDown: (id: string, now: number) => boolean;
   /** Whether a backend server should get one request at a time, since it has not answered after such a failure. */
   readonly isOnTrial: (id: string) => boolean;
+  /** Whether this VM found an answer of a backend server faulty, and none has been whole since. */
+  readonly isFaulty: (id: string) => boolean;
+  /** Time until which such a server gets no requests; 0 if it is not one. */
+  readonly getFaultyUntil: (id: string) => number;
   /** Moving average of the share of calls to a backend server that failed. */
   readonly getFailureShare: (id: string) => number;
 }
@@ -85,6 +91,7 @@
       failureShare: 0,
       pausedUntil: 0,
       isOnTrial: false,
+      isFaulty: false,
     };
     healthById.set(id, health);
     return health;
@@ -94,12 +101,16 @@
     health.cooldownUntil = now + health.cooldownMs;
     health.cooldownMs = Math.min(maxCooldownMs, health.cooldownMs * 2);
   };
+  const endTrial = (health: Health): void => {
+    health.isOnTrial = false;
+    health.isFaulty = false;
+  };
   return {
     record: (id, outcome, now) => {
       const health = getOrCreate(id);
       const failure = outcome === 'answered' ? 0 : 1;
       health.failureShare += (failure - health.failureShare) * outcomeWeight;
-      if (outcome === 'answered' || outcome === 'error-answer') health.isOnTrial = false;
+      if (outcome === 'answered' || outcome === 'error-answer') endTrial(health);
       if (outcome === 'answered') {
         health.consecutiveFailures = 0;
         health.cooldownMs = initialCooldownMs;
@@ -111,7 +122,10 @@
         return;
       }
       health.consecutiveFailures += 1;
-      if (outcome === 'faulty-answer') health.isOnTrial = true;
+      if (outcome === 'faulty-answer') {
+        health.isOnTrial = true;
+        health.isFaulty = true;
+      }
       const isConclusive =
         outcome === 'unreachable' ||
         outcome === 'faulty-answer' ||
@@ -135,11 +149,16 @@
       health.cooldownUntil = 0;
       health.cooldownMs = initialCooldownMs;
       health.consecutiveFailures = 0;
-      health.isOnTrial = false;
+      endTrial(health);
     },
     isPaused: (id, now) => (healthById.get(id)?.pausedUntil ?? 0) > now,
     isCoolingDown: (id, now) => (healthById.get(id)?.cooldownUntil ?? 0) > now,
     isOnTrial: (id) => healthById.get(id)?.isOnTrial ?? false,
+    isFaulty: (id) => healthById.get(id)?.isFaulty ?? false,
+    getFaultyUntil: (id) => {
+      const health = healthById.get(id);
+      return health?.isFaulty ? health.cooldownUntil : 0;
+    },
     getFailureShare: (id) => healthById.get(id)?.failureShare ?? 0,
   };
 };
--- a/packages/types/src/routing-ports.ts
+++ b/packages/types/src/routing-ports.ts
@@ -219,6 +219,8 @@
       readonly reason: string;
       /** Start time of the instance that answered in place of the listed one, if one did, in Unix milliseconds. */
       readonly foundStartedAt?: number;
+      /** Whether the answer was not valid HTTP or exceeded a limit, so that it may have had no end. */
+      readonly isMalformed?: true;
     };
 
 /** Parses a caller's headers, or returns the problem that makes them invalid. */
