--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -556,7 +556,11 @@
     returnRetry: (service) => getRetryBudget(service).returnRetry(),
     findStageChange: stages.findChange,
     recordFailingPrefill: recordFailure,
-    recordFaultyAnswer: (server) => recordFailure(server, 'faulty-answer'),
+    recordFaultyAnswer: (server) => {
+      health.record(server.id, 'faulty-answer', now());
+      if (health.isOnTrial(server.id) && failingEngines.record(server.id, now()))
+        peers.notifyChange({ kind: 'failing' });
+    },
     notifyLoadChange: (server) => {
       peers.notifyChange({ kind: 'load', dataCentre: server.dataCentre });
       if (queue.size() > 0) setImmediate(() => queue.process(now()));
