Join the small frames of a tunnel

Cause: a VM that forwards a connection makes a frame of each segment that the server sends, and the other VM handed on a buffer for each frame. A server that sends its bytes singly made it hold a hundred times their content.

Change: the frames of one read are returned as one buffer; one that fills the rest of the read is still not copied.

Ruled out: that a server is read faster than the other VM takes its bytes.

--- a/packages/router/src/open-tunnel.test.ts
+++ b/packages/router/src/open-tunnel.test.ts
@@ -27,3 +27,33 @@
     t.is(fault, 'relay-unavailable');
   });
 });
+
+// Guards against a VM that never gets to its answer.
+test('a tunnel is given up when the other VM sends informational responses', async (t) => {
+  let closed: Promise<unknown> = Promise.resolve();
+  const relay = createServer((socket) => {
+    socket.on('error', () => {});
+    const send = (): void => {
+      while (!socket.destroyed && socket.write('HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n'));
+    };
+    socket.on('drain', send);
+    closed = new Promise((resolve) => {
+      socket.on('close', resolve);
+    });
+    socket.once('data', send);
+  });
+  t.teardown(() => relay.close());
+  await once(relay.listen(0, '127.0.0.1'), 'listening');
+  const { port } = relay.address() as AddressInfo;
+  const fault = await new Promise((resolve) => {
+    const cancel = openTunnel(`127.0.0.1:${port}`, '127.0.0.1:1', (result) =>
+      resolve(result.isErr() ? result.error : 'open'),
+    );
+    setTimeout(() => {
+      cancel();
+      resolve('pending');
+    }, 2_000);
+  });
+  t.is(fault, 'relay-unavailable');
+  await closed;
+});
--- a/packages/router/src/server-tunnels.test.ts
+++ b/packages/router/src/server-tunnels.test.ts
@@ -12,6 +12,7 @@
 import { reportResets } from '@hemlocksill/sockets/report-resets.js';
 import { openTunnel, type TunnelFault } from './open-tunnel.js';
 import { serveServerTunnels } from './server-tunnels.js';
+import { framing, framingField } from './tunnel-frames.js';
 
 const listen = async (t: ExecutionContext, server: Server): Promise<string> => {
   server.listen(0, '127.0.0.1');
@@ -200,3 +201,30 @@
   t.is(await open(t, relay, '127.0.0.1:1'), 'server-unreachable');
   t.not(await open(t, relay, address), 'server-unreachable');
 });
+
+// Guards against the memory of a VM that forwards what a server sends to a VM that does not read it.
+[true, false].forEach((isFramed) => {
+  test(`a server is held back by a VM that does not read ${isFramed ? 'frames' : 'bytes'}`, async (t) => {
+    const block = Buffer.alloc(64 * 1_024);
+    let sentBytes = 0;
+    const { relay, target } = await startRelay(t, (server) => {
+      const send = (): void => {
+        while (!server.destroyed && server.write(block)) sentBytes += block.length;
+      };
+      server.on('error', () => {});
+      server.on('drain', send);
+      send();
+    });
+    const [host = '', port] = relay.split(':');
+    const socket = connect(Number(port), host);
+    t.teardown(() => socket.destroy());
+    socket.pause();
+    const fields = isFramed ? `${framingField}: ${framing}\r\n` : '';
+    socket.write(`CONNECT ${target} HTTP/1.1\r\nHost: ${relay}\r\n${fields}\r\n`);
+    await sleep(1_000);
+    const before = sentBytes;
+    await sleep(500);
+    t.true(before > 0);
+    t.is(sentBytes, before);
+  });
+});
--- a/packages/router/src/tunnel-frames.test.ts
+++ b/packages/router/src/tunnel-frames.test.ts
@@ -97,6 +97,21 @@
   });
 });
 
+// Guards against an object for each byte that a server sends in a segment of its own.
+test('small frames that arrive together are returned together', async (t) => {
+  const count = 50_000;
+  const { socket } = await connectTo(t, (other) =>
+    other.end(Buffer.concat([...Array.from({ length: count }, () => encode('x')), encode('')])),
+  );
+  readFrames(socket);
+  let pieces = 0;
+  socket.on('data', () => {
+    pieces += 1;
+  });
+  t.is(await readAll(socket), `${'x'.repeat(count)} end`);
+  t.true(pieces < count / 100, `${pieces} pieces`);
+});
+
 const openThrough = (t: ExecutionContext, relay: string): Promise<Socket | string> =>
   new Promise((resolve) => {
     openTunnel(relay, '127.0.0.1:1', (result) => {
--- a/packages/router/src/tunnel-frames.ts
+++ b/packages/router/src/tunnel-frames.ts
@@ -20,8 +20,8 @@
 
 /** Reads frames from pieces that are cut anywhere. */
 interface FrameDecoder {
-  /** Returns the bytes that a piece holds, or undefined if it goes on behind the end. */
-  readonly decode: (piece: Buffer) => Buffer[] | undefined;
+  /** Returns the bytes that a piece holds, joined, or undefined if it goes on behind the end. */
+  readonly decode: (piece: Buffer) => Buffer | undefined;
   /** Whether the end was received. */
   readonly hasEnded: () => boolean;
 }
@@ -34,15 +34,22 @@
   return {
     hasEnded: () => isEnded,
     decode: (piece) => {
-      const parts: Buffer[] = [];
+      // A piece can hold a frame for each byte, and a buffer for each would take a hundred times its content.
+      let joined: Buffer | undefined;
+      let joinedBytes = 0;
       let at = 0;
       while (at < piece.length) {
         if (isEnded) return undefined;
         if (missingBytes > 0) {
-          const part = piece.subarray(at, at + missingBytes);
-          parts.push(part);
-          at += part.length;
-          missingBytes -= part.length;
+          const end = Math.min(piece.length, at + missingBytes);
+          if (joinedBytes === 0 && end === piece.length) joined = piece.subarray(at);
+          else {
+            joined ??= Buffer.allocUnsafe(piece.length - at);
+            piece.copy(joined, joinedBytes, at, end);
+          }
+          joinedBytes += end - at;
+          missingBytes -= end - at;
+          at = end;
         } else {
           const copied = piece.copy(prefix, prefixBytes, at);
           at += copied;
@@ -54,7 +61,7 @@
           }
         }
       }
-      return parts;
+      return joined?.subarray(0, joinedBytes) ?? Buffer.alloc(0);
     },
   };
 };
@@ -115,14 +122,10 @@
     push: (piece: Buffer | null): boolean => {
       if (isBroken) return false;
       if (piece === null) return decoder.hasEnded() ? push(null) : breakOff();
-      const parts = decoder.decode(piece);
-      if (!parts) return breakOff();
-      let hasRoom = true;
-      parts.forEach((part) => {
-        readBytes += part.length;
-        hasRoom = push(part);
-      });
-      return hasRoom;
+      const bytes = decoder.decode(piece);
+      if (!bytes) return breakOff();
+      readBytes += bytes.length;
+      return bytes.length === 0 || push(bytes);
     },
     read: (size?: number): unknown => {
       const chunk: unknown = read(size);
