Bound what a token stream of an engine makes a VM hold

Cause: the reader of token streams (`packages/entry`) knew neither how many tokens were asked for nor whether the caller reads. An engine that sends whole lines without an end filled the memory, by the text of a JSON answer or by what a slow caller had not read, until the request's time limit; empty lines counted as progress.

Change: a token beyond those that were asked for, and text of more than 1 KiB for each of them (256 KiB at least), is a fault that ends the attempt; 256 KiB without a token are a cut stream; the engine is not read while the caller's connection is full, which isn't taken for a stall.

--- a/packages/entry/src/completion-writer.ts
+++ b/packages/entry/src/completion-writer.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from 'node:http';
 import { ok } from 'neverthrow';
 import type { Refusal } from '@hemlocksill/types/requests.js';
+import type { ResponseFlow } from '@hemlocksill/types/routing-ports.js';
 import type { CompletionRequest } from './completion-request.js';
 import type { HandlerResult } from './request-context.js';
 import type { StreamEnd } from './token-stream.js';
@@ -8,6 +9,8 @@
 /** Writes the tokens of a completion to the caller. */
 export interface CompletionWriter {
   readonly writeToken: (index: number, text: string) => void;
+  /** Full while the caller has not read what was written; undefined if nothing is sent before the end. */
+  readonly flow?: ResponseFlow;
   /** Called before the first token of each attempt, with the handle for resuming its stream. */
   readonly startAttempt: (handle: string) => void;
   /** Whether any part of the response was sent to the caller. */
@@ -111,6 +114,12 @@
   };
 
   return {
+    flow: {
+      isFull: () => outgoing.writableNeedDrain,
+      onRoom: (callback) => {
+        outgoing.once('drain', callback);
+      },
+    },
     startAttempt: (handle) => {
       resumeHandle = handle;
     },
--- a/packages/entry/src/run-completion.ts
+++ b/packages/entry/src/run-completion.ts
@@ -110,9 +110,10 @@
       received.count = index + 1;
       writer.writeToken(index, text);
     };
+    const limits = { maxTokens: attempt.completion.maxTokens, flow: writer.flow };
     let body = initialBody;
     for (let resumes = 0; ; resumes += 1) {
-      const end = await readTokens(body, received.count, stallTimeoutMs, signal, onToken);
+      const end = await readTokens(body, received.count, stallTimeoutMs, signal, onToken, limits);
       const isFinal =
         end.isOk() || !['cut', 'stalled'].includes(end.error) || resumes >= maxResumes;
       if (isFinal) return end;
@@ -322,10 +323,12 @@
   }
   const completion = { kind: 'text' as const, promptTokens: 0 };
   const writer = makeStreamWriter({ id: ctx.id, completion, model }, ctx.outgoing);
-  const end = await readTokens(body.value, from, stallTimeoutMs, signal, (index, text) => {
+  const onToken = (index: number, text: string): void => {
     ctx.outputTokens += 1;
     writer.writeToken(index, text);
-  });
+  };
+  const { flow } = writer;
+  const end = await readTokens(body.value, from, stallTimeoutMs, signal, onToken, { flow });
   table.closeAttempt(streamId);
   if (end.isOk()) return writer.finish(end.value);
   cancels.cancel(server.url, streamId);
--- a/packages/entry/src/token-stream.ts
+++ b/packages/entry/src/token-stream.ts
@@ -1,5 +1,6 @@
 import type { Readable } from 'node:stream';
 import { err, ok, type Result } from 'neverthrow';
+import type { ResponseFlow } from '@hemlocksill/types/routing-ports.js';
 
 interface TokenLine {
   readonly i: number;
@@ -12,9 +13,12 @@
   readonly reason: string;
 }
 
-/** Maximum length of a line, in UTF-16 code units. */
+/** Maximum length of a line, and of empty lines without a token between them, in UTF-16 code units. */
 const maxLineLength = 256 * 1_024;
 
+/** Maximum size of a stream for each token that was asked for, in UTF-16 code units; short streams get more. */
+const maxLengthPerToken = 1_024;
+
 /** Validates a line without a schema library, because this runs once per token. */
 const parseLine = (text: string): TokenLine | EndLine | undefined => {
   let value: Partial<TokenLine & EndLine> | null;
@@ -36,18 +40,31 @@
 }
 
 /** Why a token stream is incomplete or invalid. */
-export type StreamFault = 'cut' | 'stalled' | 'out-of-order' | 'bad-line' | 'aborted';
+export type StreamFault = 'cut' | 'stalled' | 'out-of-order' | 'bad-line' | 'too-long' | 'aborted';
 
 /** Receives the tokens of a stream. */
 export type OnToken = (index: number, text: string) => void;
 
+/** What a stream may make this process hold. */
+export interface StreamLimits {
+  /** Number of tokens that were asked for; unlimited by default. */
+  readonly maxTokens?: number;
+  /** While it is full, the stream is not read. */
+  readonly flow?: ResponseFlow;
+}
+
 interface StreamProgress {
   nextIndex: number;
   end: StreamEnd | undefined;
   fault: StreamFault | undefined;
 }
 
-const processLine = (line: string, progress: StreamProgress, onToken: OnToken): void => {
+const processLine = (
+  line: string,
+  progress: StreamProgress,
+  maxTokens: number,
+  onToken: OnToken,
+): void => {
   const parsed = parseLine(line);
   if (!parsed || progress.end) {
     progress.fault = 'bad-line';
@@ -57,6 +74,8 @@
     if (parsed.tokens !== progress.nextIndex) progress.fault = 'out-of-order';
   } else if (parsed.i !== progress.nextIndex) {
     progress.fault = 'out-of-order';
+  } else if (parsed.i >= maxTokens) {
+    progress.fault = 'too-long';
   } else {
     progress.nextIndex += 1;
     onToken(parsed.i, parsed.text);
@@ -65,7 +84,7 @@
 
 /**
  * Reads a stream of tokens, one line of JSON each, and checks that none is missing, duplicated
- * or out of order.
+ * or out of order, and none more than were asked for.
  *
  * @param firstIndex - index of the first token expected
  * @param stallTimeoutMs - maximum time without data before the stream is treated as stalled
@@ -76,11 +95,15 @@
   stallTimeoutMs: number,
   signal: AbortSignal,
   onToken: OnToken,
+  { maxTokens = Number.POSITIVE_INFINITY, flow }: StreamLimits = {},
 ): Promise<Result<StreamEnd, StreamFault>> =>
   new Promise((resolve) => {
     const progress: StreamProgress = { nextIndex: firstIndex, end: undefined, fault: undefined };
     let partialLine = '';
     let isSettled = false;
+    let receivedLength = 0;
+    /** Length of what was received since the last token. */
+    let silentLength = 0;
     let lastChunkAt = performance.now();
 
     const settle = (result: Result<StreamEnd, StreamFault>): void => {
@@ -93,8 +116,16 @@
     };
     const onAbort = (): void => settle(err('aborted'));
     const stallTimer = setInterval(() => {
+      if (body.isPaused()) lastChunkAt = performance.now();
       if (performance.now() - lastChunkAt > stallTimeoutMs) settle(err('stalled'));
     }, stallTimeoutMs / 4);
+    const pauseIfFull = (): void => {
+      if (isSettled || !flow?.isFull()) return;
+      body.pause();
+      flow.onRoom(() => {
+        if (!isSettled) body.resume();
+      });
+    };
     const settleIfEnded = (): void => {
       if (progress.fault) settle(err(progress.fault));
       else if (progress.end) settle(ok(progress.end));
@@ -103,17 +134,23 @@
     body.setEncoding('utf8');
     body.on('data', (chunk: string) => {
       lastChunkAt = performance.now();
+      receivedLength += chunk.length;
+      silentLength += chunk.length;
       partialLine += chunk;
-      if (!chunk.includes('\n')) {
-        if (partialLine.length > maxLineLength) settle(err('cut'));
-        return;
-      }
-      const lines = partialLine.split('\n');
-      partialLine = lines.pop() ?? '';
-      for (const line of lines) {
-        if (!progress.fault && line !== '') processLine(line, progress, onToken);
+      if (receivedLength > maxLineLength + maxLengthPerToken * maxTokens)
+        progress.fault = 'too-long';
+      else if (chunk.includes('\n')) {
+        const lines = partialLine.split('\n');
+        partialLine = lines.pop() ?? '';
+        const { nextIndex } = progress;
+        for (const line of lines) {
+          if (!progress.fault && line !== '') processLine(line, progress, maxTokens, onToken);
+        }
+        if (progress.nextIndex > nextIndex) silentLength = partialLine.length;
       }
+      if (silentLength > maxLineLength) progress.fault ??= 'cut';
       settleIfEnded();
+      pauseIfFull();
     });
     body.on('end', () => settle(err('cut')));
     body.on('error', () => settle(err('cut')));
