Bound the answers of the key-value service

Callers of the store's client saw a process out of memory: an answer was read whole whatever its size, for two seconds.

Change: 16 MiB, and the bound on framing, are a fault `bad-answer`; chunks are joined (`collectAnswer`).

--- a/packages/store/src/http-store.ts
+++ b/packages/store/src/http-store.ts
@@ -1,12 +1,16 @@
 import { err, ok, type Result } from 'neverthrow';
-import { Agent, request } from 'undici';
+import { request, type Agent } from 'undici';
 import { z } from 'zod';
-import { makeConnector } from '@hemlocksill/sockets/make-connector.js';
+import { makeAnswerAgent } from '@hemlocksill/sockets/answer-agent.js';
+import { collectAnswer, type AnswerFault } from '@hemlocksill/sockets/collect-answer.js';
 import type { CasResponse, CasRequest, Store, StoreFault } from '@hemlocksill/types/ports.js';
 
 /** Timeout of one call in milliseconds; a watch adds its own waiting time. */
 const callTimeoutMs = 2_000;
 
+/** Maximum size of a response: a listing comes whole. */
+const maxResponseBytes = 16 * 1_024 * 1_024;
+
 /** Counts a finished call by kind and outcome. */
 export type CountCall = (kind: string, outcome: 'ok' | StoreFault) => void;
 
@@ -48,9 +52,9 @@
   z.object({ kind: z.literal('compacted') }),
 ]);
 
-const classifyError = (error: unknown): StoreFault => {
-  const code = (error as { code?: string }).code ?? '';
-  const name = (error as { name?: string }).name ?? '';
+const classifyFault = ({ kind, error }: AnswerFault): StoreFault => {
+  if (kind === 'too-large') return 'bad-answer';
+  const { code = '', name } = error as NodeJS.ErrnoException;
   if (name === 'TimeoutError' || code.includes('TIMEOUT')) return 'timeout';
   return 'unreachable';
 };
@@ -61,24 +65,31 @@
   return status === 200 ? undefined : 'bad-answer';
 };
 
+const parseBody = (body: Buffer): Result<unknown, StoreFault> => {
+  if (body.length === 0) return ok(undefined);
+  try {
+    return ok(JSON.parse(body.toString('utf8')));
+  } catch {
+    return err('bad-answer');
+  }
+};
+
 const sendOnce = async (
   agent: Agent,
   url: string,
   call: StoreCall,
 ): Promise<Result<RawResponse, StoreFault>> => {
-  try {
-    const res = await request(`${url}/v1/${call.kind}`, {
-      method: 'POST',
-      headers: { 'content-type': 'application/json' },
-      body: JSON.stringify(call.body),
-      dispatcher: agent,
-      signal: AbortSignal.timeout(call.timeoutMs),
-    });
-    const text = await res.body.text();
-    return ok({ status: res.statusCode, body: text === '' ? undefined : JSON.parse(text) });
-  } catch (error) {
-    return err(error instanceof SyntaxError ? 'bad-answer' : classifyError(error));
-  }
+  const sent = request(`${url}/v1/${call.kind}`, {
+    method: 'POST',
+    headers: { 'content-type': 'application/json' },
+    body: JSON.stringify(call.body),
+    dispatcher: agent,
+    signal: AbortSignal.timeout(call.timeoutMs),
+  });
+  const answer = await collectAnswer(sent, maxResponseBytes);
+  return answer
+    .mapErr(classifyFault)
+    .andThen(({ status, body }) => parseBody(body).map((parsed) => ({ status, body: parsed })));
 };
 
 /**
@@ -93,7 +104,7 @@
  * const entry = await store.get('/greeting');
  */
 export const makeHttpStore = (urls: readonly string[], countCall: CountCall): Store => {
-  const agent = new Agent({ connect: makeConnector(), connections: 16, keepAliveTimeout: 30_000 });
+  const agent = makeAnswerAgent({ connections: 16, keepAliveTimeout: 30_000 });
   let preferredIndex = 0;
 
   const send = async (call: StoreCall): Promise<Result<RawResponse, StoreFault>> => {
