Hold responses of engines and services by their content

Cause: a response of a service was collected as a list of its chunks up to 16 MiB of content, so that chunks of one byte took a hundred times that; those of engines went through one object for each chunk.

Change: both clients join the pieces, keep the bound on framing, and read through `collectAnswer`.

--- a/packages/entry/src/call-service.ts
+++ b/packages/entry/src/call-service.ts
@@ -1,12 +1,14 @@
 import { err, ok } from 'neverthrow';
-import { Agent, request } from 'undici';
+import { request } from 'undici';
 import {
   assembleFailure,
   refuseBackendUnreachable,
   refuseNoCapacity,
 } from '@hemlocksill/errors/refusals.js';
 import { chooseOfTwo } from '@hemlocksill/placement/two-choices.js';
+import { makeAnswerAgent } from '@hemlocksill/sockets/answer-agent.js';
 import { makeConnector } from '@hemlocksill/sockets/make-connector.js';
+import { collectAnswer } from '@hemlocksill/sockets/collect-answer.js';
 import type { BackendServer, ServiceRoute } from '@hemlocksill/types/config-document.js';
 import type { Random } from '@hemlocksill/types/ports.js';
 import { readClock } from './clock.js';
@@ -58,10 +60,7 @@
 export const makeCallService = (
   opts: CallServiceOptions,
 ): { handler: Handler; close: () => void } => {
-  const agent = new Agent({
-    connect: makeConnector({ timeout: connectTimeoutMs }),
-    maxResponseSize: maxResponseBytes,
-  });
+  const agent = makeAnswerAgent({ connect: makeConnector({ timeout: connectTimeoutMs }) });
   const openRequests = new Map<string, number>();
   const avoidUntil = new Map<string, number>();
   const retryBudget = makeRetryBudget();
@@ -93,8 +92,8 @@
     openRequests.set(server.name, (openRequests.get(server.name) ?? 0) + 1);
     // The head and the body may take the route's timeout each.
     const timeout = AbortSignal.timeout(2 * route.timeoutMs);
-    try {
-      const response = await request(`${server.url}${ctx.path}${ctx.query}`, {
+    const answer = await collectAnswer(
+      request(`${server.url}${ctx.path}${ctx.query}`, {
         method: route.method,
         headers: assembleHeaders(ctx),
         body: ctx.body.length > 0 ? ctx.body : null,
@@ -103,19 +102,18 @@
         bodyTimeout: route.timeoutMs,
         // A non-idempotent call runs to its end even if the client disconnects.
         signal: route.idempotent ? AbortSignal.any([ctx.abort.signal, timeout]) : timeout,
-      });
-      const body = Buffer.from(await response.body.arrayBuffer());
-      const headers: Record<string, string> = {};
-      forwardedResponseHeaders.forEach((name) => {
-        const value = response.headers[name];
-        if (typeof value === 'string') headers[name] = value;
-      });
-      return { result: ok({ kind: 'complete', status: response.statusCode, headers, body }) };
-    } catch (error) {
-      return { fault: classifyHttpError(error) };
-    } finally {
-      openRequests.set(server.name, (openRequests.get(server.name) ?? 1) - 1);
-    }
+      }),
+      maxResponseBytes,
+    );
+    openRequests.set(server.name, (openRequests.get(server.name) ?? 1) - 1);
+    if (answer.isErr()) return { fault: classifyHttpError(answer.error.error) };
+    const { status, headers: receivedHeaders, body } = answer.value;
+    const headers: Record<string, string> = {};
+    forwardedResponseHeaders.forEach((name) => {
+      const value = receivedHeaders[name];
+      if (typeof value === 'string') headers[name] = value;
+    });
+    return { result: ok({ kind: 'complete', status, headers, body }) };
   };
 
   const isNotSent = (result: CallResult): boolean =>
--- a/packages/entry/src/engine-client.ts
+++ b/packages/entry/src/engine-client.ts
@@ -1,8 +1,10 @@
 import type { Readable } from 'node:stream';
 import { err, ok, type Result } from 'neverthrow';
-import { Agent, request } from 'undici';
+import { request, type Dispatcher } from 'undici';
 import { z } from 'zod';
+import { makeAnswerAgent } from '@hemlocksill/sockets/answer-agent.js';
 import { makeConnector } from '@hemlocksill/sockets/make-connector.js';
+import { collectBody } from '@hemlocksill/sockets/collect-answer.js';
 import type { DecodeStart, EngineStart } from '@hemlocksill/types/engine-protocol.js';
 
 const connectTimeoutMs = 1_000;
@@ -117,26 +119,26 @@
   unknown: 'unknown-stream',
 };
 
-/** Reads a JSON body; undefined if it is too large or not valid. */
-const readJson = async (body: Readable): Promise<unknown> => {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of body as AsyncIterable<Buffer>) {
-    bytes += chunk.length;
-    if (bytes > maxResponseBytes) return undefined;
-    chunks.push(chunk);
-  }
+/** Parses a body; undefined if it is not valid JSON. */
+const parseJson = (body: Buffer): unknown => {
   try {
-    return JSON.parse(Buffer.concat(chunks).toString('utf8')) as unknown;
+    return JSON.parse(body.toString('utf8')) as unknown;
   } catch {
     return undefined;
   }
 };
 
+const readJson = async (res: Dispatcher.ResponseData): Promise<Result<unknown, EngineFault>> =>
+  (await collectBody(res, maxResponseBytes))
+    .map(parseJson)
+    .mapErr(({ kind, error }) => (kind === 'too-large' ? 'bad-answer' : classifyHttpError(error)));
+
 const faultSchema = z.object({ code: z.string().default('') });
 
-const readFault = async (body: Readable): Promise<EngineFault> => {
-  const parsed = faultSchema.safeParse(await readJson(body));
+const readFault = async (res: Dispatcher.ResponseData): Promise<EngineFault> => {
+  const body = await readJson(res);
+  if (body.isErr()) return body.error;
+  const parsed = faultSchema.safeParse(body.value);
   return parsed.success ? (faultByCode[parsed.data.code] ?? 'refused') : 'bad-answer';
 };
 
@@ -148,7 +150,7 @@
  * const load = await engines.readLoad('http://127.0.0.1:7300');
  */
 export const makeEngineClient = (): EngineClient => {
-  const agent = new Agent({
+  const agent = makeAnswerAgent({
     connect: makeConnector({ timeout: connectTimeoutMs }),
     keepAliveTimeout: 30_000,
   });
@@ -159,7 +161,7 @@
     body: unknown,
     timeoutMs: number,
     signal: AbortSignal | undefined,
-    readResponse: (body: Readable) => Promise<Result<T, EngineFault>>,
+    readResponse: (res: Dispatcher.ResponseData) => Promise<Result<T, EngineFault>>,
   ): Promise<Result<T, EngineFault>> => {
     const timeout = new AbortController();
     const timer = setTimeout(() => timeout.abort(new Error('no answer in time')), timeoutMs);
@@ -174,8 +176,8 @@
         signal: signal ? AbortSignal.any([signal, timeout.signal]) : timeout.signal,
       });
       return response.statusCode === 200
-        ? await readResponse(response.body)
-        : err(await readFault(response.body));
+        ? await readResponse(response)
+        : err(await readFault(response));
     } catch (error) {
       return err(classifyHttpError(error));
     } finally {
@@ -191,8 +193,11 @@
     signal?: AbortSignal,
   ): Promise<Result<T, EngineFault>> =>
     sendRequest(url, body, timeoutMs, signal, async (response) => {
-      const parsed = schema.safeParse(await readJson(response));
-      return parsed.success ? ok(parsed.data) : err('bad-answer');
+      const answer = await readJson(response);
+      return answer.andThen((value) => {
+        const parsed = schema.safeParse(value);
+        return parsed.success ? ok(parsed.data) : err('bad-answer');
+      });
     });
 
   const requestStream = (
@@ -201,7 +206,7 @@
     timeoutMs: number,
     signal: AbortSignal,
   ): Promise<Result<Readable, EngineFault>> =>
-    sendRequest(url, body, timeoutMs, signal, (response) => Promise.resolve(ok(response)));
+    sendRequest(url, body, timeoutMs, signal, ({ body: stream }) => Promise.resolve(ok(stream)));
 
   return {
     prefill: (url, start, timeoutMs, signal) =>
