--- a/packages/router/src/peer-views.ts
+++ b/packages/router/src/peer-views.ts
@@ -1,9 +1,10 @@
 import type { Server } from 'node:http';
 import { createJSONRPCErrorResponse, JSONRPCServer } from 'json-rpc-2.0';
 import { err, ok, type Result } from 'neverthrow';
-import { Client } from 'undici';
 import type { Endpoint } from '@hemlocksill/config/settings.js';
 import type { BusyReply } from '@hemlocksill/routing/transfer-turns.js';
+import { makeAnswerClient } from '@hemlocksill/sockets/answer-client.js';
+import { collectAnswer } from '@hemlocksill/sockets/collect-answer.js';
 import { isAddress, isRawView } from './gossip-message.js';
 import { jsonResponse, textResponse, serveSimpleHttp } from './simple-http-server.js';
 import type { RawView, SeenRevisions } from './view-controller.js';
@@ -135,32 +136,29 @@
   localAddress: string,
   signal: AbortSignal,
 ): Promise<Result<FetchedView, FetchFault>> => {
-  const client = new Client(`http://${address}`, { maxResponseSize: maxViewBytes });
+  const client = makeAnswerClient(`http://${address}`, {});
   const progress = new AbortController();
   const timer = setTimeout(
     () => progress.abort(new Error('no progress in time')),
     progressTimeoutMs,
   );
+  const sent = client.request({
+    method: 'POST',
+    path: rpcPath,
+    headers: { 'content-type': 'application/json', 'accept-encoding': 'gzip' },
+    body: JSON.stringify({
+      jsonrpc: '2.0',
+      id: 1,
+      method: 'getView',
+      params: { ...seen, address: localAddress },
+    }),
+    signal: AbortSignal.any([signal, progress.signal, AbortSignal.timeout(callTimeoutMs)]),
+  });
   try {
-    const res = await client.request({
-      method: 'POST',
-      path: rpcPath,
-      headers: { 'content-type': 'application/json', 'accept-encoding': 'gzip' },
-      body: JSON.stringify({
-        jsonrpc: '2.0',
-        id: 1,
-        method: 'getView',
-        params: { ...seen, address: localAddress },
-      }),
-      signal: AbortSignal.any([signal, progress.signal, AbortSignal.timeout(callTimeoutMs)]),
-    });
-    const chunks: Buffer[] = [];
-    for await (const chunk of res.body as AsyncIterable<Buffer>) {
-      timer.refresh();
-      chunks.push(chunk);
-    }
-    const received = Buffer.concat(chunks);
-    const isCompressed = res.headers['content-encoding'] === 'gzip';
+    const answer = await collectAnswer(sent, maxViewBytes, () => timer.refresh());
+    if (answer.isErr()) return err({ kind: 'failed', reason: answer.error.error.message });
+    const { headers, body: received } = answer.value;
+    const isCompressed = headers['content-encoding'] === 'gzip';
     const decoded = isCompressed ? await decompress(received, maxViewBytes) : ok(received);
     return decoded
       .mapErr((reason): FetchFault => ({ kind: 'failed', reason }))
