Keep the time limit of a view and of a service's response

What was seen: a view in chunks of one byte was still read after 13 s, though a call may take 12 s, in one of four such cases of `endless-views.test`.

Cause: in Node.js 20 a signal of `AbortSignal.timeout` that only `AbortSignal.any` refers to can be collected as garbage, and then never fires. A trial outside the repository (Node.js 20.20.2, objects made in a loop, a limit of 2 s) showed it each time: not aborted after 4 s, against 2.0 s where the signal is kept, is used alone, or comes from an `AbortController` with a timer.

Change: a timer that aborts a controller, in both places that combined the two. That the limit of a service's response was lost was not seen; its construct is the same.

The test passes now, also with the two cases in which the limit ends the view.

--- a/packages/entry/src/call-service.ts
+++ b/packages/entry/src/call-service.ts
@@ -90,8 +90,13 @@
     server: BackendServer,
   ): Promise<CallResult> => {
     openRequests.set(server.name, (openRequests.get(server.name) ?? 0) + 1);
+    // `AbortSignal.timeout` can be collected, and never fire, while only `AbortSignal.any` refers to it.
+    const timeout = new AbortController();
     // The head and the body may take the route's timeout each.
-    const timeout = AbortSignal.timeout(2 * route.timeoutMs);
+    const timer = setTimeout(
+      () => timeout.abort(new Error('no answer in time')),
+      2 * route.timeoutMs,
+    );
     const answer = await collectAnswer(
       request(`${server.url}${ctx.path}${ctx.query}`, {
         method: route.method,
@@ -101,10 +106,13 @@
         headersTimeout: route.timeoutMs,
         bodyTimeout: route.timeoutMs,
         // A non-idempotent call runs to its end even if the client disconnects.
-        signal: route.idempotent ? AbortSignal.any([ctx.abort.signal, timeout]) : timeout,
+        signal: route.idempotent
+          ? AbortSignal.any([ctx.abort.signal, timeout.signal])
+          : timeout.signal,
       }),
       maxResponseBytes,
     );
+    clearTimeout(timer);
     openRequests.set(server.name, (openRequests.get(server.name) ?? 1) - 1);
     if (answer.isErr()) return { fault: classifyHttpError(answer.error.error) };
     const { status, headers: receivedHeaders, body } = answer.value;
--- a/packages/router/src/peer-views.ts
+++ b/packages/router/src/peer-views.ts
@@ -137,11 +137,13 @@
   signal: AbortSignal,
 ): Promise<Result<FetchedView, FetchFault>> => {
   const client = makeAnswerClient(`http://${address}`, {});
-  const progress = new AbortController();
-  const timer = setTimeout(
-    () => progress.abort(new Error('no progress in time')),
+  const timeout = new AbortController();
+  const progressTimer = setTimeout(
+    () => timeout.abort(new Error('no progress in time')),
     progressTimeoutMs,
   );
+  // `AbortSignal.timeout` can be collected, and never fire, while only `AbortSignal.any` refers to it.
+  const callTimer = setTimeout(() => timeout.abort(new Error('no view in time')), callTimeoutMs);
   const sent = client.request({
     method: 'POST',
     path: rpcPath,
@@ -152,10 +154,10 @@
       method: 'getView',
       params: { ...seen, address: localAddress },
     }),
-    signal: AbortSignal.any([signal, progress.signal, AbortSignal.timeout(callTimeoutMs)]),
+    signal: AbortSignal.any([signal, timeout.signal]),
   });
   try {
-    const answer = await collectAnswer(sent, maxViewBytes, () => timer.refresh());
+    const answer = await collectAnswer(sent, maxViewBytes, () => progressTimer.refresh());
     if (answer.isErr()) return err({ kind: 'failed', reason: answer.error.error.message });
     const { headers, body: received } = answer.value;
     const isCompressed = headers['content-encoding'] === 'gzip';
@@ -169,7 +171,8 @@
       reason: error instanceof Error ? error.message : 'unknown error',
     });
   } finally {
-    clearTimeout(timer);
+    clearTimeout(progressTimer);
+    clearTimeout(callTimer);
     client.destroy().catch(() => {
       // A second call of destroy() rejects; the connection is closed in both cases.
     });
