--- a/deploy/lean/undici.mjs
+++ b/deploy/lean/undici.mjs
@@ -7,4 +7,3 @@
 export { default as Client } from '../../node_modules/undici/lib/dispatcher/client.js';
 export { default as Pool } from '../../node_modules/undici/lib/dispatcher/pool.js';
 export { default as buildConnector } from '../../node_modules/undici/lib/core/connect.js';
-export { default as errors } from '../../node_modules/undici/lib/core/errors.js';
