Hold requests to auxiliary endpoints by their content

Cause: the same list of chunks for requests to the peers', readiness and metrics endpoints (64 KiB each), and for bodies of callers in `packages/entry`.

Change: the pieces are joined as they come.

The bodies of `packages/entry` were not measured.

--- a/packages/entry/src/filters/read-body.ts
+++ b/packages/entry/src/filters/read-body.ts
@@ -5,6 +5,7 @@
   refuseRequestTimeout,
   refuseTooLarge,
 } from '@hemlocksill/errors/refusals.js';
+import { makeBodyBuffer } from '@hemlocksill/sockets/body-buffer.js';
 import type { Refusal } from '@hemlocksill/types/requests.js';
 import type { Filter } from '../request-context.js';
 
@@ -16,8 +17,7 @@
   maxBytes: number,
 ): Promise<Result<Buffer, Refusal>> =>
   new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const received = makeBodyBuffer();
     const finish = (result: Result<Buffer, Refusal>): void => {
       clearTimeout(timer);
       incoming.removeAllListeners('data');
@@ -32,11 +32,11 @@
       return;
     }
     incoming.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > maxBytes) finish(err(refuseTooLarge(`the body has more than ${maxBytes} bytes`)));
-      else chunks.push(chunk);
+      if (received.getBytes() + chunk.length > maxBytes)
+        finish(err(refuseTooLarge(`the body has more than ${maxBytes} bytes`)));
+      else received.append(chunk);
     });
-    incoming.on('end', () => finish(ok(Buffer.concat(chunks))));
+    incoming.on('end', () => finish(ok(received.take())));
     incoming.on('error', () => finish(err(refuseBadRequest('the body broke off'))));
     incoming.on('close', () => finish(err(refuseBadRequest('the body broke off'))));
   });
--- a/packages/router/src/simple-http-server.ts
+++ b/packages/router/src/simple-http-server.ts
@@ -1,5 +1,6 @@
 import { createServer, type Server } from 'node:http';
 import type { Endpoint } from '@hemlocksill/config/settings.js';
+import { makeBodyBuffer } from '@hemlocksill/sockets/body-buffer.js';
 
 /** A request to one of the router's auxiliary HTTP endpoints. */
 export interface SimpleRequest {
@@ -65,8 +66,7 @@
     connectionsCheckingInterval: timeoutCheckIntervalMs,
   };
   const server = createServer(options, (req, res) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const received = makeBodyBuffer();
     const send = (response: SimpleResponse, isClosing = false): void => {
       const { encoding, onClosed } = response;
       if (onClosed) {
@@ -83,8 +83,7 @@
       res.end(response.body);
     };
     req.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes <= maxBodyBytes) chunks.push(chunk);
+      if (received.getBytes() + chunk.length <= maxBodyBytes) received.append(chunk);
       else if (!res.headersSent) {
         send(textResponse(413, 'the body is too large'), true);
         res.on('finish', () => req.destroy());
@@ -92,7 +91,7 @@
     });
     req.on('end', () => {
       if (res.headersSent) return;
-      const body = Buffer.concat(chunks).toString('utf8');
+      const body = received.take().toString('utf8');
       const path = (req.url ?? '/').replace(/\?.*$/, '');
       const acceptsGzip = /\bgzip\b/.test(String(req.headers['accept-encoding'] ?? ''));
       void handle({ method: req.method ?? 'GET', path, body, acceptsGzip }).then((response) =>
