Connections: don't take a late copy of a rejection for the answer to a request that may run only once

Callers of requests that can't be repeated got 503, "not run", and the server ran the request; one who comes back after that, as the pages tell, has it run twice. A rejection of a full server has no id, and was taken for the answer to the request in progress. Its copy can't be told from another rejection.

A connection records that it brought a rejection without an id. A call that may run only once (a request that is not idempotent, a stream that can't be resumed) or that asks which instance a server is goes on another connection; calls that may run twice go on using it. A second rejection of this kind closes it, since the answer to the call may still follow: the next prefill would get the result of that one.

Ruled out: taking such a rejection for an unknown outcome on a connection that has been used, which would fail each sound rejection with 502; closing the connection after the first one, which costs a connection for each rejection under load. The price that is left is a connection for such calls after a rejection, and for each second rejection; none if rejections bear the id of their request.

--- a/packages/router/src/plain-attempt.ts
+++ b/packages/router/src/plain-attempt.ts
@@ -57,7 +57,12 @@
  */
 export const sendPlainAttempt = (
   { backends, plainLedger, crashWatch, responseEnds, openGathered, now }: AttemptDeps,
-  { call, crashParts, timeoutAt }: Pick<CallContext, 'call' | 'crashParts' | 'timeoutAt'>,
+  {
+    call,
+    crashParts,
+    route,
+    timeoutAt,
+  }: Pick<CallContext, 'call' | 'crashParts' | 'route' | 'timeoutAt'>,
   server: BackendServer,
   onDone: (outcome: AttemptOutcome) => void,
 ): PlainAttempt => {
@@ -98,7 +103,7 @@
   cancelSend = backends.send(
     server,
     call,
-    { remainingMs: timeoutAt - now(), flow },
+    { remainingMs: timeoutAt - now(), flow, isRepeatable: route.kind === 'idempotent' },
     {
       start: (receivedHead) => {
         head = receivedHead;
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -487,6 +487,7 @@
       {
         remainingMs: getRemainingMs(),
         flow: responder.flow,
+        isRepeatable: route.isResumable,
         confirmsInstance: engines.confirmsInstance,
         ...(prefilled === undefined ? {} : { prefilled }),
         ...(reservation === undefined ? {} : { reservation }),
--- a/packages/types/src/routing-ports.ts
+++ b/packages/types/src/routing-ports.ts
@@ -82,6 +82,8 @@
   readonly priority?: number;
   /** Id of the last event that was delivered to the caller. */
   readonly resumeAfter?: string;
+  /** Whether the call may run twice; another one is sent only where no answer to an earlier call can be taken for its own. */
+  readonly isRepeatable?: boolean;
   /** While it is full, the response is not read. */
   readonly flow?: ResponseFlow;
 }
