Plain responses: send one that came without a length with one if it is known to be whole

A router that is killed while it sends a plain answer that came without a length closes its connections in the regular way, so that the part that the kernel held looked complete to the caller. The answer was forwarded without a length since its server might have died inside it. But by then the server has been asked and has told that it still runs, and the router has the whole body.

Such a response gets a length, and the connection of its caller stays open. Where the server could not be asked, the response is still forwarded as it came: a length would say that it is whole, which nobody knows. An HTTP/1.0 caller knows lengths, too; chunks, which streams use, it does not.

--- a/packages/router/src/call-context.ts
+++ b/packages/router/src/call-context.ts
@@ -207,8 +207,8 @@
     const headers = head.headers.filter((header) => !isStream || !isLength(header));
     if (head.hasBody && length !== undefined) {
       if (!head.isFramed) {
-        // A backend server that dies may have truncated the response unnoticed. It is forwarded in
-        // the same way: with a length it would look complete to the caller.
+        // A backend server that has died may have truncated the response, which could not be told. It is
+        // forwarded in the same way: with a length it would look complete to the caller.
         res.useChunkedEncodingByDefault = false;
         res.shouldKeepAlive = false;
       } else if (!headers.some(isLength)) headers.push(['content-length', String(length)]);
--- a/packages/router/src/plain-attempt.ts
+++ b/packages/router/src/plain-attempt.ts
@@ -132,8 +132,8 @@
           onWhole(endedHead);
           return;
         }
-        responseEnds.check(server, sentAt, (isWhole) => {
-          if (isWhole) onWhole(endedHead);
+        responseEnds.check(server, sentAt, (isWhole, doubt) => {
+          if (isWhole) onWhole({ ...endedHead, isFramed: doubt === undefined });
           else onBreak({ kind: 'unknown', reason: endedServerReason });
         });
       },
--- a/packages/router/src/response-ends.ts
+++ b/packages/router/src/response-ends.ts
@@ -23,6 +23,9 @@
   lastFoundAt: number;
 }
 
+/** Why it can't be told whether a response is whole, in which case it counts as whole. */
+export type EndDoubt = 'unknown';
+
 /** Tells whole responses without a length from those that ended because their server did. */
 export interface ResponseEnds {
   /**
@@ -32,7 +35,7 @@
   readonly check: (
     server: BackendServer,
     sentAt: number,
-    onDone: (isWhole: boolean) => void,
+    onDone: (isWhole: boolean, doubt?: EndDoubt) => void,
   ) => void;
 }
 
@@ -99,7 +102,7 @@
             foundStartedAt: result.kind === 'running' ? result.startedAt : undefined,
             hasEnded: true,
           });
-        onDone(isWhole);
+        onDone(isWhole, result.kind === 'unknown' ? 'unknown' : undefined);
       });
     },
   };
