Ends of responses: ask a server at its limit, too, whether it still runs

The stream of an engine that crashed ended as complete after 5 of 20 events: the engine had no room under the limit that it names, so that it wasn't asked whether it still runs, and a part without a length counted as whole.

A check waits up to a second for room, one question for all that wait, which the limit allows. A connection without a request is no request: one that the address refuses tells the crash at once. Each check that comes gets a connection that was opened after it, one at a time.

Ruled out: sending the question in spite of the limit, which many responses together would break.

What remains: a server that accepts connections and has no room for a second still counts as running, also one that was started again within that second.

--- a/packages/router/src/charged-backends.ts
+++ b/packages/router/src/charged-backends.ts
@@ -5,6 +5,7 @@
   CancelCall,
   InstanceOptions,
 } from '@hemlocksill/types/routing-ports.js';
+import { makeRoomQuestions } from './room-questions.js';
 
 /** Accounts of the requests to backend servers that name a limit. */
 export interface SendAccounts {
@@ -35,7 +36,7 @@
  * Makes a client that charges each request that reaches a backend server, whatever it is for, and sends none to
  * an evacuated data centre: it may be evacuated after a server was chosen.
  *
- * Requests of callers have been given room before they are sent. A report or a check waits for room. An order and
+ * Requests of callers have been given room before they are sent. A report is not sent without room, and a check waits for it. An order and
  * a release are sent in any case: they are rare, and what is not released is lost to others. At a cold server or
  * in an evacuated data centre, what is not released expires instead.
  *
@@ -53,6 +54,16 @@
     onInstanceAsked: () => recordSend(server),
   });
 
+  const checkInstance: BackendClient['checkInstance'] = (server, onDone) => {
+    if (isEvacuated(server)) {
+      onDone({ kind: 'unknown' });
+      return;
+    }
+    recordSend(server);
+    backends.checkInstance(server, onDone);
+  };
+  const roomQuestions = makeRoomQuestions({ checkInstance, probe: backends.probe, hasRoom });
+
   return {
     send: (server, call, options, observer) => {
       if (isEvacuated(server)) return reportUnsent(() => observer.fault(unsentFault));
@@ -95,12 +106,8 @@
       backends.report(server, onDone);
     },
     checkInstance: (server, onDone) => {
-      if (isEvacuated(server) || !hasRoom(server)) {
-        onDone({ kind: 'unknown' });
-        return;
-      }
-      recordSend(server);
-      backends.checkInstance(server, onDone);
+      if (isEvacuated(server) || hasRoom(server)) checkInstance(server, onDone);
+      else roomQuestions.ask(server, onDone);
     },
     order: (server, order, onDone) => {
       if (isEvacuated(server)) {
--- a/packages/router/src/response-ends.test.ts
+++ b/packages/router/src/response-ends.test.ts
@@ -91,7 +91,7 @@
   probe: ignore,
 };
 
-// Guards against a part that looks complete. It fails, see KNOWN-RED.txt.
+// Guards against a part that looks complete.
 test('a response whose server has ended is not whole since the server has no room for the question', async (t) => {
   const roomAt = performance.now() + 300;
   const { checkInstance } = makeChargedBackends(endedBackends, {
@@ -107,3 +107,38 @@
   });
   t.false(isWhole);
 });
+
+// Guards against a server that gets more questions than its limit allows.
+test('one question is asked for all responses of a server without room, and none if its address refuses connections', async (t) => {
+  const roomAt = performance.now() + 150;
+  let asked = 0;
+  let isRefused = false;
+  const { checkInstance } = makeChargedBackends(
+    {
+      ...endedBackends,
+      checkInstance: (_, onDone) => {
+        asked += 1;
+        onDone(running(1_000));
+      },
+      probe: (_, onDone) => setTimeout(() => onDone?.(isRefused), 10),
+    },
+    {
+      recordSend: () => {},
+      hasRoom: () => asked === 0 && performance.now() >= roomAt,
+      isCold: () => false,
+      isEvacuated: () => false,
+    },
+  );
+  const now = (): number => performance.now();
+  const ends = makeResponseEnds({ checkInstance, log: () => {}, now });
+  const check = (): Promise<boolean> =>
+    new Promise((resolve) => {
+      ends.check(server, now(), resolve);
+    });
+  t.deepEqual(await Promise.all([check(), check(), check()]), [true, true, true]);
+  t.is(asked, 1);
+  const first = check();
+  isRefused = true;
+  t.deepEqual(await Promise.all([first, check()]), [false, false]);
+  t.is(asked, 1);
+});
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -467,7 +467,7 @@
     const first = Math.floor(Math.random() * candidates.length);
     [...candidates.slice(first), ...candidates.slice(0, first)]
       .slice(0, count)
-      .forEach(backends.probe);
+      .forEach((server) => backends.probe(server));
   }
 
   /** Ready servers of a service, without those in evacuated data centres. */
--- a/packages/types/src/routing-ports.ts
+++ b/packages/types/src/routing-ports.ts
@@ -198,8 +198,11 @@
   ) => void;
   /** Closes the idle connections to a backend server that was removed. */
   readonly closeConnections: (server: BackendServer) => void;
-  /** Opens a direct connection to a backend server, and closes it, to learn whether it can be reached. */
-  readonly probe: (server: BackendServer) => void;
+  /**
+   * Opens a direct connection to a backend server, and closes it, to learn whether it can be reached, or whether its
+   * address refuses connections.
+   */
+  readonly probe: (server: BackendServer, onDone?: (isRefused: boolean) => void) => void;
 }
 
 /** The result of a prefill. */
