Ends of responses: don't take the stream of a server that went dark for whole

Streams without a length of an engine that crashed ended as complete after 7 of 20 events: while its process was started again, connections to it were opened and nothing answered, and a server that doesn't answer the question for its start time within half a second counted as running.

A silent server is now told apart from one that can't be asked for another reason, and is asked again until a second has passed, since a sound one may be silent for that long; a connection that breaks meanwhile tells nothing new. A resumable stream then goes on elsewhere: if it was whole, the next engine has nothing left to send, and its empty answer ends it. It is no crash, and doesn't count as one of the request. A response is not asked for again where the answer would come after its timeout.

Ruled out: treating a silent server as ended for all responses, which would lose whole plain answers (502) and streams that can't go on elsewhere; those count as whole after a silent second, as before after half of one.

--- a/packages/router/src/plain-attempt.ts
+++ b/packages/router/src/plain-attempt.ts
@@ -132,10 +132,15 @@
           onWhole(endedHead);
           return;
         }
-        responseEnds.check(server, sentAt, (isWhole, doubt) => {
-          if (isWhole) onWhole({ ...endedHead, isFramed: doubt === undefined });
-          else onBreak({ kind: 'unknown', reason: endedServerReason });
-        });
+        responseEnds.check(
+          server,
+          sentAt,
+          (isWhole, doubt) => {
+            if (isWhole) onWhole({ ...endedHead, isFramed: doubt === undefined });
+            else onBreak({ kind: 'unknown', reason: endedServerReason });
+          },
+          timeoutAt,
+        );
       },
       fault: onBreak,
     },
--- a/packages/router/src/response-ends.test.ts
+++ b/packages/router/src/response-ends.test.ts
@@ -21,6 +21,7 @@
     now: () => now,
   });
   return {
+    ends,
     logged,
     remaining,
     setNow: (time: number) => {
@@ -63,6 +64,23 @@
   t.is(checks.remaining.length, 1);
 });
 
+// Guards against a part that looks complete since its server went dark when it crashed.
+test('a silent server is asked again for a second, and its silence is told if it lasts', async (t) => {
+  const silent: InstanceResult = { kind: 'silent' };
+  const check = (checks: ReturnType<typeof makeChecks>, answerBy?: number) =>
+    new Promise((resolve) => {
+      checks.ends.check(server, 0, (...end) => resolve(end), answerBy);
+    });
+  t.deepEqual(await check(makeChecks([silent, running(1_000)], 500)), [true, undefined]);
+  t.deepEqual(await check(makeChecks([silent, { kind: 'ended' }], 500)), [false, undefined]);
+  const lasting = makeChecks([silent, { kind: 'unknown' }, running(1_000)], 500);
+  t.deepEqual(await check(lasting), [true, 'silent']);
+  t.is(lasting.remaining.length, 1);
+  const late = makeChecks([silent, running(1_000)], 500);
+  t.deepEqual(await check(late, 1_000), [true, 'silent']);
+  t.is(late.remaining.length, 1);
+});
+
 // Guards against whole responses that fail for as long as the entry of their server is late.
 test('an instance behind a late entry that was found before a request was sent counts as its server', async (t) => {
   const checks = makeChecks([running(2_000), running(2_000), running(2_000), running(3_000)]);
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -16,7 +16,7 @@
 import { makeHandOver, silenceReason, type NextRun, type PreviousRun } from './hand-over.js';
 import { logPlacement } from './log-placement.js';
 import { prepareEngine, type PreparedEngine } from './prepare-engine.js';
-import { endedServerReason } from './response-ends.js';
+import { endedServerReason, silentServerReason } from './response-ends.js';
 import type { RunDeps } from './run-deps.js';
 import { makeEventSplitter } from './sse-events.js';
 import { makeStreamClass } from './stream-class.js';
@@ -602,23 +602,39 @@
       if (!responder.hasSentHead() && head) responder.sendHead(head);
       responder.end();
     };
+    /** Goes on elsewhere with a stream whose engine does not say whether it has ended, which is no crash. */
+    const leaveSilent = (): void => {
+      mayBeWhole = true;
+      if (!isRunning || handOver.tryComplete(silentServerReason) || !tryFinish('broken')) return;
+      mayHaveRun = true;
+      resumeOrFail(server, { kind: 'unknown', reason: silentServerReason }, unusedPrefill);
+    };
     /**
      * Ends a stream whose response has no length, or goes on elsewhere if the engine has ended with it. An engine
      * that takes the stream over meanwhile goes on with it.
      */
     const checkEnd = (): void =>
-      deps.responseEnds.check(server, sentAt, (isWhole) => {
-        mayBeWhole ||= !isWhole;
-        if (!isRunning || (!isWhole && tryLeaveBroken(endedServerReason))) return;
-        if (!tryFinish(isWhole ? getEnd(false, false) : 'broken')) return;
-        if (isWhole) {
-          endResponse();
-          return;
-        }
-        mayHaveRun = true;
-        if (isForwardingError) responder.fail(502, endedServerReason);
-        else handleBreak({ kind: 'unknown', reason: endedServerReason }, resumeOrFail);
-      });
+      deps.responseEnds.check(
+        server,
+        sentAt,
+        (isWhole, doubt) => {
+          if (doubt === 'silent' && route.isResumable && !isForwardingError) {
+            leaveSilent();
+            return;
+          }
+          mayBeWhole ||= !isWhole;
+          if (!isRunning || (!isWhole && tryLeaveBroken(endedServerReason))) return;
+          if (!tryFinish(isWhole ? getEnd(false, false) : 'broken')) return;
+          if (isWhole) {
+            endResponse();
+            return;
+          }
+          mayHaveRun = true;
+          if (isForwardingError) responder.fail(502, endedServerReason);
+          else handleBreak({ kind: 'unknown', reason: endedServerReason }, resumeOrFail);
+        },
+        ctx.timeoutAt,
+      );
     /** Treats a response that is not valid as a broken connection. */
     const breakOff = (reason: string): void => {
       const fault: CallFault = { kind: 'unknown', reason };
--- a/packages/types/src/routing-ports.ts
+++ b/packages/types/src/routing-ports.ts
@@ -104,7 +104,8 @@
 
 /**
  * Which instance answers for a backend server: `ended` if its address refuses connections or is another
- * server's, `unreachable` if another VM through which it is asked can't reach it, `unknown` if it can't be told.
+ * server's, `unreachable` if another VM through which it is asked can't reach it, `silent` if it gives no answer in
+ * time, `unknown` if it can't be told for another reason.
  */
 export type InstanceResult =
   | {
@@ -114,6 +115,7 @@
     }
   | { readonly kind: 'ended' }
   | { readonly kind: 'unreachable' }
+  | { readonly kind: 'silent' }
   | { readonly kind: 'unknown' };
 
 /** An order to change the stage of an engine. */
