--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -5,6 +5,7 @@
 import type { Store } from '@hemlocksill/types/ports.js';
 import type {
   BackendClient,
+  OnAnswer,
   OnServerNotice,
   ReadCallMetadata,
   ServerRoutes,
@@ -24,7 +25,7 @@
 import { makeResponseTimes } from '@hemlocksill/routing/response-times.js';
 import { makeServerDirectory } from '@hemlocksill/routing/server-directory.js';
 import { makeServerReach } from '@hemlocksill/routing/server-reach.js';
-import { makeServerHealth } from '@hemlocksill/routing/server-health.js';
+import { makeServerHealth, type CallOutcome } from '@hemlocksill/routing/server-health.js';
 import { makeStreamTiming } from '@hemlocksill/routing/stream-timing.js';
 import {
   makeStreamAdmission,
@@ -35,6 +36,7 @@
 import { joinQueues, makeStreamQueue } from '@hemlocksill/routing/stream-queue.js';
 import { startReadTimeout } from '@hemlocksill/timers/read-timeout.js';
 import { acceptWaiting, runAfterReads, waitForReads } from '@hemlocksill/timers/run-after-reads.js';
+import { makeAnswerWatch } from './answer-watch.js';
 import type { LogRouterEvent } from './events.js';
 import {
   connectionCheckPeriodMs,
@@ -135,7 +137,11 @@
 export interface RouterPorts {
   readonly store: Store;
   readonly format: StoreFormat;
-  readonly makeBackends: (onNotice: OnServerNotice, routes: ServerRoutes) => BackendClient;
+  readonly makeBackends: (
+    onNotice: OnServerNotice,
+    routes: ServerRoutes,
+    onAnswer: OnAnswer,
+  ) => BackendClient;
   readonly readMetadata: ReadCallMetadata;
   /** Path of the load balancer's readiness check. */
   readonly readyPath: string;
@@ -453,10 +459,13 @@
     log(2113, { server: server.id, durationMs: notice.durationMs });
   };
 
-  const backends = makeChargedBackends(ports.makeBackends(onNotice, routes), {
-    ...limits,
-    isEvacuated: ({ dataCentre }) => evacuations.isEvacuated(dataCentre),
-  });
+  const backends = makeChargedBackends(
+    ports.makeBackends(onNotice, routes, makeAnswerWatch({ log, metrics })),
+    {
+      ...limits,
+      isEvacuated: ({ dataCentre }) => evacuations.isEvacuated(dataCentre),
+    },
+  );
 
   /** Tries whether servers can be reached directly. */
   function probeServers(count: number): void {
@@ -511,6 +520,12 @@
     return ready.filter((server) => !changing.has(server.id) && !ownChanging.includes(server.id));
   };
 
+  /** Records a conclusive failure, and tells the other VMs. */
+  const recordFailure = ({ id }: BackendServer, outcome: CallOutcome): void => {
+    health.record(id, outcome, now());
+    if (failingEngines.record(id, now())) peers.notifyChange({ kind: 'failing' });
+  };
+
   const runDeps: RunDeps = {
     backends,
     health,
@@ -539,10 +554,8 @@
     tryTakeRetry: (service) => getRetryBudget(service).tryTakeRetry(peers.countVms(), now()),
     returnRetry: (service) => getRetryBudget(service).returnRetry(),
     findStageChange: stages.findChange,
-    recordFailingPrefill: (server, outcome) => {
-      health.record(server.id, outcome, now());
-      if (failingEngines.record(server.id, now())) peers.notifyChange({ kind: 'failing' });
-    },
+    recordFailingPrefill: recordFailure,
+    recordFaultyAnswer: (server) => recordFailure(server, 'faulty-answer'),
     notifyLoadChange: (server) => {
       peers.notifyChange({ kind: 'load', dataCentre: server.dataCentre });
       if (queue.size() > 0) setImmediate(() => queue.process(now()));
@@ -579,7 +592,7 @@
   const plainDeps: PlainDeps = {
     ...runDeps,
     placement: plainPlacement,
-    openGathered: () => flows.openGathered(),
+    openGathered: (giveWay) => flows.openGathered(giveWay),
   };
 
   const order = makeRequestOrder({ log, now });
@@ -610,6 +623,9 @@
     metrics,
     isShortOfMemory: () => heap.isShort(),
     collectGarbage,
+    holdAnswers: flows.holdGathered,
+    releaseAnswers: flows.releaseGathered,
+    halveAnswers: flows.halveGathered,
     runAfterReads,
     now,
   });
