--- a/packages/router/src/plain-attempt.test.ts
+++ b/packages/router/src/plain-attempt.test.ts
@@ -7,7 +7,7 @@
 } from '@hemlocksill/types/routing-ports.js';
 import { makeEngineLedger } from '@hemlocksill/routing/engine-ledger.js';
 import { makeEngineRates } from '@hemlocksill/routing/engine-rates.js';
-import { makeServer } from '@hemlocksill/routing/fixtures.js';
+import { makeRoute, makeServer } from '@hemlocksill/routing/fixtures.js';
 import { sendPlainAttempt, type AttemptOutcome } from './plain-attempt.js';
 
 const call: ForwardedCall = {
@@ -70,7 +70,7 @@
       },
       now: () => 0,
     },
-    { call, crashParts: [], timeoutAt: 1_000 },
+    { call, crashParts: [], route: makeRoute({}), timeoutAt: 1_000 },
     makeServer({ id: 'i-1' }),
     (outcome) => outcomes.push(outcome),
   );
--- a/packages/router/src/plain-attempt.ts
+++ b/packages/router/src/plain-attempt.ts
@@ -65,7 +65,12 @@
  */
 export const sendPlainAttempt = (
   { backends, plainLedger, crashWatch, responseEnds, openGathered, now }: AttemptDeps,
-  { call, crashParts, timeoutAt }: Pick<CallContext, 'call' | 'crashParts' | 'timeoutAt'>,
+  {
+    call,
+    crashParts,
+    route,
+    timeoutAt,
+  }: Pick<CallContext, 'call' | 'crashParts' | 'route' | 'timeoutAt'>,
   server: BackendServer,
   onDone: (outcome: AttemptOutcome) => void,
 ): PlainAttempt => {
@@ -122,7 +127,7 @@
   cancelSend = backends.send(
     server,
     call,
-    { remainingMs: timeoutAt - now(), flow },
+    { remainingMs: timeoutAt - now(), flow, isRepeatable: route.kind === 'idempotent' },
     {
       start: (receivedHead) => {
         const toldBytes = readToldBytes(receivedHead);
@@ -155,10 +160,15 @@
           onWhole(endedHead);
           return;
         }
-        responseEnds.check(server, sentAt, (isWhole) => {
-          if (isWhole) onWhole(endedHead);
-          else onBreak({ kind: 'unknown', reason: endedServerReason });
-        });
+        responseEnds.check(
+          server,
+          sentAt,
+          (isWhole, doubt) => {
+            if (isWhole) onWhole({ ...endedHead, isFramed: doubt === undefined });
+            else onBreak({ kind: 'unknown', reason: endedServerReason });
+          },
+          timeoutAt,
+        );
       },
       fault: onBreak,
     },
--- a/packages/router/src/response-ends.test.ts
+++ b/packages/router/src/response-ends.test.ts
@@ -21,6 +21,7 @@
     now: () => now,
   });
   return {
+    ends,
     logged,
     remaining,
     setNow: (time: number) => {
@@ -63,6 +64,23 @@
   t.is(checks.remaining.length, 1);
 });
 
+// Guards against a part that looks complete since its server went dark when it crashed.
+test('a silent server is asked again for a second, and its silence is told if it lasts', async (t) => {
+  const silent: InstanceResult = { kind: 'silent' };
+  const check = (checks: ReturnType<typeof makeChecks>, answerBy?: number) =>
+    new Promise((resolve) => {
+      checks.ends.check(server, 0, (...end) => resolve(end), answerBy);
+    });
+  t.deepEqual(await check(makeChecks([silent, running(1_000)], 500)), [true, undefined]);
+  t.deepEqual(await check(makeChecks([silent, { kind: 'ended' }], 500)), [false, undefined]);
+  const lasting = makeChecks([silent, { kind: 'unknown' }, running(1_000)], 500);
+  t.deepEqual(await check(lasting), [true, 'silent']);
+  t.is(lasting.remaining.length, 1);
+  const late = makeChecks([silent, running(1_000)], 500);
+  t.deepEqual(await check(late, 1_000), [true, 'silent']);
+  t.is(late.remaining.length, 1);
+});
+
 // Guards against whole responses that fail for as long as the entry of their server is late.
 test('an instance behind a late entry that was found before a request was sent counts as its server', async (t) => {
   const checks = makeChecks([running(2_000), running(2_000), running(2_000), running(3_000)]);
@@ -91,7 +109,7 @@
   probe: ignore,
 };
 
-// Guards against a part that looks complete. It fails, see KNOWN-RED.txt.
+// Guards against a part that looks complete.
 test('a response whose server has ended is not whole since the server has no room for the question', async (t) => {
   const roomAt = performance.now() + 300;
   const { checkInstance } = makeChargedBackends(endedBackends, {
@@ -107,3 +125,38 @@
   });
   t.false(isWhole);
 });
+
+// Guards against a server that gets more questions than its limit allows.
+test('one question is asked for all responses of a server without room, and none if its address refuses connections', async (t) => {
+  const roomAt = performance.now() + 150;
+  let asked = 0;
+  let isRefused = false;
+  const { checkInstance } = makeChargedBackends(
+    {
+      ...endedBackends,
+      checkInstance: (_, onDone) => {
+        asked += 1;
+        onDone(running(1_000));
+      },
+      probe: (_, onDone) => setTimeout(() => onDone?.(isRefused), 10),
+    },
+    {
+      recordSend: () => {},
+      hasRoom: () => asked === 0 && performance.now() >= roomAt,
+      isCold: () => false,
+      isEvacuated: () => false,
+    },
+  );
+  const now = (): number => performance.now();
+  const ends = makeResponseEnds({ checkInstance, log: () => {}, now });
+  const check = (): Promise<boolean> =>
+    new Promise((resolve) => {
+      ends.check(server, now(), resolve);
+    });
+  t.deepEqual(await Promise.all([check(), check(), check()]), [true, true, true]);
+  t.is(asked, 1);
+  const first = check();
+  isRefused = true;
+  t.deepEqual(await Promise.all([first, check()]), [false, false]);
+  t.is(asked, 1);
+});
--- a/packages/types/src/routing-ports.ts
+++ b/packages/types/src/routing-ports.ts
@@ -87,6 +87,8 @@
   readonly priority?: number;
   /** Id of the last event that was delivered to the caller. */
   readonly resumeAfter?: string;
+  /** Whether the call may run twice; another one is sent only where no answer to an earlier call can be taken for its own. */
+  readonly isRepeatable?: boolean;
   /** While it is full, the response is not read. */
   readonly flow?: ResponseFlow;
 }
@@ -107,7 +109,8 @@
 
 /**
  * Which instance answers for a backend server: `ended` if its address refuses connections or is another
- * server's, `unreachable` if another VM through which it is asked can't reach it, `unknown` if it can't be told.
+ * server's, `unreachable` if another VM through which it is asked can't reach it, `silent` if it gives no answer in
+ * time, `unknown` if it can't be told for another reason.
  */
 export type InstanceResult =
   | {
@@ -117,6 +120,7 @@
     }
   | { readonly kind: 'ended' }
   | { readonly kind: 'unreachable' }
+  | { readonly kind: 'silent' }
   | { readonly kind: 'unknown' };
 
 /** An order to change the stage of an engine. */
@@ -219,8 +223,11 @@
   ) => void;
   /** Closes the idle connections to a backend server that was removed. */
   readonly closeConnections: (server: BackendServer) => void;
-  /** Opens a direct connection to a backend server, and closes it, to learn whether it can be reached. */
-  readonly probe: (server: BackendServer) => void;
+  /**
+   * Opens a direct connection to a backend server, and closes it, to learn whether it can be reached, or whether its
+   * address refuses connections.
+   */
+  readonly probe: (server: BackendServer, onDone?: (isRefused: boolean) => void) => void;
 }
 
 /** The result of a prefill. */
