Streams: a stream that waited for faulty engines only is refused for that reason

A stream that waited for the end of the cooldown of a faulty engine, and reached its objective first, was told 'no memory in time' and counted as refused for memory. The reason depended on whether the cooldown had just ended.

The queue's refusal names the faulty engines whenever the last answers of all decode engines were faulty.

--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -54,6 +54,9 @@
 /** Fault of an engine that answers a stream which must go on with an error. */
 const resumedStreamFault: CallFault = { kind: 'unknown', reason: 'the resumed stream failed' };
 
+/** Why a stream is refused while no engine is left that answers as it should. */
+const faultyEnginesReason = 'all engines send faulty answers';
+
 /** Whether a server may have crashed; one whose response was malformed went on. */
 const isCrash = (fault: CallFault): boolean => fault.kind === 'unknown' && !fault.isMalformed;
 
@@ -182,6 +185,7 @@
         const leftServer = findLeftServer();
         // The retry that was taken for another placement has not been used.
         if (leftServer && getRemainingMs() > 0) goBackTo(leftServer);
+        else if (engines.getFaultyUntil() > 0) failOrRefuse(faultyEnginesReason, retryAfterMs);
         else refuseForMemory(retryAfterMs, reason);
       },
     };
@@ -227,7 +231,7 @@
     const now = deps.now();
     const faultyUntil = engines.getFaultyUntil();
     if (faultyUntil > getLatestPlacement()) {
-      failOrRefuse('all engines send faulty answers', faultyUntil - now);
+      failOrRefuse(faultyEnginesReason, faultyUntil - now);
       return;
     }
     const predictedWaitMs = predictWaitMs();
--- a/packages/router/src/stream-engines.ts
+++ b/packages/router/src/stream-engines.ts
@@ -84,8 +84,8 @@
     onDone: (outcome: PrefillOutcome) => void,
   ) => CancelCall;
   /**
-   * Time until which all decode engines that fit are left out since their answers were faulty, in the clock of
-   * `RunDeps.now`; 0 if one is not.
+   * Time until which all decode engines that fit are left out since their last answers were faulty, in the clock of
+   * `RunDeps.now`, possibly past; 0 if that of one was not.
    */
   readonly getFaultyUntil: () => number;
   /** Whether a server chosen earlier is still ready, the same instance and not paused. */
@@ -325,8 +325,7 @@
     getFaultyUntil: () => {
       const decode = listFitting().filter(({ stage }) => stage !== 'prefill');
       if (decode.length === 0) return 0;
-      const until = Math.min(...decode.map(({ id: server }) => deps.health.getFaultyUntil(server)));
-      return until > deps.now() ? until : 0;
+      return Math.min(...decode.map(({ id: server }) => deps.health.getFaultyUntil(server)));
     },
     isStillReady: (server) =>
       !deps.health.isPaused(server.id, deps.now()) &&
