Don't take a malformed answer to a plain request for a crash of its server

Sound plain requests were refused with 'backend servers crash on this request' on all VMs for 24 and 53 s: an answer over a limit counted as a crash of its server under the request, so that three such servers blocked it. Streams tell the two apart since their servers are left for faulty answers; plain requests do now, too. The test failed before.

--- a/packages/router/src/crash-watch.ts
+++ b/packages/router/src/crash-watch.ts
@@ -1,5 +1,5 @@
 import type { BackendServer } from '@hemlocksill/types/routing.js';
-import type { BackendClient } from '@hemlocksill/types/routing-ports.js';
+import type { BackendClient, CallFault } from '@hemlocksill/types/routing-ports.js';
 import type { CrashRow } from '@hemlocksill/routing/crash-rows.js';
 import { makeCrashSuspects, type BlockChange } from '@hemlocksill/routing/crash-suspects.js';
 import { getRequestOfPart } from '@hemlocksill/routing/request-part.js';
@@ -68,6 +68,15 @@
   readonly checkInstance: BackendClient['checkInstance'];
 }
 
+/**
+ * Whether a server may have crashed, by the fault of a call. One whose response was malformed goes on.
+ *
+ * @example
+ * isCrash({ kind: 'unknown', reason: 'other side closed' }); // true
+ */
+export const isCrash = (fault: CallFault): boolean =>
+  fault.kind === 'unknown' && !fault.isMalformed;
+
 const unwatchedRun: RunWatch = {
   recordEvent: () => {},
   recordEnd: () => {},
--- a/packages/router/src/plain-attempt.test.ts
+++ b/packages/router/src/plain-attempt.test.ts
@@ -37,6 +37,7 @@
   const outcomes: AttemptOutcome[] = [];
   const held: number[] = [];
   let cancels = 0;
+  let breaks = 0;
   let giveWay = (): void => {};
   const observers: ResponseObserver[] = [];
   sendPlainAttempt(
@@ -54,7 +55,10 @@
         watchRun: () => ({
           recordEvent: () => {},
           recordEnd: () => {},
-          recordBreak: () => false,
+          recordBreak: () => {
+            breaks += 1;
+            return false;
+          },
           stop: () => {},
         }),
       },
@@ -81,6 +85,7 @@
     held,
     giveWay: () => giveWay(),
     countCancels: () => cancels,
+    countBreaks: () => breaks,
     getBody: (): string | undefined =>
       outcomes.map((outcome) =>
         outcome.kind === 'response' ? outcome.response.body.toString() : undefined,
@@ -140,3 +145,16 @@
   t.deepEqual(getFault(), { kind: 'unknown', reason: 'the answers hold too much memory' });
   t.is(countCancels(), 1);
 });
+
+// Guards against sound requests that are blocked as crashing, since their answers had no end.
+test('only an answer that broke off may be a crash of its server', (t) => {
+  const count = (fault: CallFault): number => {
+    const { observer, countBreaks } = startAttempt();
+    observer.start(head);
+    observer.fault(fault);
+    return countBreaks();
+  };
+  t.is(count({ kind: 'unknown', reason: 'other side closed' }), 1);
+  t.is(count({ kind: 'unknown', reason: 'Headers Overflow Error', isMalformed: true }), 0);
+  t.is(count({ kind: 'not-sent', reason: 'no connection in time' }), 0);
+});
--- a/packages/router/src/plain-attempt.ts
+++ b/packages/router/src/plain-attempt.ts
@@ -8,7 +8,7 @@
 } from '@hemlocksill/types/routing-ports.js';
 import type { CallContext } from './call-context.js';
 import type { GatheredFlow } from './caller-flows.js';
-import type { CrashWatch } from './crash-watch.js';
+import { isCrash, type CrashWatch } from './crash-watch.js';
 import { endedServerReason } from './response-ends.js';
 import type { RunDeps } from './run-deps.js';
 
@@ -114,7 +114,7 @@
     });
 
   const onBreak = (fault: CallFault): void =>
-    finishOnce(() => onFault(fault, fault.kind === 'unknown' && runWatch.recordBreak()));
+    finishOnce(() => onFault(fault, isCrash(fault) && runWatch.recordBreak()));
 
   const onWhole = (wholeHead: ResponseHead): void =>
     finishOnce(() =>
--- a/packages/router/src/run-stream.ts
+++ b/packages/router/src/run-stream.ts
@@ -13,7 +13,7 @@
 } from '@hemlocksill/routing/event-order.js';
 import { makeStreamBounds } from '@hemlocksill/routing/stream-bounds.js';
 import type { CallContext, Responder } from './call-context.js';
-import { blockedRetryAfterMs, describePart, getBlockedReason } from './crash-watch.js';
+import { blockedRetryAfterMs, describePart, getBlockedReason, isCrash } from './crash-watch.js';
 import { makeHandOver, silenceReason, type NextRun, type PreviousRun } from './hand-over.js';
 import { logPlacement } from './log-placement.js';
 import { prepareEngine, type PreparedEngine } from './prepare-engine.js';
@@ -57,9 +57,6 @@
 /** Why a stream is refused while no engine is left that answers as it should. */
 const faultyEnginesReason = 'all engines send faulty answers';
 
-/** Whether a server may have crashed; one whose response was malformed went on. */
-const isCrash = (fault: CallFault): boolean => fault.kind === 'unknown' && !fault.isMalformed;
-
 /** How a run of a stream ended, for its log line. */
 type RunEnd =
   /** With the end that its framing names. */
