Soak: backend servers that answer without an end, and ends of VMs by themselves

The soak had no server that sends bytes without an end, and would not have seen what such a server did to a VM: a process at its heap limit ends by SIGABRT, without an exit code, and `keeps-running` looked at exit codes at the end of the soak alone, so that it also missed each process that a later fault had started again.

Version 10 of the schedule adds to version 8 the fault `endless-answers`, about half of all faults: new servers, or a share of those that are there, answer requests, prefills, reservations or reports without an end, in 15 forms, behind 200 and 500, up to three times in a row, beside callers that hold their connections. Older versions keep their schedules.

The bounds come from the targets: no process ends by itself, none holds more than the 178 MB of its machine, each answers the load balancer within 1 s. A call is excused only if its request ran at a faulty server and it got a status; that such an answer never looks complete is a part of `own-answer`.

Ruled out: faults behind the proxies of the soak, through which the bytes would pass its event loop; spans of faults as an excuse for all calls of a service, which would excuse sound calls, too.

--- a/packages/soak/src/check-promises.test.ts
+++ b/packages/soak/src/check-promises.test.ts
@@ -38,6 +38,8 @@
   storeLinkSpans: new Map(),
   lateSpans: new Map(),
   unexpectedExits: [],
+  memoryPeaks: [],
+  readyProbes: [],
   callerLateSpans: [],
   serverFaultSpans: [],
   stops: [],
@@ -172,9 +174,10 @@
   t.deepEqual(listViolatedPromises({ stops: [{ ...stop, exitCode: 0 }] }), []);
   const lateSpans = new Map([['vm-1', [{ from: 23_800, to: 24_300 }]]]);
   t.deepEqual(listViolatedPromises({ stops: [stop], lateSpans }), []);
-  t.deepEqual(listViolatedPromises({ unexpectedExits: [{ vm: 'vm-1', at: 20_000 }] }), [
-    'keeps-running',
-  ]);
+  t.deepEqual(
+    listViolatedPromises({ unexpectedExits: [{ vm: 'vm-1', at: 20_000, how: 'SIGABRT' }] }),
+    ['keeps-running'],
+  );
 });
 
 test('a VM that is late or cut off from the store loses no request', (t) => {
@@ -384,3 +387,44 @@
   const moved = 'id: 1\ndata: a v1 e1\n\nid: 2\ndata: a v2 e2\n\n';
   t.deepEqual(listViolatedPromises({ calls: [makeStreamCall(moved)] }), ['one-version']);
 });
+
+// Guards against a soak that passes although answers without an end take the memory of a VM.
+test('keeps-memory: a VM holds more than its machine has', (t) => {
+  const listWith = (bytes: number): string[] =>
+    listViolatedPromises({ memoryPeaks: [{ vm: 'vm-1', at: 20_000, bytes }] });
+  t.deepEqual(listWith(178_000_001), ['keeps-memory']);
+  t.deepEqual(listWith(178_000_000), []);
+});
+
+// Guards against a soak that passes although a VM stands still.
+test('stays-ready: a VM that runs answers the load balancer too late, or never', (t) => {
+  const listWith = (ms: number | undefined, overrides: Partial<SoakRecord> = {}): string[] =>
+    listViolatedPromises({ readyProbes: [{ vm: 'vm-1', at: 20_000, ms }], ...overrides });
+  t.deepEqual(listWith(1_001), ['stays-ready']);
+  t.deepEqual(listWith(undefined), ['stays-ready']);
+  t.deepEqual(listWith(1_000), []);
+  const span = { from: 20_500, to: 20_600 };
+  t.deepEqual(listWith(1_001, { vmFaultSpans: new Map([['vm-1', [span]]]) }), []);
+  t.deepEqual(listWith(1_001, { lateSpans: new Map([['vm-1', [span]]]) }), []);
+  t.deepEqual(listWith(1_001, { lateSpans: new Map([['vm-2', [span]]]) }), ['stays-ready']);
+  t.deepEqual(listWith(1_001, { callerLateSpans: [span] }), []);
+  t.deepEqual(listWith(1_201, { callerLateSpans: [span] }), ['stays-ready']);
+});
+
+// Guards against a soak that takes an answer without an end for any excuse.
+test('only a call that ran at a server without an end may be broken off, and never looks complete', (t) => {
+  const listWith = (call: Partial<CallRecord>, run: Partial<RunRecord>): string[] =>
+    listViolatedPromises({
+      calls: [makeCall(call)],
+      runs: [makeRun({ endlessForm: 'one chunk', ...run })],
+    });
+  t.deepEqual(listWith({ isComplete: false }, {}), []);
+  t.deepEqual(listWith({ status: 502 }, {}), []);
+  t.deepEqual(listWith({ isComplete: false }, { isPrefill: true }), ['ends-with-answer']);
+  t.deepEqual(listWith({ status: undefined, isComplete: false }, {}), ['ends-with-answer']);
+  t.deepEqual(listWith({ status: 503 }, {}), ['true-refusal']);
+  t.deepEqual(listWith({ body: 'xxxx' }, {}), ['own-answer']);
+  const stream = { kind: 'stream', body: 'id: 7\ndata: e\n\n' } as const;
+  t.deepEqual(listWith({ ...stream, isComplete: false }, {}), []);
+  t.deepEqual(listWith({ ...stream, isComplete: true }, {}), ['own-answer']);
+});
--- a/packages/soak/src/check-promises.ts
+++ b/packages/soak/src/check-promises.ts
@@ -1,4 +1,5 @@
 import { checkEventOrder, explainVersionChanges } from './check-event-order.js';
+import { checkExits, checkMemory, checkReadiness } from './check-vms.js';
 import { graceMs } from './start-environment.js';
 import type {
   AcknowledgedChange,
@@ -10,6 +11,7 @@
   Span,
   StopRecord,
 } from './records.js';
+import { overlaps, sumOverlaps } from './spans.js';
 
 /** Time limits of the guarantees in docs/GUARANTEES.md, in milliseconds. */
 const timeLimits = {
@@ -70,6 +72,8 @@
     | 'ends-with-answer'
     | 'graceful-stop'
     | 'keeps-running'
+    | 'keeps-memory'
+    | 'stays-ready'
     | 'bounded-crashes'
     | 'keeps-limit'
     | 'one-version'
@@ -111,15 +115,6 @@
   read: 'desk',
 };
 
-const overlaps = (spans: readonly Span[], from: number, to: number): boolean =>
-  spans.some((span) => span.from < to && span.to > from);
-
-const sumOverlaps = (spans: readonly Span[], from: number, to: number): number =>
-  spans.reduce(
-    (sum, span) => sum + Math.max(0, Math.min(span.to, to) - Math.max(span.from, from)),
-    0,
-  );
-
 /** Intervals in which a VM may miss a time limit. */
 const listHindrances = (record: SoakRecord, vm: string): readonly Span[] => [
   ...(record.vmFaultSpans.get(vm) ?? []),
@@ -135,6 +130,14 @@
   return byId;
 };
 
+/** Ids of the calls whose request ran at a server that answers without an end. */
+const listEndlessCalls = ({ runs }: SoakRecord): ReadonlySet<string> =>
+  new Set(
+    runs.flatMap(({ id, isPrefill, endlessForm }) =>
+      endlessForm === undefined || isPrefill ? [] : [id],
+    ),
+  );
+
 const isRefusal = (call: CallRecord): boolean => call.status === 429 || call.status === 503;
 
 /** Whether a stream contains each event once, in order, and only events of its own request. */
@@ -171,6 +174,8 @@
   if (
     call.kind === 'stream' &&
     call.status === 200 &&
+    // What a faulty server wrote is passed on until the answer is broken off.
+    runs.every(({ endlessForm }) => endlessForm === undefined) &&
     !isValidStream({ ...call, body: selectCompleteEvents(call) })
   )
     report('own-answer', `events ${JSON.stringify(call.body.slice(0, 120))}`);
@@ -296,12 +301,6 @@
       })),
   ]);
 
-const checkExits = (record: SoakRecord): Violation[] =>
-  record.unexpectedExits.map(({ vm, at }) => ({
-    promise: 'keeps-running' as const,
-    detail: `${vm} ended without a signal before ${Math.round(at)} ms`,
-  }));
-
 /** Whether a rejected key was withdrawn, or is so new that the VM need not know it yet. */
 const isKeyRejected = (call: CallRecord, record: SoakRecord): boolean =>
   call.status === 401 &&
@@ -319,13 +318,16 @@
  * A call ends with a complete response or a refusal. Changes of the configuration, withdrawn keys,
  * draining, full or silent servers and store outages excuse nothing.
  */
-const checkAnswers = (record: SoakRecord): Violation[] =>
-  record.calls
+const checkAnswers = (record: SoakRecord): Violation[] => {
+  const endlessCalls = listEndlessCalls(record);
+  return record.calls
     .filter((call) => {
       // A call that is still open after its timeout violates `final-answer`.
       if (call.endedAt === undefined || hasAnswer(call, record)) return false;
       // Nobody waits for the response of a caller that has left.
       if (call.disconnectedAt !== undefined) return false;
+      // Of an answer without an end, a caller gets no more than an honest end.
+      if (endlessCalls.has(call.id) && call.status !== undefined) return false;
       // Once its time is up, a call may end without a response.
       if (call.endedAt - call.startedAt >= routeTimeoutMs[call.kind] - timeoutMarginMs)
         return false;
@@ -344,6 +346,7 @@
       promise: 'ends-with-answer' as const,
       detail: `${call.id} at ${call.vm}: ${call.kind} ended after ${Math.round((call.endedAt ?? 0) - call.startedAt)} ms with ${call.status ?? 'a closed connection'}, ${call.isComplete ? 'complete' : 'incomplete'}`,
     }));
+};
 
 /** A request with a crashing part ends the engine instance that runs it. */
 const checkCrashes = (record: SoakRecord): Violation[] =>
@@ -463,17 +466,24 @@
  */
 export const checkPromises = (record: SoakRecord, eventCount: number): Violation[] => {
   const runs = groupRunsById(record.runs);
+  const endlessCalls = listEndlessCalls(record);
   return [
     ...record.calls.flatMap((call) => checkCall(call, runs.get(call.id) ?? [], record, eventCount)),
     ...checkChanges(record, runs),
     ...checkStops(record, runs),
     ...checkExits(record),
+    ...checkMemory(record),
+    ...checkReadiness(record),
     ...checkAnswers(record),
     ...checkCrashes(record),
     ...checkCrashingRequests(record),
     ...checkLimits(record),
     ...checkVersions(record),
-    ...checkEventOrder(record.calls, eventCount).map((detail) => ({
+    // The events of a server that answers without an end have no order; checkCall sees whether they look complete.
+    ...checkEventOrder(
+      record.calls.filter(({ id }) => !endlessCalls.has(id)),
+      eventCount,
+    ).map((detail) => ({
       promise: 'event-order' as const,
       detail,
     })),
--- a/packages/soak/src/drive-callers.ts
+++ b/packages/soak/src/drive-callers.ts
@@ -26,6 +26,9 @@
 /** Share of the streams whose caller disconnects before the end. */
 const disconnectShare = 0.08;
 
+/** Length of an answer from which a caller closes its connection; sound answers are far shorter. */
+const maxAnswerLength = 16_384;
+
 /** Path of streams that can't be resumed. */
 const draftPath = '/draft/1';
 
@@ -149,12 +152,10 @@
     ...(record.takesUp === undefined ? {} : { takesUp: record.takesUp }),
     onData: (text, disconnect) => {
       record.body = text;
-      if (
-        !shouldDisconnectEarly ||
-        record.disconnectedAt !== undefined ||
-        !text.includes('id: 3\n')
-      )
-        return;
+      if (record.disconnectedAt !== undefined) return;
+      const mustDisconnect =
+        text.length > maxAnswerLength || (shouldDisconnectEarly && text.includes('id: 3\n'));
+      if (!mustDisconnect) return;
       record.disconnectedAt = now();
       disconnect();
     },
--- a/packages/soak/src/generate-faults.test.ts
+++ b/packages/soak/src/generate-faults.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import { soakForms, type EndlessFault } from './endless-faults.js';
 import { defaultScheduleVersion, generateFaults } from './generate-faults.js';
 
 const options = { version: defaultScheduleVersion, vms: 4, servers: 8, faultMs: 20_000 };
@@ -142,3 +143,24 @@
   t.true(silences.length > 20);
   t.true(silences.every(({ forMs }) => forMs >= 600 && forMs <= 2_500));
 });
+
+const sortUnique = <T>(values: readonly T[]): readonly T[] => [...new Set(values)].sort();
+
+// Guards against a schedule that leaves out a form, a status or a place of answers without an end.
+test('the tenth version has answers without an end in all forms, beside other faults', (t) => {
+  const faults = Array.from({ length: 40 }, (_, seed) =>
+    generateFaults(seed, { ...options, version: 'v10' }),
+  ).flat();
+  const endless = faults.filter((fault): fault is EndlessFault => fault.kind === 'endless-answers');
+  t.true(endless.length < faults.length);
+  t.deepEqual(sortUnique(endless.flatMap(({ forms }) => forms)), sortUnique(soakForms));
+  t.deepEqual(sortUnique(endless.flatMap(({ statuses }) => statuses)), [200, 500]);
+  t.deepEqual(sortUnique(endless.map(({ stage, part }) => `${stage ?? 'plain'} ${part}`)), [
+    'decode reports',
+    'decode requests',
+    'decode reservations',
+    'plain requests',
+    'prefill prefills',
+    'prefill reports',
+  ]);
+});
--- a/packages/soak/src/generate-faults.ts
+++ b/packages/soak/src/generate-faults.ts
@@ -1,4 +1,5 @@
 import { makeSeededRandom, type SeededRandom } from '@hemlocksill/bench/seeded-random.js';
+import { generateEndlessFault, type EndlessFault } from './endless-faults.js';
 import { engineFaultGenerators, type EngineFault } from './engine-faults.js';
 import type { CallKind } from './records.js';
 import type { ProxyMode } from './tcp-proxy.js';
@@ -11,6 +12,7 @@
 /** A fault of a soak; `at` is its offset in the schedule, `forMs` its duration, in milliseconds. */
 export type SoakFault = { readonly at: number; readonly forMs: number } & (
   | EngineFault
+  | EndlessFault
   | { readonly kind: 'vm-kill' | 'vm-pause' | 'vm-stop'; readonly vm: number }
   /** The VM does not run, for less time than it would have to be taken out for. */
   | { readonly kind: 'vm-late'; readonly vm: number }
@@ -48,11 +50,25 @@
  * Versions of the list from which kinds of faults are drawn. A new kind comes with a new version, since a
  * longer list changes the schedule of every seed.
  */
-export const scheduleVersions = ['v1', 'v2', 'v3', 'v4', 'v5', 'v6', 'v7', 'v8', 'v9'] as const;
+export const scheduleVersions = [
+  'v1',
+  'v2',
+  'v3',
+  'v4',
+  'v5',
+  'v6',
+  'v7',
+  'v8',
+  'v9',
+  'v10',
+] as const;
 
 export type ScheduleVersion = (typeof scheduleVersions)[number];
 
-/** Version with most kinds of faults; version 9 has those that put the events of streams out of order. */
+/**
+ * Version with most kinds of faults; version 9 has those that put the events of streams out of order, version 10 adds
+ * answers without an end.
+ */
 export const defaultScheduleVersion: ScheduleVersion = 'v8';
 
 /** Options of a fault schedule. */
@@ -280,6 +296,12 @@
   makeRestartGenerator('start'),
 ];
 
+/** Of the faults of the tenth version, answers without an end are about a half. */
+const tenthGenerators: readonly FaultGenerator[] = [
+  ...eighthGenerators,
+  ...eighthGenerators.map(() => generateEndlessFault),
+];
+
 const generatorsByVersion: Readonly<Record<ScheduleVersion, readonly FaultGenerator[]>> = {
   v1: firstGenerators,
   v2: secondGenerators,
@@ -290,6 +312,7 @@
   v7: seventhGenerators,
   v8: eighthGenerators,
   v9: ninthGenerators,
+  v10: tenthGenerators,
 };
 
 /**
--- a/packages/soak/src/inject-fault.ts
+++ b/packages/soak/src/inject-fault.ts
@@ -6,6 +6,7 @@
   waitUntilReady,
 } from '@hemlocksill/platform/fakes/stand-in-platform.js';
 import { sendCrashingRequest } from './crashing-request.js';
+import { injectEndlessFault } from './inject-endless-fault.js';
 import { injectEngineFault } from './inject-engine-fault.js';
 import type { RestartCompanion, SoakFault } from './generate-faults.js';
 import type { Span } from './records.js';
@@ -364,6 +365,8 @@
       return sendCrashingRequest(environment, fault);
     case 'config-storm':
       return publishStorm(environment);
+    case 'endless-answers':
+      return injectEndlessFault(environment, fault);
     case 'engines-restart':
     case 'engines-cut-off':
     case 'store-restored':
--- a/packages/soak/src/records.ts
+++ b/packages/soak/src/records.ts
@@ -33,7 +33,10 @@
 export interface RunRecord {
   readonly id: string;
   readonly server: string;
+  /** Whether it is no request of a caller, but a prefill or a call of a VM. */
   readonly isPrefill: boolean;
+  /** Form of its answer if that has no end. */
+  readonly endlessForm?: string;
   readonly workspace: string | undefined;
   readonly hasKey: boolean;
   readonly arrivedAt: number;
@@ -88,6 +91,29 @@
   readonly exitCode: number | null;
 }
 
+/** A process of a VM that ended by itself. */
+export interface UnexpectedExit {
+  readonly vm: string;
+  readonly at: number;
+  /** Signal or exit code. */
+  readonly how: string;
+}
+
+/** Largest resident memory of a process of a VM, and when it was first seen. */
+export interface MemoryPeak {
+  readonly vm: string;
+  readonly at: number;
+  readonly bytes: number;
+}
+
+/** A request for the readiness page of a VM. */
+export interface ReadyProbe {
+  readonly vm: string;
+  readonly at: number;
+  /** Time until its answer; undefined if it got none until the end of the soak. */
+  ms: number | undefined;
+}
+
 /** Everything that a soak recorded, as input of the checks. */
 export interface SoakRecord {
   readonly calls: readonly CallRecord[];
@@ -107,8 +133,9 @@
   readonly stops: readonly StopRecord[];
   /** Intervals in which the process of the callers did not run, so that they saw later what had happened. */
   readonly callerLateSpans: readonly Span[];
-  /** VMs whose process ended without a signal. */
-  readonly unexpectedExits: readonly { readonly vm: string; readonly at: number }[];
+  readonly unexpectedExits: readonly UnexpectedExit[];
+  readonly memoryPeaks: readonly MemoryPeak[];
+  readonly readyProbes: readonly ReadyProbe[];
   /** Parts of prompts on which engines crash; the ids of requests with one begin with it. */
   readonly crashingParts: readonly string[];
   /** Requests that crash each server that runs them; the ids of the calls that repeat one begin with it. */
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -12,6 +12,7 @@
   type SoakEnvironment,
 } from './start-environment.js';
 import { injectFault } from './inject-fault.js';
+import { watchVms, type VmObservations } from './watch-vms.js';
 
 const callerCount = 16;
 
@@ -57,6 +58,12 @@
   readonly takeUpsServed: number;
   readonly faults: readonly SoakFault[];
   readonly violations: readonly Violation[];
+  /** Number of answers without an end that VMs met. */
+  readonly endlessAnswers: number;
+  /** Largest resident memory of a VM, in bytes; undefined if it was not read. */
+  readonly peakBytes: number | undefined;
+  /** Longest time for which the process of the soak itself did not run, in milliseconds. */
+  readonly latenessMs: number;
   /** Log lines of all VMs, for diagnosing a violation. */
   readonly logLines: readonly string[];
 }
@@ -92,23 +99,22 @@
   };
 };
 
-const collectRecord = (
+const collectRecord = async (
   environment: SoakEnvironment,
   calls: readonly CallRecord[],
   faultsEndedAt: number,
   callerLateSpans: readonly Span[],
-): SoakRecord => ({
+  observations: VmObservations,
+): Promise<SoakRecord> => ({
+  ...observations,
   calls: [...calls, ...environment.crashingCalls],
-  runs: environment.listRuns(),
+  runs: await environment.listRuns(),
   rejections: environment.listRejections(),
   changes: environment.changes,
   storeOutages: environment.storeOutages,
   vmFaultSpans: new Map(environment.vms.map((vm) => [vm.process.vm, vm.faultSpans])),
   storeLinkSpans: new Map(environment.vms.map((vm) => [vm.process.vm, vm.storeLinkSpans])),
   lateSpans: new Map(environment.vms.map((vm) => [vm.process.vm, vm.lateSpans])),
-  unexpectedExits: environment.vms
-    .filter(({ isDown, process: { child } }) => !isDown && child.exitCode !== null)
-    .map((vm) => ({ vm: vm.process.vm, at: environment.now() })),
   serverFaultSpans: [
     ...environment.servers,
     ...(environment.engines?.list ?? []).map((engine) => ({ ...engine, service: 'llm' as const })),
@@ -149,7 +155,8 @@
   const recordsOrigins = takesUpStreams && version !== 'v6';
   const hasPatientCallers = recordsOrigins && version !== 'v7';
   const faults = generateFaults(seed, { version, vms, servers, faultMs });
-  const environment = await startEnvironment(vms, serverSet, recordsOrigins);
+  const environment = await startEnvironment(vms, serverSet, recordsOrigins, version === 'v10');
+  const watch = watchVms(environment, version === 'v10');
   const callers = driveCallers(
     {
       vms: environment.vms,
@@ -171,7 +178,15 @@
   const faultsEndedAt = environment.now();
   await sleep(version === 'v9' ? shortRecoveryMs : recoveryMs);
   await callers.stop();
-  const record = collectRecord(environment, callers.records, faultsEndedAt, callerLateness.stop());
+  const observations = await watch.stop();
+  const lateSpans = callerLateness.stop();
+  const record = await collectRecord(
+    environment,
+    callers.records,
+    faultsEndedAt,
+    lateSpans,
+    observations,
+  );
   const logLines = environment.platform.getLogLines();
   const served = callers.records.filter((call) => call.status === 200 && call.isComplete);
   const isTakeUp = ({ takesUp, status }: CallRecord): boolean =>
@@ -185,6 +200,12 @@
     takeUpsServed: served.filter(isTakeUp).length,
     faults,
     violations: checkPromises(record, streamEvents),
+    endlessAnswers: record.runs.filter(({ endlessForm }) => endlessForm !== undefined).length,
+    peakBytes: observations.memoryPeaks
+      .map(({ bytes }) => bytes)
+      .sort((a, b) => a - b)
+      .at(-1),
+    latenessMs: Math.round(Math.max(0, ...lateSpans.map(({ from, to }) => to - from))),
     logLines,
   };
 };
--- a/packages/soak/src/soak-main.ts
+++ b/packages/soak/src/soak-main.ts
@@ -39,6 +39,10 @@
   console.log(
     `seed ${n}: ${faults.length} faults, ${result.served} of ${result.calls} served (${result.takeUpsServed} of ${result.takeUps} that take streams up), ${violations.length} violations`,
   );
+  if (result.peakBytes !== undefined)
+    console.log(
+      `  ${result.endlessAnswers} answers without an end; at most ${Math.round(result.peakBytes / 1_000_000)} MB of a VM; the soak itself was late by ${result.latenessMs} ms at most`,
+    );
   violations
     .slice(0, 10)
     .forEach((violation) => console.log(`  ${violation.promise}: ${violation.detail}`));
--- a/packages/soak/src/start-environment.ts
+++ b/packages/soak/src/start-environment.ts
@@ -23,6 +23,7 @@
   Span,
   StopRecord,
 } from './records.js';
+import { startEndlessServers, type EndlessServerPool } from './endless-servers.js';
 import { startReturningEngines, type ReturningEngines } from './returning-engines.js';
 import { startTcpProxy, type TcpProxy } from './tcp-proxy.js';
 
@@ -82,6 +83,8 @@
   readonly vms: readonly ProxiedVm[];
   /** Undefined if engines don't come back under their id. */
   readonly engines: ReturningEngines | undefined;
+  /** Undefined if no servers answer without an end. */
+  readonly endless: EndlessServerPool | undefined;
   /** Configuration version and API key currently published. */
   version: number;
   key: string;
@@ -98,7 +101,7 @@
   readonly addVersion: (server: ProxiedServer) => Promise<void>;
   /** Milliseconds since the start of the soak. */
   readonly now: () => number;
-  readonly listRuns: () => RunRecord[];
+  readonly listRuns: () => Promise<RunRecord[]>;
   readonly listRejections: () => RejectionRecord[];
   readonly close: () => Promise<void>;
 }
@@ -250,13 +253,14 @@
  * Starts stand-ins and router processes and waits until all VMs are ready for callers.
  *
  * @example
- * const environment = await startEnvironment(4, 'several', true);
+ * const environment = await startEnvironment(4, 'several', true, false);
  * await environment.close();
  */
 export const startEnvironment = async (
   vmCount: number,
   serverSet: ServerSet,
   recordsOrigins: boolean,
+  hasEndlessServers: boolean,
 ): Promise<SoakEnvironment> => {
   const startedAt = performance.now();
   const now = (): number => performance.now() - startedAt;
@@ -275,6 +279,7 @@
   const engines = hasReturningEngines(serverSet)
     ? await startReturningEngines(platform, engineOptions, serverSet === 'returning-mixed', now)
     : undefined;
+  const endless = hasEndlessServers ? await startEndlessServers(startedAt) : undefined;
   const vmNames = Array.from({ length: vmCount }, (_, n) => `vm-${n + 1}`);
   const vms = await Promise.all(vmNames.map((name) => startVm(platform, name, recordsOrigins)));
   await Promise.all(vms.map((vm) => waitUntilReady(platform, vm.process)));
@@ -283,6 +288,7 @@
     servers,
     vms,
     engines,
+    endless,
     version: 1,
     key,
     changes: [],
@@ -304,8 +310,9 @@
       servers.push(await startProxiedServer(platform, service, definition, false, now, crashes));
     },
     now,
-    listRuns: () =>
-      [...servers, ...(engines?.list ?? [])]
+    listRuns: async () => [
+      ...((await endless?.listRuns()) ?? []),
+      ...[...servers, ...(engines?.list ?? [])]
         .flatMap(({ instances }) => instances)
         .flatMap(({ options, receivedRequests }) =>
           receivedRequests.map((run) => ({
@@ -318,6 +325,7 @@
             endedAt: run.endedAt === undefined ? undefined : run.endedAt - startedAt,
           })),
         ),
+    ],
     listRejections: () =>
       servers
         .flatMap(({ instances }) => instances)
@@ -331,6 +339,7 @@
     close: async () => {
       await platform.close();
       engines?.close();
+      await endless?.close();
       servers.forEach(({ proxy }) => proxy.close());
       vms.forEach(({ storeProxy }) => storeProxy.close());
     },
