Test: two seeds of the soak with answers without an end

Seed 11211 of version 10: two new engines send chunks of one byte without an end, beside a reload and a stop of a VM. Seed 12239: three engines and three application servers send such chunks, small pieces and more, beside restarts. Each case also requires that VMs met such answers, so that it can't pass without.

--- a/packages/soak/src/soak.test.ts
+++ b/packages/soak/src/soak.test.ts
@@ -80,6 +80,20 @@
     cause:
       'after engines restarted, streams had events of two versions, or looked complete too early',
   },
+  {
+    seed: 11_211,
+    version: 'v10',
+    faultMs: 4_000,
+    cause:
+      'VMs stood still for seconds, or ended, while an engine sent chunks of one byte without an end',
+  },
+  {
+    seed: 12_239,
+    version: 'v10',
+    faultMs: 4_000,
+    cause:
+      'VMs took too much memory, and lost requests when they stopped, beside application servers without an end',
+  },
 ];
 
 cases.forEach(({ seed, version, faultMs, cause }) => {
@@ -89,6 +103,7 @@
     const result = await runSoak({ seed, version, faultMs, vms: 4 });
     t.deepEqual(result.violations, []);
     t.true(result.served > result.calls / 2);
+    t.is(result.endlessAnswers > 0, version === 'v10');
   });
 });
 
