--- a/packages/router/src/caller-flows.ts
+++ b/packages/router/src/caller-flows.ts
@@ -16,15 +16,21 @@
 
 /** The flow of a response that is gathered whole before it is sent. */
 export interface GatheredFlow extends ResponseFlow {
-  /** Records bytes that were received of the response. */
-  readonly recordRead: (bytes: number) => void;
+  /** Records how many bytes are held for what was received of the response. */
+  readonly recordHeld: (heldBytes: number) => void;
   /** Called when the response is sent or given up. */
   readonly close: () => void;
 }
 
 /** The flows of all responses. */
 export interface CallerFlows {
-  readonly openGathered: () => GatheredFlow;
+  /** `giveWay` breaks the response off. */
+  readonly openGathered: (giveWay: () => void) => GatheredFlow;
+  /** Reads only small responses of those that are gathered until `releaseGathered`. */
+  readonly holdGathered: () => void;
+  readonly releaseGathered: () => void;
+  /** Makes responses that are gathered give way until they hold half of what they do. */
+  readonly halveGathered: () => void;
   /** `fields` name the request in the log. */
   readonly open: (res: ServerResponse, fields: Readonly<Record<string, string>>) => CallerFlow;
 }
@@ -32,7 +38,7 @@
 /** Dependencies of the flows. */
 export interface CallerFlowDeps {
   readonly log: LogRouterEvent;
-  readonly metrics: Pick<RouterMetrics, 'unreadBytes' | 'stalledCallers'>;
+  readonly metrics: Pick<RouterMetrics, 'unreadBytes' | 'gatheredBytes' | 'stalledCallers'>;
   readonly now: () => number;
 }
 
@@ -45,6 +51,7 @@
  */
 export const makeCallerFlows = (limits: CallerMemoryLimits, deps: CallerFlowDeps): CallerFlows => {
   const memory = makeCallerMemory(limits);
+  const { gathered } = memory;
   /** Checks of the responses with unread bytes. */
   const checks = new Set<() => void>();
   /** Checks of the gathered responses that are not read for now. */
@@ -53,6 +60,17 @@
 
   const checkGathered = (): void => gatheredChecks.forEach((check) => check());
 
+  let isCheckDue = false;
+  /** The HTTP client resumes no response while it handles another one, which may be what has ended. */
+  const checkGatheredSoon = (): void => {
+    if (isCheckDue) return;
+    isCheckDue = true;
+    setImmediate(() => {
+      isCheckDue = false;
+      checkGathered();
+    });
+  };
+
   const scheduleCheck = (): void => {
     if (isScheduled || checks.size + gatheredChecks.size === 0) return;
     isScheduled = true;
@@ -60,6 +78,7 @@
       isScheduled = false;
       checks.forEach((check) => check());
       checkGathered();
+      if (gatheredChecks.size > 0) gathered.check(deps.now());
       deps.metrics.unreadBytes.set(memory.getUnreadBytes());
       scheduleCheck();
     };
@@ -67,8 +86,8 @@
     setTimeout(runAfterReads, checkPeriodMs, runChecks).unref();
   };
 
-  const openGathered = (): GatheredFlow => {
-    const bytes = memory.openGathered();
+  const openGathered = (giveWay: () => void): GatheredFlow => {
+    const bytes = gathered.open(giveWay);
     let resume = (): void => {};
     const check = (): void => {
       if (bytes.isFull()) return;
@@ -82,17 +101,27 @@
         gatheredChecks.add(check);
         scheduleCheck();
       },
-      recordRead: bytes.add,
+      recordHeld: (heldBytes) => {
+        bytes.update(heldBytes);
+        deps.metrics.gatheredBytes.set(gathered.getBytes());
+      },
       close: () => {
         bytes.close();
+        deps.metrics.gatheredBytes.set(gathered.getBytes());
         gatheredChecks.delete(check);
-        checkGathered();
+        if (gatheredChecks.size > 0) checkGatheredSoon();
       },
     };
   };
 
   return {
     openGathered,
+    holdGathered: gathered.hold,
+    releaseGathered: () => {
+      gathered.release();
+      checkGatheredSoon();
+    },
+    halveGathered: gathered.halve,
     open: (res, fields) => {
       const account = memory.open();
       let written = 0;
--- a/packages/router/src/plain-attempt.ts
+++ b/packages/router/src/plain-attempt.ts
@@ -1,3 +1,4 @@
+import { makeBodyBuffer } from '@hemlocksill/sockets/body-buffer.js';
 import type { BackendServer } from '@hemlocksill/types/routing.js';
 import type {
   BackendClient,
@@ -14,6 +15,13 @@
 /** Maximum size of a buffered response; a larger response counts as a fault. */
 const maxBufferedBytes = 4 * 1_024 * 1_024;
 
+/** Content-Length above which a response counts as one without an end. */
+const maxToldBytes = 1_024 ** 3;
+
+/** Length of the body that the head of a response tells. */
+const readToldBytes = ({ headers, hasBody }: ResponseHead): number =>
+  hasBody ? Number(headers.find(([name]) => name === 'content-length')?.[1] ?? 0) : 0;
+
 /** The complete response of a backend server. */
 export interface PlainResponse {
   readonly head: ResponseHead;
@@ -35,7 +43,7 @@
   readonly backends: Pick<BackendClient, 'send'>;
   readonly crashWatch: Pick<CrashWatch, 'watchRun'>;
   /** Opens the flow of a response, which holds back servers while callers hold too much. */
-  readonly openGathered: () => GatheredFlow;
+  readonly openGathered: (giveWay: () => void) => GatheredFlow;
 };
 
 /** An attempt in progress. */
@@ -63,27 +71,43 @@
 ): PlainAttempt => {
   const allocation = plainLedger.addDecode(server.id, 0);
   const runWatch = crashWatch.watchRun(crashParts, server);
-  const flow = openGathered();
   const sentAt = now();
-  let bufferedChunks: Buffer[] = [];
-  let bufferedBytes = 0;
+  const body = makeBodyBuffer();
   let head: ResponseHead | undefined;
   let isFinished = false;
   let cancelSend: CancelCall = () => {};
 
+  const flow = openGathered(() =>
+    breakOff({ kind: 'unknown', reason: 'the answers hold too much memory' }),
+  );
+
   const finishOnce = (action: () => void): void => {
     if (isFinished) return;
     isFinished = true;
     allocation.release();
     runWatch.stop();
     action();
-    bufferedChunks = [];
+    body.clear();
     flow.close();
   };
 
   const onFault = (fault: CallFault, isCrashing = false): void =>
     onDone({ kind: 'fault', fault, isCrashing });
 
+  /** Ends an attempt whose server has not failed. */
+  const breakOff = (fault: CallFault): void =>
+    finishOnce(() => {
+      cancelSend();
+      onFault(fault);
+    });
+
+  const onTooLarge = (isOversized = false): void =>
+    breakOff({
+      kind: 'unknown',
+      reason: 'answer too large',
+      ...(isOversized ? { isOversized } : {}),
+    });
+
   const onBreak = (fault: CallFault): void =>
     finishOnce(() => onFault(fault, fault.kind === 'unknown' && runWatch.recordBreak()));
 
@@ -91,7 +115,7 @@
     finishOnce(() =>
       onDone({
         kind: 'response',
-        response: { head: wholeHead, body: Buffer.concat(bufferedChunks) },
+        response: { head: wholeHead, body: body.take() },
       }),
     );
 
@@ -101,19 +125,23 @@
     { remainingMs: timeoutAt - now(), flow },
     {
       start: (receivedHead) => {
+        const toldBytes = readToldBytes(receivedHead);
+        if (toldBytes > maxBufferedBytes) {
+          onTooLarge(toldBytes > maxToldBytes);
+          return;
+        }
         head = receivedHead;
         // A server may answer with an error without having run the request.
         if (!isServerError(head)) runWatch.recordEvent();
       },
       data: (chunk) => {
-        bufferedBytes += chunk.length;
-        flow.recordRead(chunk.length);
-        if (bufferedBytes <= maxBufferedBytes) bufferedChunks.push(chunk);
-        else
-          finishOnce(() => {
-            cancelSend();
-            onFault({ kind: 'unknown', reason: 'answer too large' });
-          });
+        if (isFinished) return;
+        if (body.getBytes() + chunk.length <= maxBufferedBytes) {
+          body.append(chunk);
+          flow.recordHeld(body.getHeldBytes());
+          return;
+        }
+        onTooLarge();
       },
       end: () => {
         const endedHead = head;
--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -25,7 +25,7 @@
 import { makeResponseTimes } from '@hemlocksill/routing/response-times.js';
 import { makeServerDirectory } from '@hemlocksill/routing/server-directory.js';
 import { makeServerReach } from '@hemlocksill/routing/server-reach.js';
-import { makeServerHealth } from '@hemlocksill/routing/server-health.js';
+import { makeServerHealth, type CallOutcome } from '@hemlocksill/routing/server-health.js';
 import { makeStreamTiming } from '@hemlocksill/routing/stream-timing.js';
 import {
   makeStreamAdmission,
@@ -34,6 +34,7 @@
 } from '@hemlocksill/routing/stream-admission.js';
 import { countBoundTokens } from '@hemlocksill/routing/bound-streams.js';
 import { joinQueues, makeStreamQueue } from '@hemlocksill/routing/stream-queue.js';
+import { answerReads } from '@hemlocksill/sockets/read-answers.js';
 import { startReadTimeout } from '@hemlocksill/timers/read-timeout.js';
 import { acceptWaiting, runAfterReads, waitForReads } from '@hemlocksill/timers/run-after-reads.js';
 import { makeAnswerWatch } from './answer-watch.js';
@@ -520,6 +521,12 @@
     return ready.filter((server) => !changing.has(server.id) && !ownChanging.includes(server.id));
   };
 
+  /** Records a conclusive failure, and tells the other VMs. */
+  const recordFailure = ({ id }: BackendServer, outcome: CallOutcome): void => {
+    health.record(id, outcome, now());
+    if (failingEngines.record(id, now())) peers.notifyChange({ kind: 'failing' });
+  };
+
   const runDeps: RunDeps = {
     backends,
     health,
@@ -548,10 +555,8 @@
     tryTakeRetry: (service) => getRetryBudget(service).tryTakeRetry(peers.countVms(), now()),
     returnRetry: (service) => getRetryBudget(service).returnRetry(),
     findStageChange: stages.findChange,
-    recordFailingPrefill: (server, outcome) => {
-      health.record(server.id, outcome, now());
-      if (failingEngines.record(server.id, now())) peers.notifyChange({ kind: 'failing' });
-    },
+    recordFailingPrefill: recordFailure,
+    recordFaultyAnswer: (server) => recordFailure(server, 'faulty-answer'),
     notifyLoadChange: (server) => {
       peers.notifyChange({ kind: 'load', dataCentre: server.dataCentre });
       if (queue.size() > 0) setImmediate(() => queue.process(now()));
@@ -588,7 +593,7 @@
   const plainDeps: PlainDeps = {
     ...runDeps,
     placement: plainPlacement,
-    openGathered: () => flows.openGathered(),
+    openGathered: (giveWay) => flows.openGathered(giveWay),
   };
 
   const order = makeRequestOrder({ log, now });
@@ -619,6 +624,15 @@
     metrics,
     isShortOfMemory: () => heap.isShort(),
     collectGarbage,
+    holdAnswers: () => {
+      answerReads.hold();
+      flows.holdGathered();
+    },
+    releaseAnswers: () => {
+      answerReads.release();
+      flows.releaseGathered();
+    },
+    halveAnswers: flows.halveGathered,
     runAfterReads,
     now,
   });
--- a/packages/routing/src/limits.test.ts
+++ b/packages/routing/src/limits.test.ts
@@ -55,6 +55,19 @@
   t.false(health.isCoolingDown('a', 1_700));
 });
 
+// Guards against a server whose answers have no end that gets all requests again after each cooldown.
+test('a faulty answer starts a cooldown that doubles until a call succeeds', (t) => {
+  const health = makeServerHealth();
+  health.record('a', 'faulty-answer', 0);
+  t.true(health.isCoolingDown('a', 399));
+  t.false(health.isCoolingDown('a', 400));
+  health.record('a', 'faulty-answer', 400);
+  t.true(health.isCoolingDown('a', 1_199));
+  health.record('a', 'answered', 1_200);
+  health.record('a', 'faulty-answer', 1_300);
+  t.false(health.isCoolingDown('a', 1_700));
+});
+
 test('a server gets a cooldown after two consecutive broken calls, not after one', (t) => {
   const health = makeServerHealth();
   health.record('a', 'broken', 0);
--- a/packages/routing/src/server-health.ts
+++ b/packages/routing/src/server-health.ts
@@ -34,6 +34,8 @@
   | 'unreachable'
   /** The call failed after it was sent. */
   | 'broken'
+  /** It sent more than any answer has that is sound, so that its answers may have no end. */
+  | 'faulty-answer'
   /** It rejected a prompt, which only an engine does that is changing its stage or overloaded. */
   | 'prompt-rejected'
   /** It read a prompt, but did not keep the result until the decode engine asked for it. */
@@ -104,7 +106,10 @@
       }
       health.consecutiveFailures += 1;
       const isConclusive =
-        outcome === 'unreachable' || outcome === 'result-lost' || outcome === 'prompt-rejected';
+        outcome === 'unreachable' ||
+        outcome === 'faulty-answer' ||
+        outcome === 'result-lost' ||
+        outcome === 'prompt-rejected';
       if (isConclusive || health.consecutiveFailures >= failuresBeforeCooldown)
         startCooldown(health, now);
     },
