--- a/packages/router/src/plain-attempt.ts
+++ b/packages/router/src/plain-attempt.ts
@@ -101,11 +101,11 @@
       onFault(fault);
     });
 
-  const onTooLarge = (isOversized = false): void =>
+  const onTooLarge = (isMalformed = false): void =>
     breakOff({
       kind: 'unknown',
       reason: 'answer too large',
-      ...(isOversized ? { isOversized } : {}),
+      ...(isMalformed ? { isMalformed } : {}),
     });
 
   const onBreak = (fault: CallFault): void =>
--- a/packages/routing/src/place-plain.ts
+++ b/packages/routing/src/place-plain.ts
@@ -3,6 +3,7 @@
   failureWeight,
   isAllowed,
   isAvailable,
+  isTried,
   otherDataCentrePenalty,
   type PlacementView,
 } from './place-work.js';
@@ -34,14 +35,14 @@
   readonly random: () => number;
 }
 
-/** Servers that may get a request. If all of them are cooling down, they are used rather than none. */
+/** Servers that may get a request. If all of them are cooling down or on trial, they are used rather than none. */
 export const listPlainCandidates = (
   servers: readonly BackendServer[],
   view: PlacementView,
   excluded: ReadonlySet<string>,
 ): readonly BackendServer[] => {
   const allowed = servers.filter((server) => !excluded.has(server.id) && isAllowed(server, view));
-  const available = allowed.filter((server) => isAvailable(server, view));
+  const available = allowed.filter((server) => isAvailable(server, view) && !isTried(server, view));
   return available.length > 0 ? available : allowed;
 };
 
--- a/packages/routing/src/server-health.ts
+++ b/packages/routing/src/server-health.ts
@@ -24,6 +24,8 @@
   failureShare: number;
   /** Until this time the server wants no request from this VM. */
   pausedUntil: number;
+  /** Whether this VM found an answer faulty, and none has been whole since. */
+  isFaulty: boolean;
 }
 
 /** The outcome of a call to a backend server. */
@@ -34,7 +36,7 @@
   | 'unreachable'
   /** The call failed after it was sent. */
   | 'broken'
-  /** It sent more than any answer has that is sound, so that its answers may have no end. */
+  /** It sent an answer that is not valid HTTP or exceeds a limit, so that it may have no end. */
   | 'faulty-answer'
   /** It rejected a prompt, which only an engine does that is changing its stage or overloaded. */
   | 'prompt-rejected'
@@ -56,6 +58,12 @@
   readonly isPaused: (id: string, now: number) => boolean;
   /** Whether a backend server should get no requests because of recent failures. */
   readonly isCoolingDown: (id: string, now: number) => boolean;
+  /** Whether a backend server should get one request at a time, since faulty answers started its last cooldown. */
+  readonly isOnTrial: (id: string) => boolean;
+  /** Whether this VM found an answer of a backend server faulty, and none has been whole since. */
+  readonly isFaulty: (id: string) => boolean;
+  /** Time until which such a server gets no requests; 0 if it is not one. */
+  readonly getFaultyUntil: (id: string) => number;
   /** Moving average of the share of calls to a backend server that failed. */
   readonly getFailureShare: (id: string) => number;
 }
@@ -80,6 +88,7 @@
       cooldownMs: initialCooldownMs,
       failureShare: 0,
       pausedUntil: 0,
+      isFaulty: false,
     };
     healthById.set(id, health);
     return health;
@@ -94,6 +103,7 @@
       const health = getOrCreate(id);
       const failure = outcome === 'answered' ? 0 : 1;
       health.failureShare += (failure - health.failureShare) * outcomeWeight;
+      if (outcome === 'answered' || outcome === 'error-answer') health.isFaulty = false;
       if (outcome === 'answered') {
         health.consecutiveFailures = 0;
         health.cooldownMs = initialCooldownMs;
@@ -105,11 +115,10 @@
         return;
       }
       health.consecutiveFailures += 1;
+      // One such answer is no reason to leave a server, whose connection may have been disturbed.
+      if (outcome === 'faulty-answer') health.isFaulty = true;
       const isConclusive =
-        outcome === 'unreachable' ||
-        outcome === 'faulty-answer' ||
-        outcome === 'result-lost' ||
-        outcome === 'prompt-rejected';
+        outcome === 'unreachable' || outcome === 'result-lost' || outcome === 'prompt-rejected';
       if (isConclusive || health.consecutiveFailures >= failuresBeforeCooldown)
         startCooldown(health, now);
     },
@@ -127,9 +136,19 @@
       health.cooldownUntil = 0;
       health.cooldownMs = initialCooldownMs;
       health.consecutiveFailures = 0;
+      health.isFaulty = false;
     },
     isPaused: (id, now) => (healthById.get(id)?.pausedUntil ?? 0) > now,
     isCoolingDown: (id, now) => (healthById.get(id)?.cooldownUntil ?? 0) > now,
+    isOnTrial: (id) => {
+      const health = healthById.get(id);
+      return health?.isFaulty === true && health.consecutiveFailures >= failuresBeforeCooldown;
+    },
+    isFaulty: (id) => healthById.get(id)?.isFaulty ?? false,
+    getFaultyUntil: (id) => {
+      const health = healthById.get(id);
+      return health?.isFaulty ? health.cooldownUntil : 0;
+    },
     getFailureShare: (id) => healthById.get(id)?.failureShare ?? 0,
   };
 };
--- a/packages/types/src/routing-ports.ts
+++ b/packages/types/src/routing-ports.ts
@@ -18,7 +18,7 @@
       readonly kind: 'unknown';
       readonly reason: string;
       /** Whether the answer was not valid HTTP or exceeded a limit, so that it may have had no end. */
-      readonly isOversized?: true;
+      readonly isMalformed?: true;
     };
 
 /** Status and headers of a backend server's response, without hop-by-hop headers. */
@@ -237,6 +237,8 @@
       readonly reason: string;
       /** Start time of the instance that answered in place of the listed one, if one did, in Unix milliseconds. */
       readonly foundStartedAt?: number;
+      /** Whether the answer was not valid HTTP or exceeded a limit, so that it may have had no end. */
+      readonly isMalformed?: true;
     };
 
 /** Parses a caller's headers, or returns the problem that makes them invalid. */
