Soak: an answer without an end is broken off during a stop, too

`ends-with-answer` allows that for calls that ran at such a server and got a status; `graceful-stop` didn't have the same rule. It still counts a call without a status, and one that only met such a prefill or reservation.

Ruled out: the whole span of the fault as an excuse, as for other server faults, which would excuse calls at sound servers.

--- a/packages/soak/src/check-promises.test.ts
+++ b/packages/soak/src/check-promises.test.ts
@@ -413,16 +413,24 @@
 
 // Guards against a soak that takes an answer without an end for any excuse.
 test('only a call that ran at a server without an end may be broken off, and never looks complete', (t) => {
-  const listWith = (call: Partial<CallRecord>, run: Partial<RunRecord>): string[] =>
+  const listWith = (
+    call: Partial<CallRecord>,
+    run: Partial<RunRecord>,
+    overrides: Partial<SoakRecord> = {},
+  ): string[] =>
     listViolatedPromises({
       calls: [makeCall(call)],
       runs: [makeRun({ endlessForm: 'one chunk', ...run })],
+      ...overrides,
     });
   t.deepEqual(listWith({ isComplete: false }, {}), []);
   t.deepEqual(listWith({ status: 502 }, {}), []);
   t.deepEqual(listWith({ isComplete: false }, { isPrefill: true }), ['ends-with-answer']);
   t.deepEqual(listWith({ status: undefined, isComplete: false }, {}), ['ends-with-answer']);
   t.deepEqual(listWith({ status: 503 }, {}), ['true-refusal']);
+  const stops = [{ vm: 'vm-1', from: 9_900, to: 12_000, exitCode: 0 }];
+  t.deepEqual(listWith({ isComplete: false }, {}, { stops }), []);
+  t.true(listWith({ isComplete: false }, { isPrefill: true }, { stops }).includes('graceful-stop'));
   t.deepEqual(listWith({ body: 'xxxx' }, {}), ['own-answer']);
   const stream = { kind: 'stream', body: 'id: 7\ndata: e\n\n' } as const;
   t.deepEqual(listWith({ ...stream, isComplete: false }, {}), []);
--- a/packages/soak/src/check-promises.ts
+++ b/packages/soak/src/check-promises.ts
@@ -283,8 +283,11 @@
         const isOpenDuringStop = call.vm === stop.vm && call.startedAt < stop.to && end > stop.from;
         const isCut = call.status === undefined || (call.status === 200 && !call.isComplete);
         if (!isOpenDuringStop || call.disconnectedAt !== undefined || !isCut) return false;
-        if (mayCross(call, runs.get(call.id) ?? [], stop, end, record.callerLateSpans))
+        const callRuns = runs.get(call.id) ?? [];
+        // An answer without an end is broken off at any time.
+        if (call.status !== undefined && callRuns.some((run) => run.endlessForm !== undefined))
           return false;
+        if (mayCross(call, callRuns, stop, end, record.callerLateSpans)) return false;
         const otherFaultSpans = (record.vmFaultSpans.get(call.vm) ?? []).filter(
           ({ from }) => from !== stop.from,
         );
