--- a/packages/router/src/joined-writes.ts
+++ b/packages/router/src/joined-writes.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from 'node:http';
-import { makeBodyBuffer, type BodyBuffer } from '@hemlocksill/routing/body-buffer.js';
+import { makeBodyBuffer, type BodyBuffer } from '@hemlocksill/sockets/body-buffer.js';
 
 /** Pieces from this size on are written as they are; as many bytes of smaller ones are written together. */
 const minOwnWriteBytes = 4 * 1_024;
