Tunnels: read on after a part that holds no bytes of the other side

A relayed connection stopped for ever after a slice that held only the length of a frame, or the end: the stream was not told that its read had ended, so that it did not read again. The test timed out before.

--- a/packages/router/src/tunnel-frames.test.ts
+++ b/packages/router/src/tunnel-frames.test.ts
@@ -2,6 +2,7 @@
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import test, { type ExecutionContext } from 'ava';
+import { readAnswers } from '@hemlocksill/sockets/read-answers.js';
 import { openTunnel } from './open-tunnel.js';
 import { framing, framingField, readFrames } from './tunnel-frames.js';
 
@@ -146,3 +147,23 @@
   t.is(await readAll(socket), `${framed} end`);
   return undefined;
 });
+
+// Guards against a connection that stops for ever after a slice that holds no bytes of the other side.
+test('frames whose length or end is a slice of its own are read whole', async (t) => {
+  // One slice; the length of the next frame is another one.
+  const text = 'x'.repeat(4_092);
+  for (const [first, second] of [
+    [
+      Buffer.concat([encode(text), encode('y').subarray(0, 4)]),
+      Buffer.concat([Buffer.from('y'), encode('')]),
+    ],
+    [Buffer.concat([encode(text), encode('')]), Buffer.alloc(0)],
+  ] as const) {
+    const { socket } = await connectTo(t, (other) => {
+      other.write(first, () => setTimeout(() => other.end(second), 20));
+    });
+    readFrames(socket);
+    readAnswers(socket);
+    t.is(await readAll(socket), `${text}${second.length > 0 ? 'y' : ''} end`);
+  }
+});
--- a/packages/router/src/tunnel-frames.ts
+++ b/packages/router/src/tunnel-frames.ts
@@ -125,7 +125,8 @@
       const bytes = decoder.decode(piece);
       if (!bytes) return breakOff();
       readBytes += bytes.length;
-      return bytes.length === 0 || push(bytes);
+      // Also a part without bytes tells the stream that its read has ended; it would not read again.
+      return push(bytes);
     },
     read: (size?: number): unknown => {
       const chunk: unknown = read(size);
