Handle reads of one slice at once, and let late timeouts wait for slices

A read of one slice is handled at once now, whatever was spent; only reads of several slices count, wait and rest.

--- a/packages/router/src/start-router.ts
+++ b/packages/router/src/start-router.ts
@@ -36,7 +36,12 @@
 import { joinQueues, makeStreamQueue } from '@hemlocksill/routing/stream-queue.js';
 import { answerReads } from '@hemlocksill/sockets/read-answers.js';
 import { startReadTimeout } from '@hemlocksill/timers/read-timeout.js';
-import { acceptWaiting, runAfterReads, waitForReads } from '@hemlocksill/timers/run-after-reads.js';
+import {
+  acceptWaiting,
+  awaitHandling,
+  runAfterReads,
+  waitForReads,
+} from '@hemlocksill/timers/run-after-reads.js';
 import { makeAnswerWatch } from './answer-watch.js';
 import type { LogRouterEvent } from './events.js';
 import {
@@ -174,6 +179,7 @@
  */
 export const startRouter = (settings: RouterSettings, ports: RouterPorts): Router => {
   const { log, metrics, store, format } = ports;
+  awaitHandling(answerReads.hasLightWaiting);
   const now = (): number => performance.now();
   const incarnation = randomBytes(6).toString('hex');
   const directory = makeServerDirectory();
--- a/packages/sockets/src/read-slices.test.ts
+++ b/packages/sockets/src/read-slices.test.ts
@@ -138,6 +138,38 @@
   t.true(handled.length > before);
 });
 
+// Guards against a sound server whose many small answers are slowed down though nothing else needs the time.
+test('reads of one slice are handled at once, however many there were', async (t) => {
+  const { handled, open } = makeSetup();
+  const { stream } = open('a', 0.001);
+  for (let n = 0; n < 200; n += 1) {
+    stream.push(Buffer.alloc(500));
+    await nextTurn();
+  }
+  t.is(handled.length, 200);
+});
+
+// Guards against a connection that is used again though its server has closed it.
+test('an end that waits shows', async (t) => {
+  const { open } = makeSetup();
+  const { stream, reads } = open('a', 0.004);
+  stream.push(block.subarray(0, 5_000));
+  stream.push(null);
+  t.true(reads.isWaiting());
+});
+
+// Guards against timeouts that take what a late process has read, but not handled, for what did not come.
+test('what waits of light connections shows', async (t) => {
+  const { slices, open } = makeSetup();
+  const heavy = open('heavy', 0.004);
+  t.false(slices.hasLightWaiting());
+  heavy.stream.push(block);
+  t.true(slices.hasLightWaiting());
+  for (let turn = 0; turn < 100; turn += 1) await nextTurn();
+  t.true(heavy.reads.isWaiting());
+  t.false(slices.hasLightWaiting());
+});
+
 // Guards against bytes of a closed connection that stay in the account.
 test('what waits of a connection that is closed is dropped', async (t) => {
   const { slices, handled, open } = makeSetup();
--- a/packages/sockets/src/read-slices.ts
+++ b/packages/sockets/src/read-slices.ts
@@ -35,6 +35,10 @@
 export interface SlicedReads {
   /** Number of bytes that were received, but wait to be handled. */
   readonly getWaitingBytes: () => number;
+  /** Whether bytes, or the end of the data, wait to be handled. */
+  readonly isWaiting: () => boolean;
+  /** Time since the handling of the present slice began, in milliseconds; 0 if there is none. */
+  readonly getSliceMs: () => number;
 }
 
 /** The reads of all connections on which answers arrive. */
@@ -43,6 +47,8 @@
   readonly add: (socket: Socket, onSlice?: (record: SliceRecord) => void) => SlicedReads;
   /** Number of bytes of all connections that wait to be handled. */
   readonly getWaitingBytes: () => number;
+  /** Whether a connection waits that has not taken much time. */
+  readonly hasLightWaiting: () => boolean;
   /** Lets the connections that took much time rest until `release`. */
   readonly hold: () => void;
   readonly release: () => void;
@@ -56,9 +62,10 @@
   readonly pieces: (Buffer | null)[];
   waitingBytes: number;
   sliceBytes: number;
-  /** Time spent on it, less with its age, and when that was counted. */
+  /** Time spent on reads of several slices, less with its age, and when that was counted. */
   spentMs: number;
   spentAt: number;
+  sliceStartedAt: number | undefined;
 }
 
 /** Dependencies of the slices. */
@@ -70,8 +77,8 @@
 /**
  * Makes the reads of a process. A read of 64 KB can hold thousands of chunks, each with a cost of its own, so that a
  * few servers that send without an end keep the event loop from everything else. What was read is handled in slices
- * whose size follows the time that they take. Connections come first that have taken little time; those that took much get
- * only a share of the process's time together. While something waits, the connection is not read, which holds its server back.
+ * whose size follows the time that they take. A read of one slice is handled at once. Of what waits, connections come first
+ * that have taken little time; those that took much get only a share of the process's time together. While something waits, the connection is not read, which holds its server back.
  *
  * @example
  * const slices = makeReadSlices({ now: () => performance.now() });
@@ -95,7 +102,8 @@
   /** Whether connections on which much time was spent have to rest. */
   const areHeavyResting = (): boolean => isHeld || heavyFrom > now();
 
-  const isResting = (reader: Reader): boolean => areHeavyResting() && getSpentMs(reader) > heavyMs;
+  const getSliceMs = ({ sliceStartedAt }: Reader): number =>
+    sliceStartedAt === undefined ? 0 : now() - sliceStartedAt;
 
   const startTurn = (): void => {
     isTurnScheduled = false;
@@ -114,27 +122,38 @@
     allWaitingBytes += bytes;
   };
 
-  const record = (reader: Reader, bytes: number, handlingMs: number): void => {
+  const countSpent = (reader: Reader, ms: number): void => {
+    reader.spentMs = getSpentMs(reader) + ms;
+    reader.spentAt = now();
+    if (reader.spentMs > heavyMs) heavyFrom = Math.max(heavyFrom, now() - ms) + ms / heavyShare;
+  };
+
+  const record = (reader: Reader, bytes: number, isPart: boolean): void => {
+    const handlingMs = getSliceMs(reader);
+    reader.sliceStartedAt = undefined;
     const ms = Math.min(handlingMs, maxCountedMs);
     turnMs += ms;
     if (ms > maxSliceMs) reader.sliceBytes = Math.max(minSliceBytes, reader.sliceBytes / 2);
     else if (ms < lightSliceMs && bytes * 2 > reader.sliceBytes)
       reader.sliceBytes = Math.min(maxSliceBytes, reader.sliceBytes * 2);
-    reader.spentMs = getSpentMs(reader) + ms;
-    reader.spentAt = now();
-    if (reader.spentMs > heavyMs) heavyFrom = Math.max(heavyFrom, now() - ms) + ms / heavyShare;
+    if (isPart) countSpent(reader, ms);
     // The time of a turn counts from zero in the next one.
     if (turnMs > lightSliceMs) scheduleTurn();
     reader.onSlice({ bytes, ms: handlingMs });
   };
 
-  /** Hands a slice on, and calls back once it was handled. */
-  const deliver = (reader: Reader, slice: Buffer, onHandled = (): void => {}): boolean => {
-    const startedAt = now();
+  /** Hands a slice on, and calls back once it was handled; `isPart` says that its read has others. */
+  const deliver = (
+    reader: Reader,
+    slice: Buffer,
+    isPart: boolean,
+    onHandled = (): void => {},
+  ): boolean => {
+    reader.sliceStartedAt = now();
     const hasRoom = reader.push(slice);
     // The stream tells its reader in the next tick, which may hand joined pieces on in the one after it.
     process.nextTick(process.nextTick, () => {
-      record(reader, slice.length, now() - startedAt);
+      record(reader, slice.length, isPart);
       onHandled();
     });
     return hasRoom;
@@ -152,7 +171,7 @@
     if (slice.length === piece.length) reader.pieces.shift();
     else reader.pieces[0] = piece.subarray(slice.length);
     countWaiting(reader, -slice.length);
-    deliver(reader, slice, () => {
+    deliver(reader, slice, true, () => {
       if (reader.pieces.length > 0) waiting.add(reader);
       runNext();
     });
@@ -206,6 +225,7 @@
 
   return {
     getWaitingBytes: () => allWaitingBytes,
+    hasLightWaiting: () => [...waiting].some((reader) => getSpentMs(reader) <= heavyMs),
     hold: () => {
       isHeld = true;
     },
@@ -225,16 +245,17 @@
         sliceBytes: initialSliceBytes,
         spentMs: 0,
         spentAt: now(),
+        sliceStartedAt: undefined,
       };
       Object.assign(socket, {
         push: (piece: Buffer | null): boolean => {
-          if (reader.pieces.length > 0 || isResting(reader)) return wait(reader, piece);
+          if (reader.pieces.length > 0) return wait(reader, piece);
           if (piece === null) return push(null);
-          if (piece.length <= reader.sliceBytes) return deliver(reader, piece);
+          if (piece.length <= reader.sliceBytes) return deliver(reader, piece, false);
           // Whoever waits for the answer learns at once that it goes on.
           const firstBytes = turnMs < maxTurnMs ? reader.sliceBytes : minSliceBytes;
           wait(reader, piece.subarray(firstBytes));
-          deliver(reader, piece.subarray(0, firstBytes));
+          deliver(reader, piece.subarray(0, firstBytes), true);
           return false;
         },
         _read: (size: number): void => {
@@ -247,7 +268,11 @@
         countWaiting(reader, -reader.waitingBytes);
         reader.pieces.length = 0;
       });
-      return { getWaitingBytes: () => reader.waitingBytes };
+      return {
+        getWaitingBytes: () => reader.waitingBytes,
+        isWaiting: () => reader.pieces.length > 0,
+        getSliceMs: () => getSliceMs(reader),
+      };
     },
   };
 };
--- a/packages/timers/src/run-after-reads.ts
+++ b/packages/timers/src/run-after-reads.ts
@@ -7,6 +7,22 @@
 const longTurnMs = 50;
 const maxTurns = 3;
 
+/** Time for which reads are awaited that were made, but wait to be handled. */
+const maxWaitingMs = 250;
+
+let hasWaiting = (): boolean => false;
+
+/**
+ * Makes `runAfterReads` wait, for a time, while what was read waits to be handled.
+ *
+ * @param hasWaitingReads - whether something waits now
+ * @example
+ * awaitHandling(answerReads.hasLightWaiting);
+ */
+export const awaitHandling = (hasWaitingReads: () => boolean): void => {
+  hasWaiting = hasWaitingReads;
+};
+
 /**
  * Runs a callback after the reads that are due. Timers come before them: in a process that has not run for a
  * while, a timer can't tell what has not been sent from what has not been read. What arrives in a long turn is read
@@ -16,10 +32,17 @@
  * setTimeout(() => runAfterReads(() => closeIfIdle(socket)), 500);
  */
 export const runAfterReads: RunAfterReads = (callback) => {
+  let waitUntil: number | undefined;
+  const mustWait = (): boolean => {
+    if (!hasWaiting()) return false;
+    waitUntil ??= performance.now() + maxWaitingMs;
+    return performance.now() < waitUntil;
+  };
   const runTurn = (turn: number): void => {
     const startedAt = performance.now();
     setImmediate(() => {
-      if (turn < maxTurns && performance.now() - startedAt >= longTurnMs) runTurn(turn + 1);
+      const isLong = turn < maxTurns && performance.now() - startedAt >= longTurnMs;
+      if (isLong || mustWait()) runTurn(turn + 1);
       else callback();
     });
   };
