--- a/packages/sockets/src/join-pieces.test.ts
+++ b/packages/sockets/src/join-pieces.test.ts
@@ -28,6 +28,7 @@
       { method: 'GET', path: '/' },
       joinPieces({
         onResponseData: (_, piece) => {
+          if (piece.toString() === 'throw') throw new Error('thrown by the handler');
           sizes.push(piece.length);
           body += piece.toString();
         },
@@ -60,3 +61,9 @@
   t.regex(end, /does not match the HTTP\/1.1 protocol/);
   t.is(body, chunks.join(''));
 });
+
+// Guards against a process that ends by an exception of one handler.
+test('an exception of the handler is a fault of its response', async (t) => {
+  const head = 'HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n';
+  t.is((await receive(t, `${head}throw`)).end, 'thrown by the handler');
+});
--- a/packages/sockets/src/join-pieces.ts
+++ b/packages/sockets/src/join-pieces.ts
@@ -25,6 +25,15 @@
     if (pieces && controller) handler.onResponseData?.(controller, pieces);
   };
 
+  /** An exception, which the HTTP client takes for a fault of the response, would end the process here. */
+  const flushLater = (): void => {
+    try {
+      flush();
+    } catch (error) {
+      controller?.abort(error instanceof Error ? error : new Error(String(error)));
+    }
+  };
+
   return {
     onRequestStart: (startController, context) =>
       handler.onRequestStart?.(startController, context),
@@ -39,7 +48,7 @@
       }
       if (!first) {
         first = piece;
-        process.nextTick(flush);
+        process.nextTick(flushLater);
         return;
       }
       if (!joined) {
